--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each prints ratios of figures taken in one run."""
--- /dev/null
+++ b/src/mulberryquay/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The subcommands; each module is a plug-in."""
--- /dev/null
+++ b/src/mulberryquay/commands/api_client.py
@@ -0,0 +1,101 @@
+"""A client of the resource API for the subcommands."""
+
+from __future__ import annotations
+
+import json
+import typing
+
+import urllib3
+
+from mulberryquay.coordination import errors
+
+_TIMEOUT_S: typing.Final = 5.0
+_FIRST_ERROR_STATUS: typing.Final = 400
+_WATCH_TIMEOUT: typing.Final = urllib3.Timeout(connect=_TIMEOUT_S, read=None)
+
+Json = typing.Any
+
+
+@typing.final
+class ApiUnreachableError(errors.MulberryquayError):
+    """No control host could be reached."""
+
+    code = 'api-unreachable'
+
+
+class ApiRefusedError(errors.MulberryquayError):
+    """The control host answered with an error; ``api_code`` names it."""
+
+    code = 'api-refused'
+
+    def __init__(self, status: int, api_code: str, message: str) -> None:
+        """Takes over what the control host answered."""
+        super().__init__(f'{api_code}: {message}')
+        self.status = status
+        self.api_code = api_code
+
+
+@typing.final
+class ApiClient:
+    """Sends requests to the first control host that can be reached."""
+
+    def __init__(self, addresses: str) -> None:
+        """``addresses`` are ``IP:PORT`` parted by commas."""
+        self._addresses = addresses.split(',')
+        self._pool = urllib3.PoolManager(retries=False)
+
+    def call(self, method: str, path: str, body: Json = None) -> Json:
+        """Returns the JSON answer.
+
+        Raises ApiUnreachableError and ApiRefusedError.
+        """
+        response = self._open(method, path, body, _TIMEOUT_S, preload=True)
+        return json.loads(response.data)
+
+    def stream(self, path: str) -> typing.Iterator[Json]:
+        """Yields the JSON lines of a watch."""
+        response = self._open('GET', path, None, _WATCH_TIMEOUT, preload=False)
+        pending = b''
+        for chunk in response.stream():
+            *lines, pending = (pending + chunk).split(b'\n')
+            for line in lines:
+                yield json.loads(line)
+
+    def _open(
+        self,
+        method: str,
+        path: str,
+        body: Json,
+        timeout: typing.Any,
+        *,
+        preload: bool,
+    ) -> urllib3.BaseHTTPResponse:
+        last: Exception | None = None
+        for address in self._addresses:
+            try:
+                response = self._pool.request(
+                    method,
+                    f'http://{address}{path}',
+                    body=None if body is None else json.dumps(body),
+                    timeout=timeout,
+                    preload_content=preload,
+                )
+            except urllib3.exceptions.HTTPError as error:
+                last = error
+                continue
+            _check(response)
+            return response
+        raise ApiUnreachableError(
+            f'no control host answers at {", ".join(self._addresses)}: '
+            f'{last}; check --api',
+        )
+
+
+def _check(response: urllib3.BaseHTTPResponse) -> None:
+    if response.status < _FIRST_ERROR_STATUS:
+        return
+    try:
+        error = json.loads(response.data)['error']
+    except (ValueError, KeyError, TypeError):
+        error = {'code': 'unexpected-answer', 'message': str(response.status)}
+    raise ApiRefusedError(response.status, error['code'], error['message'])
--- /dev/null
+++ b/src/mulberryquay/commands/command.py
@@ -0,0 +1,40 @@
+"""What a subcommand is made of."""
+
+from __future__ import annotations
+
+import signal
+import sys
+import typing
+
+import gevent
+from gevent import event
+
+from mulberryquay import settings
+from mulberryquay.kernel import plugins
+
+Run = typing.Callable[[settings.Values, list[str], plugins.Kernel], int]
+
+
+class Command(typing.NamedTuple):
+    """One subcommand; ``run`` returns the exit code."""
+
+    name: str
+    summary: str
+    #: Names of the arguments that follow the flags.
+    arguments: tuple[str, ...]
+    settings: tuple[settings.Setting, ...]
+    run: Run
+
+
+def wait_for_stop() -> None:
+    """Returns when the process gets SIGTERM or SIGINT."""
+    stopping = event.Event()
+    gevent.signal_handler(signal.SIGTERM, stopping.set)
+    gevent.signal_handler(signal.SIGINT, stopping.set)
+    stopping.wait()
+
+
+def say(line: str) -> None:
+    """Prints a line at once."""
+    sys.stdout.write(f'{line}\n')
+    sys.stdout.flush()
--- /dev/null
+++ b/src/mulberryquay/commands/daemons.py
@@ -0,0 +1,88 @@
+"""The subcommands that run daemons."""
+
+from __future__ import annotations
+
+import gc
+
+import mulberryquay
+from mulberryquay import logs, settings
+from mulberryquay.commands import command
+from mulberryquay.control import daemon as control_daemon
+from mulberryquay.entry import daemon as entry_daemon
+from mulberryquay.kernel import plugins
+
+
+def mulberryquay_register(kernel: plugins.Kernel) -> None:
+    """Registers ``control``, ``entry`` and ``version``."""
+    kernel.commands.add(
+        'control',
+        command.Command(
+            'control',
+            'run a control host: resource API, announcements, fan-out',
+            (),
+            control_daemon.SETTINGS,
+            run_control,
+        ),
+    )
+    kernel.commands.add(
+        'entry',
+        command.Command(
+            'entry',
+            'run an entry: answer callers and forward to targets',
+            (),
+            entry_daemon.SETTINGS,
+            run_entry,
+        ),
+    )
+    kernel.commands.add(
+        'version',
+        command.Command('version', 'print the version', (), (), run_version),
+    )
+
+
+def run_control(
+    values: settings.Values,
+    _arguments: list[str],
+    kernel: plugins.Kernel,
+) -> int:
+    """Runs a control host until a signal."""
+    logs.configure(level=values['log_level'], role='control')
+    daemon = control_daemon.ControlDaemon(values, kernel)
+    daemon.start()
+    command.say(f'api port {daemon.api_port}, feed port {daemon.feed_port}')
+    freeze_start_objects()
+    command.wait_for_stop()
+    daemon.stop()
+    return 0
+
+
+def run_entry(
+    values: settings.Values,
+    _arguments: list[str],
+    kernel: plugins.Kernel,
+) -> int:
+    """Runs an entry until a signal, then stops it gracefully."""
+    logs.configure(level=values['log_level'], role='entry')
+    daemon = entry_daemon.EntryDaemon(values, kernel)
+    daemon.start()
+    command.say(f'port {daemon.port}, admin port {daemon.admin_port}')
+    freeze_start_objects()
+    command.wait_for_stop()
+    daemon.stop()
+    return 0
+
+
+def run_version(
+    _values: settings.Values,
+    _arguments: list[str],
+    _kernel: plugins.Kernel,
+) -> int:
+    """Prints the version."""
+    command.say(mulberryquay.__version__)
+    return 0
+
+
+def freeze_start_objects() -> None:
+    """Spares the collector the objects that live as long as the process."""
+    gc.collect()
+    gc.freeze()
--- /dev/null
+++ b/src/mulberryquay/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control daemon: configuration, announcements, fan-out to entries."""
--- /dev/null
+++ b/src/mulberryquay/control/api.py
@@ -0,0 +1,284 @@
+"""The resource API: list, get, put, delete and watch as JSON over HTTP."""
+
+from __future__ import annotations
+
+import json
+import typing
+
+import bottle
+
+from mulberryquay import protocol, web
+from mulberryquay.control import directory, kinds, membership
+from mulberryquay.coordination import errors, history, schema, store, units
+from mulberryquay.kernel import registry
+
+#: A watch without changes sends a bookmark line this often.
+BOOKMARK_INTERVAL_MS: typing.Final = 5000
+
+_JSON_LINES: typing.Final = 'application/jsonl'
+_RESOURCE_PATH: typing.Final = '/v1/<kind>/<name>'
+_ANNOUNCEMENT_PATH: typing.Final = '/v1/announcements/<name>'
+
+
+@typing.final
+class ReadOnlyKindError(errors.MulberryquayError):
+    """Targets announce themselves; they cannot be declared."""
+
+    code = 'read-only-kind'
+    http_status = 405
+
+
+@typing.final
+class ResourceApi:
+    """The handlers of the resource API."""
+
+    def __init__(
+        self,
+        resources: store.Store,
+        targets: directory.Directory,
+        entries: membership.Membership,
+        kinds_by_name: registry.Registry[schema.Fields],
+    ) -> None:
+        """Serves the given state; kinds come from the kernel."""
+        self._store = resources
+        self._directory = targets
+        self._membership = entries
+        self._kinds = kinds_by_name
+
+    def install(self, app: bottle.Bottle) -> None:
+        """Adds the routes to ``app``."""
+        app.route('/v1/status', 'GET', self._status)
+        app.route('/v1/entries', 'GET', self._list_entries)
+        app.route('/v1/revisions/<number:int>', 'GET', self._in_force)
+        app.route('/v1/watch', 'GET', self._watch_all)
+        app.route('/v1/announcements', 'POST', self._announce)
+        app.route(_ANNOUNCEMENT_PATH, 'PUT', self._renew)
+        app.route(_ANNOUNCEMENT_PATH, 'DELETE', self._leave)
+        app.route('/v1/<kind>', 'GET', self._list)
+        app.route(_RESOURCE_PATH, 'GET', self._get)
+        app.route(_RESOURCE_PATH, 'PUT', self._put)
+        app.route(_RESOURCE_PATH, 'DELETE', self._delete)
+
+    def _list(self, kind: str) -> typing.Any:
+        if bottle.request.query.get('watch'):
+            return self._watch(kind)
+        if kind == kinds.TARGET:
+            return web.to_json(
+                {
+                    'revision': self._directory.changes.revision,
+                    'items': [
+                        target_to_json(row)
+                        for row in self._directory.list_targets()
+                    ],
+                },
+            )
+        self._kinds.get(kind)
+        return web.to_json(
+            {
+                'revision': self._store.revision,
+                'items': [
+                    resource_to_json(resource)
+                    for resource in self._store.list_kind(kind)
+                ],
+            },
+        )
+
+    def _get(self, kind: str, name: str) -> str:
+        if kind == kinds.TARGET:
+            return web.to_json(target_to_json(self._directory.get(name)))
+        self._kinds.get(kind)
+        return web.to_json(resource_to_json(self._store.get(kind, name)))
+
+    def _put(self, kind: str, name: str) -> str:
+        _check_declared(kind)
+        fields = self._kinds.get(kind)
+        schema.check_name(name, what=f'name of {kind}')
+        body = web.read_json()
+        if not isinstance(body, dict) or set(body) != {'version', 'spec'}:
+            raise errors.InvalidInputError(
+                f'got {body!r}, expected an object with "version" and "spec"',
+            )
+        resource = self._store.put(
+            kind,
+            name,
+            version=_check_version(body['version']),
+            spec=schema.check_spec(body['spec'], fields, what=kind),
+        )
+        return web.to_json(resource_to_json(resource))
+
+    def _delete(self, kind: str, name: str) -> str:
+        _check_declared(kind)
+        self._kinds.get(kind)
+        version = _check_version(web.query_integer('version'))
+        resource = self._store.put(kind, name, version=version, spec=None)
+        return web.to_json(resource_to_json(resource))
+
+    def _watch_all(self) -> typing.Iterator[str]:
+        return self._watch_store(None)
+
+    def _watch(self, kind: str) -> typing.Iterator[str]:
+        if kind == kinds.TARGET:
+            since = web.query_integer(
+                'since',
+                default=self._directory.changes.revision,
+            )
+            return _stream(self._directory.changes, since, _target_line)
+        self._kinds.get(kind)
+        return self._watch_store(kind)
+
+    def _watch_store(self, kind: str | None) -> typing.Iterator[str]:
+        since = web.query_integer('since', default=self._store.revision)
+
+        def to_line(_revision: int, change: store.Resource) -> str:
+            if kind not in {None, change.kind}:
+                return ''
+            return _line(resource_to_json(change))
+
+        return _stream(self._store.changes, since, to_line)
+
+    def _announce(self) -> str:
+        row = self._directory.announce(web.read_json())
+        return self._announcement_answer(row)
+
+    def _renew(self, name: str) -> str:
+        body = web.read_json()
+        incarnation = body.get('incarnation') if isinstance(body, dict) else 0
+        row = self._directory.renew(
+            name,
+            incarnation=_check_version(incarnation),
+        )
+        return self._announcement_answer(row)
+
+    def _leave(self, name: str) -> str:
+        row = self._directory.leave(
+            name,
+            incarnation=web.query_integer('incarnation'),
+        )
+        return self._announcement_answer(row)
+
+    def _announcement_answer(self, row: protocol.TargetRow) -> str:
+        return web.to_json(
+            {**target_to_json(row), 'lease_ms': self._directory.lease},
+        )
+
+    def _list_entries(self) -> str:
+        return web.to_json(
+            {
+                'items': [
+                    {
+                        'name': name,
+                        'region': status.region,
+                        'domain': status.domain,
+                        'admin_address': status.admin_address,
+                        'config_revision': status.config_revision,
+                    }
+                    for name, status in sorted(
+                        self._membership.entries.items(),
+                    )
+                ],
+            },
+        )
+
+    def _in_force(self, number: int) -> str:
+        if number > self._store.revision:
+            raise errors.NotFoundError(
+                f'got revision {number}, expected at most '
+                f'{self._store.revision}',
+            )
+        waiting = self._membership.waiting_for(number)
+        return web.to_json(
+            {
+                'revision': number,
+                'in_force': not waiting,
+                'waiting_for': waiting,
+            },
+        )
+
+    def _status(self) -> str:
+        pending = self._membership.pending
+        return web.to_json(
+            {
+                'revision': self._store.revision,
+                'targets': len(self._directory.list_targets()),
+                'entries': sorted(self._membership.entries),
+                'entries_epoch': self._membership.committed.epoch,
+                'entries_pending': pending is not None,
+                'waiting_for': self._membership.waiting_for(
+                    self._store.revision,
+                ),
+            },
+        )
+
+
+def resource_to_json(resource: store.Resource) -> dict[str, typing.Any]:
+    """Returns a declared resource as the API shows it."""
+    return {**resource._asdict(), 'deleted': resource.spec is None}
+
+
+def target_to_json(row: protocol.TargetRow) -> dict[str, typing.Any]:
+    """Returns an announced target as the API shows it."""
+    return row._asdict()
+
+
+def _target_line(revision: int, change: directory.TargetChange) -> str:
+    return _line(
+        {
+            'revision': revision,
+            'reason': change.reason,
+            'removed': change.is_removed,
+            'target': target_to_json(change.target),
+        },
+    )
+
+
+def _line(content: dict[str, typing.Any]) -> str:
+    return json.dumps(content) + '\n'
+
+
+def _stream(
+    changes: history.History[typing.Any],
+    since: int,
+    to_line: typing.Callable[[int, typing.Any], str],
+) -> typing.Iterator[str]:
+    """Yields a line per change, and a bookmark when nothing changes.
+
+    The first look happens here, so that a revision that is too old is
+    refused with a status code before the stream begins.
+    """
+    first = changes.since(since)
+    bottle.response.content_type = _JSON_LINES
+
+    def lines() -> typing.Iterator[str]:
+        seen = since
+        waiting = first
+        while True:
+            for change in waiting:
+                seen += 1
+                yield to_line(seen, change)
+            if not changes.wait(seen, timeout=BOOKMARK_INTERVAL_MS):
+                yield _line({'bookmark': seen})
+            try:
+                waiting = changes.since(seen)
+            except history.RevisionCompactedError as error:
+                yield _line(web.error_body(error.code, str(error)))
+                return
+
+    return lines()
+
+
+def _check_declared(kind: str) -> None:
+    if kind == kinds.TARGET:
+        raise ReadOnlyKindError(
+            'targets cannot be declared; they announce themselves at '
+            '/v1/announcements',
+        )
+
+
+def _check_version(version: typing.Any) -> int:
+    is_number = isinstance(version, int) and not isinstance(version, bool)
+    if not is_number or not 1 <= version <= units.MAX_INT64:
+        raise errors.InvalidInputError(
+            f'got version or incarnation {version!r}, expected a whole '
+            f'number from 1 to {units.MAX_INT64}',
+        )
+    return int(version)
--- /dev/null
+++ b/src/mulberryquay/control/directory.py
@@ -0,0 +1,279 @@
+"""The targets that announced themselves; soft state kept by leases."""
+
+from __future__ import annotations
+
+import ipaddress
+import typing
+
+from mulberryquay import protocol
+from mulberryquay.coordination import (
+    allowance,
+    clock,
+    errors,
+    history,
+    schema,
+    units,
+)
+
+#: A target that has not renewed for this long is removed.
+TARGET_LEASE_MS: typing.Final = 6000
+
+#: Changes kept for watches of targets to resume from.
+_WATCH_HISTORY: typing.Final = 4096
+
+#: Departed incarnations remembered, so that late messages stay refused.
+_MAX_DEPARTED: typing.Final = 10_000
+
+_MAX_SLOTS: typing.Final = 10_000
+_MAX_CONNECTIONS: typing.Final = 1_000_000
+_MAX_PORT: typing.Final = 65535
+_MAX_STATUS: typing.Final = 599
+
+ANNOUNCEMENT_FIELDS: typing.Final[schema.Fields] = {
+    'name': schema.Text(required=True),
+    'service': schema.Text(required=True),
+    'address': schema.Text(required=True),
+    'region': schema.Text(required=True),
+    'domain': schema.Text(required=True),
+    'slots': schema.Integer(1, _MAX_SLOTS, required=True),
+    'connections': schema.Integer(1, _MAX_CONNECTIONS, required=True),
+    'incarnation': schema.Integer(1, units.MAX_INT64, required=True),
+    'shed_status': schema.Integer(0, _MAX_STATUS, default=0),
+}
+
+
+@typing.final
+class UnknownTargetError(errors.NotFoundError):
+    """The target has not announced itself here; it has to announce."""
+
+    code = 'unknown-target'
+
+
+@typing.final
+class StaleIncarnationError(errors.ConflictError):
+    """A message of an earlier run of the target arrived late."""
+
+    code = 'stale-incarnation'
+
+
+class TargetChange(typing.NamedTuple):
+    """One change of the directory; ``reason`` says what happened."""
+
+    target: protocol.TargetRow
+    #: announced, restarted, allowance, leaving, left or expired.
+    reason: str
+    is_removed: bool
+
+
+@typing.final
+class _Entry:
+    """What the directory holds of one target."""
+
+    def __init__(
+        self,
+        row: protocol.TargetRow,
+        growth: allowance.Allowance,
+    ) -> None:
+        self.row = row
+        self.growth = growth
+        self.renewed_at = clock.Milliseconds(0)
+
+
+@typing.final
+class Directory:
+    """Targets by name; every change is appended to `changes`."""
+
+    def __init__(
+        self,
+        time: clock.Clock,
+        *,
+        lease: float = TARGET_LEASE_MS,
+    ) -> None:
+        """Starts empty; ``lease`` is in milliseconds."""
+        self._clock = time
+        self._lease = lease
+        self._started_at = time.now()
+        self._targets: dict[str, _Entry] = {}
+        self._departed: dict[str, int] = {}
+        self._hints: dict[str, tuple[int, int]] = {}
+        self._changes: history.History[TargetChange] = history.History(
+            size=_WATCH_HISTORY,
+        )
+
+    @property
+    def changes(self) -> history.History[TargetChange]:
+        """The newest changes, for watches and for entries."""
+        return self._changes
+
+    @property
+    def lease(self) -> float:
+        """Milliseconds for which an announcement or renewal holds."""
+        return self._lease
+
+    @property
+    def is_relearning(self) -> bool:
+        """Whether targets that live may still be missing after a start."""
+        return self._clock.now() - self._started_at < self._lease
+
+    def list_targets(self) -> list[protocol.TargetRow]:
+        """Returns all targets, sorted by name."""
+        return [self._targets[name].row for name in sorted(self._targets)]
+
+    def get(self, name: str) -> protocol.TargetRow:
+        """Returns a target; raises UnknownTargetError."""
+        return self._find(name).row
+
+    def announce(self, announcement: typing.Any) -> protocol.TargetRow:
+        """Takes an announcement, also a repeated one.
+
+        A higher incarnation than before means a restart, so the target is
+        cold. Raises InvalidResourceError and StaleIncarnationError.
+        """
+        row = _parse_announcement(announcement)
+        known = self._targets.get(row.name)
+        if known is None:
+            self._check_not_departed(row)
+            return self._add(row, 'announced')
+        if row.incarnation < known.row.incarnation:
+            raise _stale(row.name, row.incarnation, known.row.incarnation)
+        if row.incarnation > known.row.incarnation:
+            return self._add(row, 'restarted')
+        known.renewed_at = self._clock.now()
+        return known.row
+
+    def renew(self, name: str, *, incarnation: int) -> protocol.TargetRow:
+        """Extends a lease.
+
+        Raises UnknownTargetError, after which the target announces itself
+        again, and StaleIncarnationError.
+        """
+        known = self._find(name)
+        if incarnation != known.row.incarnation:
+            raise _stale(name, incarnation, known.row.incarnation)
+        known.renewed_at = self._clock.now()
+        return known.row
+
+    def leave(self, name: str, *, incarnation: int) -> protocol.TargetRow:
+        """Marks a target as leaving: it gets no new work.
+
+        It stays listed until its lease runs out, so that entries finish
+        what it runs. Raises UnknownTargetError and StaleIncarnationError.
+        """
+        known = self._find(name)
+        if incarnation != known.row.incarnation:
+            raise _stale(name, incarnation, known.row.incarnation)
+        if not known.row.is_leaving:
+            known.renewed_at = self._clock.now()
+            self._update(known, 'leaving', is_leaving=True)
+        return known.row
+
+    def expire(self) -> None:
+        """Removes the targets whose leases ran out."""
+        oldest = self._clock.now() - self._lease
+        expired = [
+            known
+            for known in self._targets.values()
+            if known.renewed_at < oldest
+        ]
+        for known in expired:
+            row = known.row
+            self._targets.pop(row.name)
+            if row.is_leaving:
+                self._remember_departed(row)
+            reason = 'left' if row.is_leaving else 'expired'
+            self._changes.append(TargetChange(row, reason, is_removed=True))
+
+    def record_served(self, name: str, answers: int) -> None:
+        """Grows a target's allowance by good answers."""
+        known = self._targets.get(name)
+        if known and known.growth.record_served(answers):
+            self._update(known, 'allowance', allowance=known.growth.current)
+
+    def record_shed(self, name: str, *, incarnation: int) -> None:
+        """Shrinks the allowance of a target that shed or slowed down."""
+        known = self._targets.get(name)
+        if known is None or known.row.incarnation != incarnation:
+            return
+        if known.growth.record_shed():
+            self._update(known, 'allowance', allowance=known.growth.current)
+
+    def hint(self, name: str, *, incarnation: int, granted: int) -> None:
+        """Notes what an entry knows, for targets yet to be relearned."""
+        if self.is_relearning:
+            self._hints[name] = (incarnation, granted)
+
+    def _find(self, name: str) -> _Entry:
+        try:
+            return self._targets[name]
+        except KeyError:
+            raise UnknownTargetError(
+                f'target {name!r} is not known here; announce it again',
+            ) from None
+
+    def _add(self, row: protocol.TargetRow, reason: str) -> protocol.TargetRow:
+        growth = allowance.Allowance(slots=row.slots, cold=True)
+        incarnation, granted = self._hints.pop(row.name, (0, 0))
+        if incarnation == row.incarnation:
+            growth.restore(granted)
+        known = _Entry(row._replace(allowance=growth.current), growth)
+        known.renewed_at = self._clock.now()
+        self._targets[row.name] = known
+        self._changes.append(TargetChange(known.row, reason, is_removed=False))
+        return known.row
+
+    def _update(
+        self,
+        known: _Entry,
+        reason: str,
+        **fields: typing.Any,
+    ) -> None:
+        known.row = known.row._replace(**fields)
+        self._changes.append(TargetChange(known.row, reason, is_removed=False))
+
+    def _check_not_departed(self, row: protocol.TargetRow) -> None:
+        departed = self._departed.get(row.name, 0)
+        if row.incarnation <= departed:
+            raise _stale(row.name, row.incarnation, departed + 1)
+
+    def _remember_departed(self, row: protocol.TargetRow) -> None:
+        self._departed[row.name] = row.incarnation
+        if len(self._departed) > _MAX_DEPARTED:
+            self._departed.pop(next(iter(self._departed)))
+
+
+def _stale(name: str, got: int, expected: int) -> StaleIncarnationError:
+    return StaleIncarnationError(
+        f'target {name!r}: got incarnation {got}, expected {expected} or '
+        'more; use a higher incarnation after each restart',
+    )
+
+
+def _parse_announcement(announcement: typing.Any) -> protocol.TargetRow:
+    spec = schema.check_spec(
+        announcement,
+        ANNOUNCEMENT_FIELDS,
+        what='announcement',
+    )
+    for field in ('name', 'service', 'region', 'domain'):
+        schema.check_name(spec[field], what=f'announcement.{field}')
+    _check_address(spec['address'])
+    shed_status = spec.pop('shed_status')
+    return protocol.TargetRow(
+        **spec,
+        allowance=1,
+        is_leaving=False,
+        shed_statuses=[shed_status] if shed_status else [],
+    )
+
+
+def _check_address(address: str) -> None:
+    host, _, port = address.rpartition(':')
+    try:
+        ipaddress.ip_address(host.strip('[]'))
+    except ValueError:
+        port = ''
+    if not port.isdecimal() or not 0 < int(port) <= _MAX_PORT:
+        raise schema.InvalidResourceError(
+            f'announcement.address: got {address!r}, expected an IP number '
+            'and a port such as 10.0.0.7:8080',
+        )
--- /dev/null
+++ b/src/mulberryquay/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Coordination parts that can be embedded without the daemons."""
--- /dev/null
+++ b/src/mulberryquay/coordination/clock.py
@@ -0,0 +1,54 @@
+"""The clock type: monotonic and wall time in milliseconds."""
+
+from __future__ import annotations
+
+import time
+import typing
+
+import gevent
+
+Milliseconds = typing.NewType('Milliseconds', float)
+
+MS_PER_SECOND: typing.Final = 1000.0
+
+
+class Clock:
+    """Reads the machine's clocks; all times are in milliseconds."""
+
+    def now(self) -> Milliseconds:
+        """Returns monotonic time; comparable within one process only."""
+        return Milliseconds(time.monotonic() * MS_PER_SECOND)
+
+    def wall(self) -> Milliseconds:
+        """Returns time since the Unix epoch; may step."""
+        return Milliseconds(time.time() * MS_PER_SECOND)
+
+    def sleep(self, duration: float) -> None:
+        """Suspends the current greenlet for ``duration`` milliseconds."""
+        gevent.sleep(duration / MS_PER_SECOND)
+
+
+@typing.final
+class ManualClock(Clock):
+    """A clock that moves only when told to, for tests of embedders."""
+
+    def __init__(self, *, start: float = 0) -> None:
+        """Starts both clocks at ``start`` milliseconds."""
+        self._now = start
+
+    def now(self) -> Milliseconds:
+        """Returns the set time."""
+        return Milliseconds(self._now)
+
+    def wall(self) -> Milliseconds:
+        """Returns the set time."""
+        return Milliseconds(self._now)
+
+    def sleep(self, duration: float) -> None:
+        """Advances the clock and yields to other greenlets once."""
+        self.advance(duration)
+        gevent.sleep(0)
+
+    def advance(self, duration: float) -> None:
+        """Moves both clocks forward by ``duration`` milliseconds."""
+        self._now += duration
--- /dev/null
+++ b/src/mulberryquay/coordination/errors.py
@@ -0,0 +1,33 @@
+"""The base of all typed errors and those shared by several modules."""
+
+from __future__ import annotations
+
+import typing
+
+
+class MulberryquayError(Exception):
+    """Base of every failure; ``code`` is stable and read by programs."""
+
+    code: typing.ClassVar[str] = 'internal'
+    http_status: typing.ClassVar[int] = 500
+
+
+class InvalidInputError(MulberryquayError):
+    """The caller's input breaks a documented rule."""
+
+    code = 'invalid-input'
+    http_status = 400
+
+
+class NotFoundError(MulberryquayError):
+    """The named object does not exist."""
+
+    code = 'not-found'
+    http_status = 404
+
+
+class ConflictError(MulberryquayError):
+    """The request lost a race or carries a stale version."""
+
+    code = 'conflict'
+    http_status = 409
--- /dev/null
+++ b/src/mulberryquay/coordination/history.py
@@ -0,0 +1,74 @@
+"""The newest changes of a state, for watches that resume by revision."""
+
+from __future__ import annotations
+
+import collections
+import typing
+
+from gevent import event
+
+from mulberryquay.coordination import errors
+
+Change = typing.TypeVar('Change')
+
+
+@typing.final
+class RevisionCompactedError(errors.MulberryquayError):
+    """The changes since the given revision are gone; list again."""
+
+    code = 'revision-compacted'
+    http_status = 410
+
+
+@typing.final
+class History(typing.Generic[Change]):
+    """Keeps a bounded run of changes; each one has the next revision."""
+
+    def __init__(self, *, size: int) -> None:
+        """Keeps at most ``size`` changes."""
+        self._changes: collections.deque[Change] = collections.deque(
+            maxlen=size,
+        )
+        self._revision = 0
+        self._changed = event.Event()
+
+    @property
+    def revision(self) -> int:
+        """The revision of the newest change."""
+        return self._revision
+
+    def restart(self, revision: int) -> None:
+        """Continues from a snapshot taken at ``revision``."""
+        self._changes.clear()
+        self._revision = revision
+
+    def append(self, change: Change) -> None:
+        """Adds the next change and wakes all who wait."""
+        self._changes.append(change)
+        self._revision += 1
+        woken = self._changed
+        self._changed = event.Event()
+        woken.set()
+
+    def since(self, revision: int) -> list[Change]:
+        """Returns the changes after ``revision`` in order.
+
+        Raises RevisionCompactedError when some of them are gone or when
+        ``revision`` lies in the future.
+        """
+        missing = self._revision - revision
+        if missing < 0 or missing > len(self._changes):
+            oldest = self._revision - len(self._changes)
+            raise RevisionCompactedError(
+                f'got revision {revision}, expected one from {oldest} to '
+                f'{self._revision}; list again and watch from there',
+            )
+        if not missing:
+            return []
+        return list(self._changes)[-missing:]
+
+    def wait(self, revision: int, *, timeout: float) -> bool:
+        """Waits for a change after ``revision``; False on timeout (ms)."""
+        if self._revision > revision:
+            return True
+        return bool(self._changed.wait(timeout / 1000))
--- /dev/null
+++ b/src/mulberryquay/coordination/journal.py
@@ -0,0 +1,272 @@
+"""A synced append-only journal with snapshots, one per data folder.
+
+Layout: ``snapshot-N`` holds the state after record N and ``journal-N`` the
+records after it. Each record is a frame: length and CRC-32 (4 bytes each,
+big-endian) followed by a msgpack body.
+"""
+
+from __future__ import annotations
+
+import fcntl
+import os
+import pathlib
+import struct
+import typing
+import zlib
+
+import gevent
+import msgpack
+
+from mulberryquay.coordination import errors, units
+
+Record = typing.Any
+
+_HEADER: typing.Final = struct.Struct('>II')
+_SNAPSHOT_PREFIX: typing.Final = 'snapshot-'
+_JOURNAL_PREFIX: typing.Final = 'journal-'
+_LOCK_NAME: typing.Final = 'lock'
+_NUMBER_DIGITS: typing.Final = 20
+
+
+@typing.final
+class JournalCorruptError(errors.MulberryquayError):
+    """A synced record or snapshot no longer matches its checksum."""
+
+    code = 'journal-corrupt'
+
+
+@typing.final
+class JournalFailedError(errors.MulberryquayError):
+    """A write or sync failed; nothing more is accepted until a restart."""
+
+    code = 'journal-failed'
+    http_status = 503
+
+
+@typing.final
+class FolderInUseError(errors.MulberryquayError):
+    """Another process holds the data folder."""
+
+    code = 'folder-in-use'
+
+
+class Recovered(typing.NamedTuple):
+    """What a journal held when it was opened."""
+
+    snapshot: Record | None
+    records: list[Record]
+    #: Bytes of an unfinished last write that were cut off.
+    torn_bytes: int
+
+
+class FileSystem:
+    """The disk calls of a journal; tests replace it to inject faults."""
+
+    def write(self, descriptor: int, body: bytes) -> None:
+        """Writes all of ``body``; raises OSError."""
+        view = memoryview(body)
+        while view:
+            view = view[os.write(descriptor, view) :]
+
+    def sync(self, descriptor: int) -> None:
+        """Syncs a file or folder without holding the hub; raises OSError."""
+        gevent.get_hub().threadpool.apply(os.fsync, (descriptor,))
+
+
+@typing.final
+class Journal:
+    """Appends records durably; one greenlet at a time may call it."""
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        *,
+        file_system: FileSystem | None = None,
+    ) -> None:
+        """Locks ``folder``, creating it; raises FolderInUseError."""
+        folder.mkdir(parents=True, exist_ok=True)
+        self._folder = folder
+        self._file_system = file_system or FileSystem()
+        self._lock = _lock_folder(folder)
+        self._descriptor = -1
+        self._base = 0
+        self._count = 0
+        self._failed = False
+
+    @property
+    def records_since_snapshot(self) -> int:
+        """Records that a restart would replay."""
+        return self._count
+
+    def recover(self) -> Recovered:
+        """Reads the newest snapshot and the records after it.
+
+        Cuts off an unfinished last write. Raises JournalCorruptError when a
+        record that had been synced is damaged.
+        """
+        base, snapshot = self._read_snapshot()
+        self._base = base
+        path = self._path(_JOURNAL_PREFIX, self._base)
+        body = path.read_bytes() if path.exists() else b''
+        records, good_bytes = _read_frames(body, path.name)
+        self._open_journal(path)
+        if good_bytes < len(body):
+            os.ftruncate(self._descriptor, good_bytes)
+            self._file_system.sync(self._descriptor)
+        self._count = len(records)
+        self._remove_older()
+        return Recovered(snapshot, records, len(body) - good_bytes)
+
+    def append(self, records: typing.Sequence[Record]) -> None:
+        """Writes and syncs ``records`` together; raises JournalFailedError."""
+        self._check_usable()
+        body = b''.join(_frame(record) for record in records)
+        try:
+            self._file_system.write(self._descriptor, body)
+            self._file_system.sync(self._descriptor)
+        except OSError as error:
+            self._fail(error)
+        self._count += len(records)
+
+    def compact(self, snapshot: Record) -> None:
+        """Replaces all records by ``snapshot``; raises JournalFailedError."""
+        self._check_usable()
+        base = self._base + self._count
+        final = self._path(_SNAPSHOT_PREFIX, base)
+        try:
+            self._write_snapshot(final, snapshot)
+        except OSError as error:
+            self._fail(error)
+        os.close(self._descriptor)
+        self._base = base
+        self._count = 0
+        self._open_journal(self._path(_JOURNAL_PREFIX, base))
+        self._remove_older()
+
+    def close(self) -> None:
+        """Releases the folder."""
+        if self._descriptor >= 0:
+            os.close(self._descriptor)
+            self._descriptor = -1
+        os.close(self._lock)
+
+    def _path(self, prefix: str, number: int) -> pathlib.Path:
+        return self._folder / f'{prefix}{number:0{_NUMBER_DIGITS}d}'
+
+    def _check_usable(self) -> None:
+        if self._failed:
+            raise JournalFailedError(
+                'an earlier write to the data folder failed; '
+                'check the disk and restart this process',
+            )
+
+    def _fail(self, error: OSError) -> typing.NoReturn:
+        # After a failed fsync the kernel may drop the dirty pages, so a
+        # second sync that succeeds proves nothing.
+        self._failed = True
+        raise JournalFailedError(
+            f'writing to {self._folder} failed: {error}',
+        ) from error
+
+    def _open_journal(self, path: pathlib.Path) -> None:
+        mode = os.O_RDWR | os.O_CREAT | os.O_APPEND
+        self._descriptor = os.open(path, mode, units.PRIVATE_FILE_MODE)
+        self._sync_folder()
+
+    def _sync_folder(self) -> None:
+        descriptor = os.open(self._folder, os.O_RDONLY)
+        try:
+            self._file_system.sync(descriptor)
+        finally:
+            os.close(descriptor)
+
+    def _write_snapshot(self, final: pathlib.Path, snapshot: Record) -> None:
+        partial = final.with_suffix('.partial')
+        descriptor = os.open(
+            partial,
+            os.O_WRONLY | os.O_CREAT | os.O_TRUNC,
+            units.PRIVATE_FILE_MODE,
+        )
+        try:
+            self._file_system.write(descriptor, _frame(snapshot))
+            self._file_system.sync(descriptor)
+        finally:
+            os.close(descriptor)
+        partial.rename(final)
+        self._sync_folder()
+
+    def _read_snapshot(self) -> tuple[int, Record | None]:
+        numbers = sorted(
+            int(path.name.removeprefix(_SNAPSHOT_PREFIX))
+            for path in self._folder.glob(f'{_SNAPSHOT_PREFIX}*')
+            if not path.suffix
+        )
+        if not numbers:
+            return 0, None
+        path = self._path(_SNAPSHOT_PREFIX, numbers[-1])
+        body = path.read_bytes()
+        frames, good_bytes = _read_frames(body, path.name)
+        if len(frames) != 1 or good_bytes != len(body):
+            raise JournalCorruptError(
+                f'{path.name} is damaged; restore the data folder from '
+                'another control host',
+            )
+        return numbers[-1], frames[0]
+
+    def _remove_older(self) -> None:
+        kept = {
+            self._path(_SNAPSHOT_PREFIX, self._base).name,
+            self._path(_JOURNAL_PREFIX, self._base).name,
+            _LOCK_NAME,
+        }
+        for path in self._folder.iterdir():
+            if path.name not in kept and path.is_file():
+                path.unlink()
+
+
+def _lock_folder(folder: pathlib.Path) -> int:
+    descriptor = os.open(
+        folder / _LOCK_NAME, os.O_RDWR | os.O_CREAT, units.PRIVATE_FILE_MODE
+    )
+    try:
+        fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError:
+        os.close(descriptor)
+        raise FolderInUseError(
+            f'{folder} is held by another process; stop it or choose '
+            'another data folder',
+        ) from None
+    return descriptor
+
+
+def _frame(record: Record) -> bytes:
+    body: bytes = msgpack.packb(record)
+    return _HEADER.pack(len(body), zlib.crc32(body)) + body
+
+
+def _read_frames(body: bytes, name: str) -> tuple[list[Record], int]:
+    """Returns the whole records and the number of bytes they take.
+
+    A damaged frame is an unfinished write only if it reaches the end of
+    the file; anywhere else it raises JournalCorruptError.
+    """
+    records: list[Record] = []
+    offset = 0
+    while offset + _HEADER.size <= len(body):
+        length, checksum = _HEADER.unpack_from(body, offset)
+        start = offset + _HEADER.size
+        end = start + length
+        # No frame is empty: zeros are blocks that a crash left unwritten.
+        if end > len(body) or not length:
+            break
+        frame = body[start:end]
+        if zlib.crc32(frame) != checksum:
+            if end == len(body):
+                break
+            raise JournalCorruptError(
+                f'{name} is damaged at byte {offset}; restore the data '
+                'folder from another control host',
+            )
+        records.append(msgpack.unpackb(frame))
+        offset = end
+    return records, offset
--- /dev/null
+++ b/src/mulberryquay/coordination/units.py
@@ -0,0 +1,21 @@
+"""Named sizes and durations."""
+
+from __future__ import annotations
+
+import typing
+
+#: Bytes.
+MIB: typing.Final = 1 << 20
+#: The largest body that a service may be set to take, in bytes.
+MAX_BODY_BYTES: typing.Final = 64 * MIB
+
+SECOND_MS: typing.Final = 1000
+MINUTE_MS: typing.Final = 60 * SECOND_MS
+HOUR_MS: typing.Final = 60 * MINUTE_MS
+DAY_MS: typing.Final = 24 * HOUR_MS
+
+#: The largest signed 64-bit number.
+MAX_INT64: typing.Final = (1 << 63) - 1
+
+#: Permissions of files that only the owner reads and writes.
+PRIVATE_FILE_MODE: typing.Final = 0o600
--- /dev/null
+++ b/src/mulberryquay/coordination/wire.py
@@ -0,0 +1,113 @@
+"""Typed messages as msgpack arrays over a stream socket."""
+
+from __future__ import annotations
+
+import typing
+
+import msgpack
+from gevent import lock, socket
+
+from mulberryquay.coordination import errors, units
+
+_READ_BYTES: typing.Final = 65536
+_MAX_MESSAGE_BYTES: typing.Final = units.MAX_BODY_BYTES
+
+
+@typing.final
+class ProtocolError(errors.MulberryquayError):
+    """The peer sent bytes that are no message of the vocabulary."""
+
+    code = 'protocol-error'
+
+
+@typing.final
+class StreamClosedError(errors.MulberryquayError):
+    """The peer closed the stream or cannot be reached."""
+
+    code = 'stream-closed'
+
+
+@typing.final
+class Vocabulary:
+    """The NamedTuple types of a protocol; their order gives the tags."""
+
+    def __init__(self, message_types: typing.Sequence[type]) -> None:
+        """Numbers ``message_types``, which must all be NamedTuples."""
+        self._types = tuple(message_types)
+        self._tags = {kind: tag for tag, kind in enumerate(self._types)}
+
+    def encode(self, message: tuple[typing.Any, ...]) -> bytes:
+        """Returns the message as one msgpack array."""
+        body: bytes = msgpack.packb((self._tags[type(message)], *message))
+        return body
+
+    def decode(self, fields: list[typing.Any]) -> typing.Any:
+        """Returns the typed message; raises ProtocolError."""
+        try:
+            return self._types[fields[0]](*fields[1:])
+        except (TypeError, IndexError, KeyError) as error:
+            raise ProtocolError(
+                f'got a message that this version does not know: {error}',
+            ) from error
+
+
+@typing.final
+class Stream:
+    """A message stream over one connected socket.
+
+    Any number of greenlets may send; one may receive.
+    """
+
+    def __init__(self, connection: typing.Any, words: Vocabulary) -> None:
+        """Takes over ``connection``, a connected gevent socket."""
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._socket = connection
+        self._words = words
+        self._send_lock = lock.BoundedSemaphore(1)
+        self._unpacker = msgpack.Unpacker(max_buffer_size=_MAX_MESSAGE_BYTES)
+        self.bytes_sent = 0
+        self.bytes_received = 0
+
+    def send(self, message: tuple[typing.Any, ...]) -> None:
+        """Sends one message; raises StreamClosedError."""
+        body = self._words.encode(message)
+        try:
+            with self._send_lock:
+                self._socket.sendall(body)
+        except OSError as error:
+            raise StreamClosedError(f'send failed: {error}') from error
+        self.bytes_sent += len(body)
+
+    def receive(self) -> typing.Any:
+        """Returns the next message; raises StreamClosedError."""
+        while True:
+            fields = next(self._unpacker, None)
+            if fields is not None:
+                return self._words.decode(fields)
+            try:
+                chunk = self._socket.recv(_READ_BYTES)
+            except OSError as error:
+                raise StreamClosedError(f'receive failed: {error}') from error
+            if not chunk:
+                raise StreamClosedError('the peer closed the stream')
+            self.bytes_received += len(chunk)
+            self._unpacker.feed(chunk)
+
+    def set_timeout(self, duration: float) -> None:
+        """Bounds each later call to ``duration`` milliseconds."""
+        self._socket.settimeout(duration / 1000)
+
+    def close(self) -> None:
+        """Closes the socket; later calls raise StreamClosedError."""
+        self._socket.close()
+
+
+def connect(address: tuple[str, int], words: Vocabulary) -> Stream:
+    """Opens a stream within 2 s; raises StreamClosedError."""
+    try:
+        connection = socket.create_connection(address, timeout=2)
+    except OSError as error:
+        raise StreamClosedError(
+            f'connecting to {address[0]}:{address[1]} failed: {error}',
+        ) from error
+    return Stream(connection, words)
--- /dev/null
+++ b/src/mulberryquay/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon: answers callers, chooses targets, forwards requests."""
--- /dev/null
+++ b/src/mulberryquay/entry/accounts.py
@@ -0,0 +1,95 @@
+"""The account of each request: what was tried, where, with what outcome."""
+
+from __future__ import annotations
+
+import collections
+import typing
+
+from mulberryquay.coordination import errors
+
+#: Plain requests (answered at the first try) that are remembered.
+MAX_PLAIN: typing.Final = 5000
+
+#: All other requests that are remembered.
+MAX_NOTABLE: typing.Final = 10_000
+
+
+@typing.final
+class UnknownRequestError(errors.NotFoundError):
+    """The account is not kept here, or no longer."""
+
+    code = 'unknown-request'
+
+
+class Try(typing.NamedTuple):
+    """One try of a request on one target."""
+
+    target: str
+    domain: str
+    incarnation: int
+    #: received, not-sent, shed or lost.
+    result: str
+    reason: str
+    duration_ms: float
+
+
+class RequestAccount(typing.NamedTuple):
+    """What happened to one request; bodies and queries are not kept."""
+
+    request_id: str
+    #: Milliseconds since the Unix epoch.
+    received_at: float
+    method: str
+    path: str
+    account: str
+    route: str
+    service_class: str
+    outcome: str
+    reason: str
+    status: int
+    duration_ms: float
+    tries: tuple[Try, ...]
+
+
+@typing.final
+class AccountBook:
+    """Keeps the newest accounts in bounded memory."""
+
+    def __init__(
+        self,
+        *,
+        max_plain: int = MAX_PLAIN,
+        max_notable: int = MAX_NOTABLE,
+    ) -> None:
+        """Starts empty."""
+        self._limits = (max_plain, max_notable)
+        self._books: tuple[
+            collections.OrderedDict[str, RequestAccount],
+            collections.OrderedDict[str, RequestAccount],
+        ] = (collections.OrderedDict(), collections.OrderedDict())
+
+    def add(self, account: RequestAccount) -> None:
+        """Keeps an account and forgets the oldest of its sort."""
+        is_notable = account.reason != 'none' or len(account.tries) != 1
+        book = self._books[is_notable]
+        book[account.request_id] = account
+        if len(book) > self._limits[is_notable]:
+            book.popitem(last=False)
+
+    def get(self, request_id: str) -> RequestAccount:
+        """Returns an account; raises UnknownRequestError."""
+        for book in self._books:
+            account = book.get(request_id)
+            if account is not None:
+                return account
+        raise UnknownRequestError(
+            f'request {request_id!r} is not kept here; it may be too old',
+        )
+
+
+def to_json(account: RequestAccount) -> dict[str, typing.Any]:
+    """Returns an account as the admin API shows it."""
+    return {
+        **account._asdict(),
+        'tries': [attempt._asdict() for attempt in account.tries],
+    }
--- /dev/null
+++ b/src/mulberryquay/entry/admission.py
@@ -0,0 +1,119 @@
+"""Checks a request by its head, before its body is read."""
+
+from __future__ import annotations
+
+import typing
+
+from mulberryquay.entry import forwarder, messages, outcomes, routing, state
+
+#: Calls that stem from one request may be nested this deep.
+MAX_DEPTH: typing.Final = 30
+
+ACCOUNT_HEADER: typing.Final = b'mulberryquay-account'
+DEPTH_HEADER: typing.Final = b'mulberryquay-depth'
+HOME_REGIONS_HEADER: typing.Final = b'mulberryquay-home-regions'
+
+_MAX_TIMEOUT_MS: typing.Final = 3_600_000
+_MAX_DEPTH_TOLD: typing.Final = 1_000_000
+
+
+class Admitted(typing.NamedTuple):
+    """A request that may be served here."""
+
+    route: routing.Route
+    account: routing.ClientAccount | None
+    #: Regions that may serve the request, None for all.
+    regions: frozenset[str] | None
+    #: How deep the request is nested in a tree of calls, from 0.
+    depth: int
+    #: Milliseconds from its arrival for which the answer is of use.
+    timeout_ms: int
+
+
+def admit(shared: state.EntryState, head: messages.RequestHead) -> Admitted:
+    """Returns what the configuration says of a request.
+
+    Raises RefusedError, always as not-run.
+    """
+    if not (shared.is_fresh or shared.serves_stale):
+        raise outcomes.not_run(
+            outcomes.Reason.STALE_CONFIGURATION,
+            'no control host vouches for the configuration now',
+        )
+    route = shared.table.find_route(head.path.decode('latin-1'))
+    account = _find_account(shared, head)
+    regions = routing.allowed_regions(route, account)
+    _check_regions(shared, regions)
+    depth = _read_number(head, DEPTH_HEADER, 0, _MAX_DEPTH_TOLD)
+    if depth >= MAX_DEPTH:
+        raise outcomes.not_run(
+            outcomes.Reason.TOO_DEEP,
+            f'got a call {depth} deep, expected less than {MAX_DEPTH}',
+        )
+    service = route.service
+    check_length(service, head.length)
+    timeout = _read_number(
+        head,
+        forwarder.TIMEOUT_HEADER,
+        service.timeout_ms,
+        _MAX_TIMEOUT_MS,
+    )
+    return Admitted(
+        route,
+        account,
+        regions,
+        depth,
+        min(timeout, service.timeout_ms),
+    )
+
+
+def check_length(service: routing.Service, length: int) -> None:
+    """Raises RefusedError for a body larger than the service takes."""
+    if length > service.max_body_bytes:
+        raise outcomes.not_run(
+            outcomes.Reason.BODY_TOO_LARGE,
+            f'got a body of {length} bytes or more, expected at most '
+            f'{service.max_body_bytes}',
+        )
+
+
+def _find_account(
+    shared: state.EntryState,
+    head: messages.RequestHead,
+) -> routing.ClientAccount | None:
+    name = head.find(ACCOUNT_HEADER)
+    if name is None:
+        return None
+    return shared.table.find_account(name.decode('latin-1'))
+
+
+def _check_regions(
+    shared: state.EntryState,
+    regions: frozenset[str] | None,
+) -> None:
+    if regions is None or shared.region in regions:
+        return
+    homes = ', '.join(sorted(regions)) or 'none'
+    raise outcomes.not_run(
+        outcomes.Reason.OUTSIDE_HOME_REGIONS,
+        f'this request may be served only in: {homes}',
+        headers=[(HOME_REGIONS_HEADER, homes.encode())],
+    )
+
+
+def _read_number(
+    head: messages.RequestHead,
+    name: bytes,
+    default: int,
+    maximum: int,
+) -> int:
+    text = head.find(name)
+    if text is None:
+        return default
+    if not text.isdigit() or int(text) > maximum:
+        raise outcomes.not_run(
+            outcomes.Reason.MALFORMED_REQUEST,
+            f'{name.decode()}: got {text!r}, expected a whole number up to '
+            f'{maximum}',
+        )
+    return int(text)
--- /dev/null
+++ b/src/mulberryquay/entry/answers.py
@@ -0,0 +1,190 @@
+"""Writes answers to callers: the targets' own and the entry's refusals."""
+
+from __future__ import annotations
+
+import json
+import typing
+from http import HTTPStatus
+
+from mulberryquay import web
+from mulberryquay.coordination import errors
+from mulberryquay.entry import admission, forwarder, messages, outcomes
+
+OUTCOME_HEADER: typing.Final = b'mulberryquay-outcome'
+REASON_HEADER: typing.Final = b'mulberryquay-reason'
+REQUEST_ID_HEADER: typing.Final = b'mulberryquay-request-id'
+
+#: Headers that only entries may set on what targets and callers see.
+OWN_HEADERS: typing.Final = frozenset(
+    (
+        admission.DEPTH_HEADER,
+        OUTCOME_HEADER,
+        REASON_HEADER,
+        REQUEST_ID_HEADER,
+        forwarder.NO_RETRY_HEADER,
+        forwarder.TIMEOUT_HEADER,
+    ),
+)
+
+_CLOSE: typing.Final = (b'connection', b'close')
+_REASON_PHRASES: typing.Final = {
+    status.value: status.phrase.encode() for status in HTTPStatus
+}
+
+
+@typing.final
+class AnswerCutShortError(errors.MulberryquayError):
+    """The target's answer ended early after its head was passed on."""
+
+    code = 'answer-cut-short'
+
+
+class Caller(typing.NamedTuple):
+    """What the answer has to know of the caller's request."""
+
+    head: messages.RequestHead
+    request_id: str
+    #: Whether the connection may carry another request.
+    keeps_alive: bool
+
+
+def relay(
+    connection: typing.Any,
+    caller: Caller,
+    received: outcomes.Received,
+) -> bool:
+    """Passes a target's answer on; True if the connection stays usable.
+
+    Raises OSError when the caller is gone and AnswerCutShortError when the
+    target cut its answer short.
+    """
+    framing = _framing_for(caller.head, received.head)
+    keeps_alive = (
+        caller.keeps_alive and framing is not messages.Framing.UNTIL_CLOSE
+    )
+    caller = caller._replace(keeps_alive=keeps_alive)
+    first = _encode_head(caller, received.head, framing)
+    if received.body is not None:
+        connection.sendall(first + received.body)
+        return keeps_alive
+    connection.sendall(first)
+    if framing is not messages.Framing.NONE:
+        _relay_body(connection, received, framing)
+    return keeps_alive
+
+
+def encode_refusal(
+    caller: Caller | None,
+    refusal: outcomes.RefusedError,
+) -> bytes:
+    """Returns the answer for a refusal.
+
+    ``caller`` is None when the request could not be read.
+    """
+    body = json.dumps(
+        web.error_body(refusal.reason.value, str(refusal)),
+    ).encode()
+    headers = [
+        (b'content-type', b'application/json'),
+        (b'content-length', b'%d' % len(body)),
+        *refusal.headers,
+        *_own_headers(refusal.outcome, refusal.reason),
+    ]
+    if caller is None or not caller.keeps_alive:
+        headers.append(_CLOSE)
+    if caller is not None:
+        headers.append((REQUEST_ID_HEADER, caller.request_id.encode()))
+    answer = messages.encode_head(_status_line(refusal.status), headers)
+    if caller is not None and caller.head.method == b'HEAD':
+        return answer
+    return answer + body
+
+
+def _framing_for(
+    request: messages.RequestHead,
+    answer: messages.ResponseHead,
+) -> messages.Framing:
+    if request.method == b'HEAD':
+        return messages.Framing.NONE
+    is_chunked = answer.framing is messages.Framing.CHUNKED
+    if is_chunked and request.is_http_one_zero:
+        return messages.Framing.UNTIL_CLOSE
+    return answer.framing
+
+
+def _encode_head(
+    caller: Caller,
+    answer: messages.ResponseHead,
+    framing: messages.Framing,
+) -> bytes:
+    headers = [
+        pair
+        for pair in messages.forwardable(answer.headers)
+        if pair[0] not in OWN_HEADERS
+    ]
+    match framing:
+        case messages.Framing.CHUNKED:
+            headers.append((b'transfer-encoding', b'chunked'))
+        case messages.Framing.LENGTH:
+            headers.append((b'content-length', b'%d' % answer.length))
+        case messages.Framing.NONE:
+            _copy_length(caller, answer, headers)
+    headers += _own_headers(outcomes.Outcome.ANSWERED, outcomes.Reason.NONE)
+    headers.append((REQUEST_ID_HEADER, caller.request_id.encode()))
+    if not caller.keeps_alive:
+        headers.append(_CLOSE)
+    return messages.encode_head(_status_line(answer.status), headers)
+
+
+def _copy_length(
+    caller: Caller,
+    answer: messages.ResponseHead,
+    headers: messages.Headers,
+) -> None:
+    """Keeps the length that the answer to a HEAD request tells."""
+    length = answer.find(b'content-length')
+    if length is not None and caller.head.method == b'HEAD':
+        headers.append((b'content-length', length))
+
+
+def _own_headers(
+    outcome: outcomes.Outcome,
+    reason: outcomes.Reason,
+) -> messages.Headers:
+    return [
+        (OUTCOME_HEADER, outcome.value.encode()),
+        (REASON_HEADER, reason.value.encode()),
+    ]
+
+
+def _relay_body(
+    connection: typing.Any,
+    received: outcomes.Received,
+    framing: messages.Framing,
+) -> None:
+    is_chunked = framing is messages.Framing.CHUNKED
+    for part in _body_parts(received):
+        connection.sendall(messages.encode_chunk(part) if is_chunked else part)
+    if is_chunked:
+        connection.sendall(messages.LAST_CHUNK)
+
+
+def _body_parts(received: outcomes.Received) -> typing.Iterator[bytes]:
+    """Yields the body of an answer; raises if the target cut it short."""
+    reader = received.link.reader
+    read = reader.read_part
+    if received.head.framing is messages.Framing.UNTIL_CLOSE:
+        read = reader.read_until_close
+    while True:
+        try:
+            part = read()
+        except (OSError, errors.MulberryquayError) as error:
+            raise AnswerCutShortError(str(error)) from error
+        if part is None:
+            return
+        yield part
+
+
+def _status_line(status: int) -> bytes:
+    phrase = _REASON_PHRASES.get(status, b'Status')
+    return b'HTTP/1.1 %d %b' % (status, phrase)
--- /dev/null
+++ b/src/mulberryquay/entry/balancer.py
@@ -0,0 +1,399 @@
+"""Grants each request a target with room, or a place in a bounded queue."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import math
+import random
+import typing
+
+import gevent
+from gevent import event
+
+from mulberryquay import protocol
+from mulberryquay.coordination import clock, shares
+from mulberryquay.entry import outcomes, routing, targets
+
+#: Calls that all entries together may send a warm target, per slot. Above
+#: 1, a target has its next call at hand; far above, calls wait at the wrong
+#: target.
+OVERCOMMIT: typing.Final = 2.0
+
+#: A request waits this long for a target at the most.
+MAX_QUEUE_MS: typing.Final = 2000.0
+
+Regions = frozenset[str] | None
+
+
+class Demand(typing.NamedTuple):
+    """What a request asks of the balancer."""
+
+    service: routing.Service
+    service_class: routing.ServiceClass
+    #: Regions that may serve the request, None for all.
+    regions: Regions
+    #: When the request is of no more use, on the entry's clock.
+    deadline: float
+
+
+class Policy(typing.Protocol):
+    """Chooses among targets that all have room."""
+
+    def choose(
+        self,
+        candidates: typing.Sequence[targets.TargetState],
+        now: float,
+    ) -> targets.TargetState:
+        """Returns one of ``candidates``, which is never empty."""
+
+
+PolicyFactory = typing.Callable[[random.Random], Policy]
+
+
+@typing.final
+class _Waiter:
+    """A request that waits for a target."""
+
+    __slots__ = ('demand', 'excluded', 'granted', 'is_over')
+
+    def __init__(self, demand: Demand, excluded: frozenset[str]) -> None:
+        self.demand = demand
+        self.excluded = excluded
+        self.granted: event.AsyncResult = event.AsyncResult()
+        self.is_over = False
+
+
+_Place = tuple[bool, int, int, _Waiter]
+
+
+@typing.final
+class ServiceQueue:
+    """The targets of one service and the requests that wait for them."""
+
+    def __init__(self, policy: Policy, time: clock.Clock) -> None:
+        """Starts without targets."""
+        self.targets: dict[str, targets.TargetState] = {}
+        self._policy = policy
+        self._clock = time
+        self._waiting: list[_Place] = []
+        self._waiting_count = 0
+        self._order = itertools.count()
+
+    @property
+    def waiting_count(self) -> int:
+        """Requests that wait for a target now."""
+        return self._waiting_count
+
+    def acquire(
+        self,
+        demand: Demand,
+        excluded: frozenset[str],
+    ) -> targets.TargetState:
+        """Returns a target with its in-flight count raised.
+
+        Waits for room until the deadline; raises RefusedError (not-run)
+        with the reason ``no-target``, ``overloaded`` or ``queue-timeout``.
+        """
+        if not self._waiting_count:
+            target = self._find(demand, excluded)
+            if target is not None:
+                target.in_flight += 1
+                return target
+        self._check_possible(demand, excluded)
+        return self._wait(demand, excluded)
+
+    def release(self, target: targets.TargetState) -> None:
+        """Ends a call on a target and serves those who wait."""
+        target.in_flight -= 1
+        if self._waiting_count:
+            self.serve_waiting()
+
+    def serve_waiting(self) -> None:
+        """Grants targets with room to waiting requests, most valued first."""
+        passed: list[_Place] = []
+        while self._waiting and self._has_room():
+            place = heapq.heappop(self._waiting)
+            waiter = place[-1]
+            if waiter.is_over:
+                continue
+            target = self._find(waiter.demand, waiter.excluded)
+            if target is None:
+                passed.append(place)
+                continue
+            target.in_flight += 1
+            self._end(waiter)
+            waiter.granted.set(target)
+        for skipped in passed:
+            heapq.heappush(self._waiting, skipped)
+
+    def _has_room(self) -> bool:
+        return any(target.has_room for target in self.targets.values())
+
+    def _find(
+        self,
+        demand: Demand,
+        excluded: frozenset[str],
+    ) -> targets.TargetState | None:
+        """Chooses in the nearest tier that has a target with room."""
+        now = self._clock.now()
+        with_room = [
+            target
+            for target in self.targets.values()
+            if target.in_flight < target.limit
+        ]
+        if demand.regions is not None or excluded:
+            with_room = [
+                target
+                for target in with_room
+                if _is_allowed(target, demand.regions, excluded)
+            ]
+        candidates = [
+            target for target in with_room if target.suspended_until <= now
+        ]
+        if not candidates:
+            # All that are left failed just now; one of them may be back.
+            candidates = with_room
+        if not candidates:
+            return None
+        nearest = min(target.tier for target in candidates)
+        return self._policy.choose(
+            [target for target in candidates if target.tier == nearest],
+            now,
+        )
+
+    def _check_possible(
+        self,
+        demand: Demand,
+        excluded: frozenset[str],
+    ) -> None:
+        usable = any(
+            target.limit and _is_allowed(target, demand.regions, excluded)
+            for target in self.targets.values()
+        )
+        if not usable:
+            raise outcomes.not_run(
+                outcomes.Reason.NO_TARGET,
+                f'service {demand.service.name!r} has no target that may '
+                'serve this request now',
+            )
+
+    def _wait(
+        self,
+        demand: Demand,
+        excluded: frozenset[str],
+    ) -> targets.TargetState:
+        if self._waiting_count >= demand.service.max_queue:
+            self._make_place(demand)
+        waiter = _Waiter(demand, excluded)
+        heapq.heappush(self._waiting, self._place_of(waiter))
+        self._waiting_count += 1
+        remaining = min(demand.deadline - self._clock.now(), MAX_QUEUE_MS)
+        try:
+            granted = waiter.granted.get(
+                timeout=max(0, remaining) / clock.MS_PER_SECOND,
+            )
+        except gevent.Timeout:
+            if waiter.granted.ready() and waiter.granted.successful():
+                return typing.cast(targets.TargetState, waiter.granted.get())
+            raise outcomes.not_run(
+                outcomes.Reason.QUEUE_TIMEOUT,
+                'no target had room in time',
+            ) from None
+        except BaseException:
+            self._give_back(waiter)
+            raise
+        finally:
+            self._end(waiter)
+        return typing.cast(targets.TargetState, granted)
+
+    def _place_of(self, waiter: _Waiter) -> _Place:
+        service_class = waiter.demand.service_class
+        return (
+            service_class.deferrable,
+            -service_class.value,
+            next(self._order),
+            waiter,
+        )
+
+    def _make_place(self, demand: Demand) -> None:
+        """Refuses the least valued waiter, or the newcomer if it is that."""
+        live = [place for place in self._waiting if not place[-1].is_over]
+        service_class = demand.service_class
+        newcomer = (service_class.deferrable, -service_class.value)
+        refusal = outcomes.not_run(
+            outcomes.Reason.OVERLOADED,
+            f'service {demand.service.name!r} has its full queue of '
+            f'{demand.service.max_queue} requests',
+        )
+        if not live or max(live)[:2] <= newcomer:
+            raise refusal
+        last = max(live)[-1]
+        self._end(last)
+        last.granted.set_exception(refusal)
+
+    def _give_back(self, waiter: _Waiter) -> None:
+        """Returns a target that was granted to a greenlet that is killed."""
+        if waiter.granted.ready() and waiter.granted.successful():
+            self.release(waiter.granted.get())
+
+    def _end(self, waiter: _Waiter) -> None:
+        if not waiter.is_over:
+            waiter.is_over = True
+            self._waiting_count -= 1
+
+
+@typing.final
+class Balancer:
+    """The service queues of an entry, kept in step with its knowledge."""
+
+    def __init__(
+        self,
+        view: shares.ShareView,
+        new_policy: typing.Callable[[], Policy],
+        time: clock.Clock,
+        *,
+        region: str,
+        domain: str,
+    ) -> None:
+        """Starts without targets; ``view`` divides the cold ones."""
+        self._view = view
+        self._new_policy = new_policy
+        self._clock = time
+        self._region = region
+        self._domain = domain
+        self._services: dict[str, ServiceQueue] = {}
+        self._targets: dict[str, targets.TargetState] = {}
+        self._domains_out: frozenset[str] = frozenset()
+        self._is_fresh = False
+
+    @property
+    def all_targets(self) -> dict[str, targets.TargetState]:
+        """All known targets by name."""
+        return self._targets
+
+    @property
+    def waiting_count(self) -> int:
+        """Requests that wait for a target now, over all services."""
+        return sum(queue.waiting_count for queue in self._services.values())
+
+    def queue_for(self, service: str) -> ServiceQueue:
+        """Returns the queue of a service, empty if it has no targets."""
+        queue = self._services.get(service)
+        if queue is None:
+            queue = ServiceQueue(self._new_policy(), self._clock)
+            self._services[service] = queue
+        return queue
+
+    def apply(self, message: protocol.TargetsChanged) -> None:
+        """Takes changed and removed targets."""
+        rows = [protocol.TargetRow(*fields) for fields in message.changed]
+        for row in rows:
+            self._put(row)
+        gone = set(message.removed)
+        if message.is_complete:
+            listed = {row.name for row in rows}
+            gone = set(self._targets) - listed
+        for name in gone:
+            self._remove(name)
+        self.refresh_limits()
+
+    def take_out_domains(self, domains_out: frozenset[str]) -> None:
+        """Stops new work to all targets of those failure domains."""
+        self._domains_out = domains_out
+        self.refresh_limits()
+
+    def set_fresh(self, *, is_fresh: bool) -> None:
+        """Without fresh knowledge, shares of cold targets are void."""
+        if is_fresh != self._is_fresh:
+            self._is_fresh = is_fresh
+            self.refresh_limits()
+
+    def refresh_limits(self) -> None:
+        """Divides all targets anew and serves those who wait."""
+        for target in self._targets.values():
+            target.limit = self._limit(target)
+            target.link_limit = self._link_limit(target)
+            if not target.limit:
+                target.pool.close_idle()
+        for queue in self._services.values():
+            queue.serve_waiting()
+
+    def collect_reports(self) -> tuple[dict[str, int], dict[str, int]]:
+        """Returns what control hosts should know and forgets it.
+
+        The first are good answers of cold targets by name, the second the
+        incarnations of targets that shed or slowed down.
+        """
+        served = {}
+        shed = {}
+        for name, target in self._targets.items():
+            if target.served:
+                served[name] = target.served
+                target.served = 0
+            if target.shed:
+                shed[name] = target.row.incarnation
+                target.shed = False
+        return served, shed
+
+    def fits_pending_shares(self) -> bool:
+        """Whether the calls in flight fit the shares of cold targets."""
+        return all(
+            target.is_warm or target.in_flight <= target.limit
+            for target in self._targets.values()
+        )
+
+    def _put(self, row: protocol.TargetRow) -> None:
+        known = self._targets.get(row.name)
+        is_same_process = (
+            known is not None
+            and known.row.incarnation == row.incarnation
+            and known.row.address == row.address
+            and known.row.service == row.service
+        )
+        if known is not None and is_same_process:
+            known.row = row
+            return
+        if known is not None:
+            self._remove(row.name)
+        target = targets.TargetState(row, self._clock)
+        target.tier = self._tier(row)
+        self._targets[row.name] = target
+        self.queue_for(row.service).targets[row.name] = target
+
+    def _remove(self, name: str) -> None:
+        target = self._targets.pop(name, None)
+        if target is not None:
+            target.limit = 0
+            target.pool.close_idle()
+            self.queue_for(target.row.service).targets.pop(name, None)
+
+    def _tier(self, row: protocol.TargetRow) -> int:
+        if row.region != self._region:
+            return 2
+        return int(row.domain != self._domain)
+
+    def _limit(self, target: targets.TargetState) -> int:
+        row = target.row
+        if row.is_leaving or row.domain in self._domains_out:
+            return 0
+        if target.is_warm:
+            whole = row.slots * OVERCOMMIT / self._view.member_count
+            return max(1, math.ceil(whole))
+        if not self._is_fresh:
+            return 0
+        return self._view.share(row.name, row.allowance)
+
+    def _link_limit(self, target: targets.TargetState) -> int:
+        whole = target.row.connections // self._view.member_count
+        return max(1, whole)
+
+
+def _is_allowed(
+    target: targets.TargetState,
+    regions: Regions,
+    excluded: frozenset[str],
+) -> bool:
+    if target.row.name in excluded:
+        return False
+    return regions is None or target.row.region in regions
--- /dev/null
+++ b/src/mulberryquay/entry/caller.py
@@ -0,0 +1,127 @@
+"""The task of one caller's connection: requests in, answers out."""
+
+from __future__ import annotations
+
+import logging
+import struct
+import typing
+
+from gevent import socket
+
+from mulberryquay.coordination import errors
+from mulberryquay.entry import answers, exchange, messages, outcomes, state
+
+#: An idle connection is kept this long between requests.
+IDLE_TIMEOUT_S: typing.Final = 75.0
+
+#: A request's head must arrive this soon after its first byte, and each
+#: further part of its body after the one before.
+READ_TIMEOUT_S: typing.Final = 15.0
+
+_LINGER_TIMEOUT_S: typing.Final = 1.0
+_LINGER_BYTES: typing.Final = 8 * 1024 * 1024
+
+_LOG: typing.Final = logging.getLogger(__name__)
+_RESET: typing.Final = struct.pack('ii', 1, 0)
+
+
+@typing.final
+class CallerTask:
+    """Serves one connection until either side ends it."""
+
+    def __init__(
+        self, shared: state.EntryState, connection: typing.Any
+    ) -> None:
+        """Takes over ``connection``, an accepted gevent socket."""
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._shared = shared
+        self._socket = connection
+        self._reader = messages.RequestReader(connection)
+        #: Whether no request is being served.
+        self.is_idle = True
+
+    def run(self) -> None:
+        """Serves requests in order; closes the connection at the end."""
+        is_finished = False
+        try:
+            while self._serve_next():
+                """Serves the next request on the connection."""
+            is_finished = True
+        except (OSError, errors.MulberryquayError):
+            is_finished = False
+        finally:
+            self._close(is_finished=is_finished)
+
+    def close_if_idle(self) -> None:
+        """Ends a connection on which no request has begun."""
+        if self.is_idle and self._reader.is_clean:
+            self._socket.shutdown(socket.SHUT_RD)
+
+    def _serve_next(self) -> bool:
+        self._socket.settimeout(IDLE_TIMEOUT_S)
+        try:
+            head = self._reader.read_head()
+        except messages.MessageError as error:
+            self._refuse_message(error)
+            return False
+        if head is None:
+            return False
+        self._socket.settimeout(READ_TIMEOUT_S)
+        self.is_idle = False
+        self._shared.in_flight += 1
+        try:
+            return exchange.Exchange(
+                self._shared,
+                self._socket,
+                self._reader,
+                head,
+            ).serve()
+        finally:
+            self._shared.in_flight -= 1
+            self.is_idle = True
+
+    def _refuse_message(self, error: messages.MessageError) -> None:
+        """Answers what cannot be read as a request, then closes."""
+        reason = outcomes.Reason.MALFORMED_REQUEST
+        if isinstance(error, messages.HeadTooLargeError):
+            reason = outcomes.Reason.HEAD_TOO_LARGE
+        self._shared.metrics.count(
+            'mulberryquay_requests_total',
+            outcomes.Outcome.NOT_RUN.value,
+            reason.value,
+        )
+        refusal = outcomes.not_run(
+            reason,
+            str(error),
+            status=error.http_status,
+        )
+        self._socket.sendall(answers.encode_refusal(None, refusal))
+
+    def _linger(self) -> None:
+        """Reads what the caller still sends, so that no reset overtakes
+        the answer (RFC 9112, section 9.6)."""
+        self._socket.shutdown(socket.SHUT_WR)
+        if self._reader.is_clean:
+            return
+        self._socket.settimeout(_LINGER_TIMEOUT_S)
+        remaining = _LINGER_BYTES
+        while remaining > 0:
+            chunk = self._socket.recv(messages.READ_BYTES)
+            if not chunk:
+                return
+            remaining -= len(chunk)
+
+    def _close(self, *, is_finished: bool) -> None:
+        """Closes; a caller that waits for more gets a reset, not an end."""
+        try:
+            if is_finished:
+                self._linger()
+            else:
+                self._socket.setsockopt(
+                    socket.SOL_SOCKET,
+                    socket.SO_LINGER,
+                    _RESET,
+                )
+        except OSError as error:
+            _LOG.debug('caller was gone', extra={'cause': str(error)})
+        self._socket.close()
--- /dev/null
+++ b/src/mulberryquay/entry/connections.py
@@ -0,0 +1,130 @@
+"""Connections to targets: opened at a pace, checked before each reuse."""
+
+from __future__ import annotations
+
+import select
+import typing
+
+from gevent import lock, socket
+
+from mulberryquay.coordination import clock, errors
+from mulberryquay.entry import messages
+
+#: A target needs about this long for each new connection.
+OPEN_INTERVAL_MS: typing.Final = 1.0
+
+#: An idle connection is closed after this long.
+IDLE_MS: typing.Final = 20_000
+
+_CONNECT_TIMEOUT_S: typing.Final = 1.0
+
+
+@typing.final
+class ConnectFailedError(errors.MulberryquayError):
+    """No connection to the target could be opened."""
+
+    code = 'connect-failed'
+
+
+@typing.final
+class ConnectionBudgetError(errors.MulberryquayError):
+    """This entry's share of the target's connections is in use."""
+
+    code = 'connection-budget'
+
+
+@typing.final
+class Link:
+    """One connection to a target."""
+
+    __slots__ = ('_poll', 'idle_since', 'reader', 'socket')
+
+    def __init__(self, connection: typing.Any) -> None:
+        """Wraps a connected gevent socket."""
+        self.socket = connection
+        self.reader = messages.ResponseReader(connection)
+        self.idle_since = clock.Milliseconds(0)
+        self._poll = select.poll()
+        self._poll.register(connection.fileno(), select.POLLIN)
+
+    def is_usable(self) -> bool:
+        """Whether nothing arrived and the target has not closed."""
+        if not self.reader.is_clean:
+            return False
+        return not self._poll.poll(0)
+
+
+@typing.final
+class Pool:
+    """This entry's connections to one target."""
+
+    def __init__(self, address: tuple[str, int], time: clock.Clock) -> None:
+        """Opens nothing yet."""
+        self._address = address
+        self._clock = time
+        self._idle: list[Link] = []
+        self._open_count = 0
+        self._opening = lock.BoundedSemaphore(1)
+        self._opened_at = -OPEN_INTERVAL_MS
+
+    @property
+    def open_count(self) -> int:
+        """Connections that are open, idle or in use."""
+        return self._open_count
+
+    def take(self, *, limit: int) -> Link:
+        """Returns a usable connection, opening one if none is idle.
+
+        Raises ConnectFailedError, and ConnectionBudgetError if ``limit``
+        connections are open already.
+        """
+        oldest = self._clock.now() - IDLE_MS
+        while self._idle:
+            link = self._idle.pop()
+            if link.idle_since >= oldest and link.is_usable():
+                return link
+            self.discard(link)
+        if self._open_count >= limit:
+            raise ConnectionBudgetError(
+                f'all {limit} connections to the target are in use',
+            )
+        return self._open()
+
+    def give_back(self, link: Link) -> None:
+        """Keeps a connection that stands between two answers."""
+        link.idle_since = self._clock.now()
+        self._idle.append(link)
+
+    def discard(self, link: Link) -> None:
+        """Closes a connection."""
+        link.socket.close()
+        self._open_count -= 1
+
+    def close_idle(self) -> None:
+        """Closes the connections that are not in use."""
+        while self._idle:
+            self.discard(self._idle.pop())
+
+    def _open(self) -> Link:
+        self._open_count += 1
+        try:
+            with self._opening:
+                self._wait_for_pace()
+                connection = socket.create_connection(
+                    self._address,
+                    timeout=_CONNECT_TIMEOUT_S,
+                )
+        except OSError as error:
+            self._open_count -= 1
+            raise ConnectFailedError(f'connecting failed: {error}') from error
+        except BaseException:
+            self._open_count -= 1
+            raise
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return Link(connection)
+
+    def _wait_for_pace(self) -> None:
+        wait = self._opened_at + OPEN_INTERVAL_MS - self._clock.now()
+        if wait > 0:
+            self._clock.sleep(wait)
+        self._opened_at = self._clock.now()
--- /dev/null
+++ b/src/mulberryquay/entry/daemon.py
@@ -0,0 +1,213 @@
+"""Puts the parts of an entry together and runs them."""
+
+from __future__ import annotations
+
+import logging
+import random
+import typing
+
+from gevent import server
+
+from mulberryquay import settings, sockets, web
+from mulberryquay.coordination import clock, units
+from mulberryquay.entry import accounts, caller, control_link, state
+from mulberryquay.kernel import plugins
+
+SERVE_STALE: typing.Final = 'serve'
+REFUSE_STALE: typing.Final = 'refuse'
+
+#: The policy that measured best; docs/DESIGN.md has the table.
+DEFAULT_POLICY: typing.Final = 'least-loaded'
+
+SETTINGS: typing.Final = (
+    settings.Setting(
+        'name',
+        '',
+        'name of this entry process, unique among all entries',
+        form='name',
+        required=True,
+    ),
+    settings.Setting(
+        'region',
+        '',
+        'region in which this process runs',
+        form='name',
+        required=True,
+    ),
+    settings.Setting(
+        'domain',
+        '',
+        'failure domain in which this process runs',
+        form='name',
+        required=True,
+    ),
+    settings.Setting(
+        'listen',
+        '127.0.0.1:7700',
+        f'callers: {settings.LISTEN_HELP}',
+        form='address',
+        required=True,
+    ),
+    settings.Setting(
+        'admin_listen',
+        '127.0.0.1:7701',
+        f'health, metrics and accounts: {settings.LISTEN_HELP}',
+        form='address',
+        required=True,
+    ),
+    settings.Setting(
+        'control',
+        '127.0.0.1:7601',
+        'feeds of the control hosts',
+        form='addresses',
+        required=True,
+    ),
+    settings.Setting(
+        'policy',
+        DEFAULT_POLICY,
+        'how to choose among targets that have room',
+        choices=(
+            'random',
+            'power-of-two',
+            'round-robin',
+            'least-loaded',
+            'join-idle-queue',
+            'hot-cold',
+        ),
+    ),
+    settings.Setting(
+        'stale_config',
+        REFUSE_STALE,
+        'what to do with requests while no control host vouches for the '
+        'configuration: refuse them as not run, or serve on',
+        choices=(REFUSE_STALE, SERVE_STALE),
+    ),
+    settings.Setting(
+        'drain_ms',
+        2 * units.SECOND_MS,
+        'milliseconds between readiness off and closing the port on a stop',
+        maximum=10 * units.MINUTE_MS,
+    ),
+    settings.Setting(
+        'stop_timeout_ms',
+        10 * units.MINUTE_MS,
+        'milliseconds that a stop waits for requests in flight',
+        maximum=units.DAY_MS,
+    ),
+    settings.LOG_LEVEL,
+)
+
+_STOP_POLL_MS: typing.Final = 20.0
+_LOG: typing.Final = logging.getLogger(__name__)
+
+
+@typing.final
+class EntryDaemon:
+    """One entry process."""
+
+    def __init__(
+        self,
+        values: settings.Values,
+        kernel: plugins.Kernel,
+        *,
+        time: clock.Clock | None = None,
+    ) -> None:
+        """Opens the ports; raises InvalidSettingError."""
+        factory = kernel.policies.get(values['policy'])
+        rng = random.Random()
+        self._values = values
+        self._state = state.EntryState(
+            name=values['name'],
+            region=values['region'],
+            domain=values['domain'],
+            new_policy=lambda: factory(rng),
+            time=time,
+            serves_stale=values['stale_config'] == SERVE_STALE,
+        )
+        self._listener = sockets.listen(values['listen'], reuse_port=True)
+        self._admin_listener = sockets.listen(values['admin_listen'])
+        self._link = control_link.ControlLink(
+            self._state,
+            [
+                settings.parse_address(address)
+                for address in values['control'].split(',')
+            ],
+            admin_address=self._admin_address(),
+            domain=values['domain'],
+        )
+        self._state.reporter = self._link
+        self._callers: set[caller.CallerTask] = set()
+
+    @property
+    def port(self) -> int:
+        """The port for callers."""
+        return sockets.port_of(self._listener)
+
+    @property
+    def admin_port(self) -> int:
+        """The port for health, metrics and accounts."""
+        return sockets.port_of(self._admin_listener)
+
+    @property
+    def state(self) -> state.EntryState:
+        """The entry's knowledge and counters."""
+        return self._state
+
+    def start(self) -> None:
+        """Begins to serve."""
+        app = web.new_app()
+        web.add_health(app, self._is_ready, self._state.metrics, self._refresh)
+        app.route('/accounts/<request_id>', 'GET', self._show_account)
+        self._admin = web.serve(self._admin_listener, app)
+        self._link.start()
+        self._server = server.StreamServer(self._listener, self._serve)
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stops without cutting off a request.
+
+        Readiness goes off first, so that the platform's balancer sends
+        nothing new; the port closes after the drain time; requests in
+        flight finish.
+        """
+        _LOG.info('stopping')
+        time = self._state.clock
+        self._state.is_stopping = True
+        time.sleep(self._values['drain_ms'])
+        self._server.close()
+        deadline = time.now() + self._values['stop_timeout_ms']
+        while self._callers and time.now() < deadline:
+            for task in list(self._callers):
+                task.close_if_idle()
+            time.sleep(_STOP_POLL_MS)
+        self._link.stop()
+        self._admin.stop(timeout=1)
+
+    def _serve(self, connection: typing.Any, _address: typing.Any) -> None:
+        task = caller.CallerTask(self._state, connection)
+        self._callers.add(task)
+        try:
+            task.run()
+        finally:
+            self._callers.discard(task)
+
+    def _admin_address(self) -> str:
+        host = settings.parse_address(self._values['admin_listen'])[0]
+        return f'{host}:{self.admin_port}'
+
+    def _is_ready(self) -> bool:
+        shared = self._state
+        is_usable = shared.is_fresh or shared.serves_stale
+        return is_usable and not shared.is_stopping
+
+    def _show_account(self, request_id: str) -> str:
+        account = self._state.accounts.get(request_id)
+        return web.to_json(accounts.to_json(account))
+
+    def _refresh(self) -> None:
+        shared = self._state
+        gauge = shared.metrics.gauge
+        gauge('mulberryquay_in_flight', shared.in_flight)
+        gauge('mulberryquay_waiting', shared.balancer.waiting_count)
+        gauge('mulberryquay_config_revision', self._link.revision)
+        gauge('mulberryquay_config_fresh', int(shared.is_fresh))
--- /dev/null
+++ b/src/mulberryquay/entry/exchange.py
@@ -0,0 +1,204 @@
+"""Serves one request: admission, forwarding, the answer, the account."""
+
+from __future__ import annotations
+
+import typing
+
+from mulberryquay.entry import (
+    accounts,
+    admission,
+    answers,
+    attempt,
+    balancer,
+    forwarder,
+    messages,
+    outcomes,
+    request_body,
+    routing,
+    state,
+)
+
+#: A caller that takes no bytes for this long is taken as gone.
+_CALLER_TIMEOUT_S: typing.Final = 60.0
+
+
+@typing.final
+class Exchange:
+    """One request of a caller and what became of it."""
+
+    def __init__(
+        self,
+        shared: state.EntryState,
+        connection: typing.Any,
+        reader: messages.RequestReader,
+        head: messages.RequestHead,
+    ) -> None:
+        """Takes a request whose head was read from ``reader``."""
+        self._shared = shared
+        self._socket = connection
+        self._head = head
+        self._body = request_body.RequestBody(connection, reader, head)
+        self._request_id = shared.next_request_id()
+        self._started = shared.clock.now()
+        self._route: routing.Route | None = None
+        self._account: routing.ClientAccount | None = None
+        self._forwarder: forwarder.Forwarder | None = None
+        self._status = 0
+
+    def serve(self) -> bool:
+        """Answers the request; True if the connection may carry another.
+
+        Raises OSError when the caller is gone and AnswerCutShortError when
+        the caller must be told by a reset that its answer is not whole.
+        """
+        outcome = outcomes.Outcome.UNKNOWN
+        reason = outcomes.Reason.CALLER_GONE
+        try:
+            keeps_alive = self._serve()
+            outcome = outcomes.Outcome.ANSWERED
+            reason = outcomes.Reason.NONE
+        except outcomes.RefusedError as refusal:
+            outcome = refusal.outcome
+            reason = refusal.reason
+            keeps_alive = self._send_refusal(refusal)
+        except answers.AnswerCutShortError:
+            reason = outcomes.Reason.ANSWER_CUT_SHORT
+            raise
+        finally:
+            self._leave_account()
+            self._record(outcome, reason)
+        return keeps_alive
+
+    def _serve(self) -> bool:
+        call = self._prepare()
+        self._forwarder = forwarder.Forwarder(self._shared, call)
+        received = self._forwarder.forward()
+        self._status = received.head.status
+        self._socket.settimeout(_CALLER_TIMEOUT_S)
+        try:
+            keeps_alive = answers.relay(
+                self._socket,
+                self._caller(is_usable=True),
+                received,
+            )
+        except BaseException:
+            self._forwarder.abandon(received)
+            raise
+        self._forwarder.finish(received)
+        return keeps_alive and self._body.is_read
+
+    def _prepare(self) -> forwarder.Call:
+        admitted = admission.admit(self._shared, self._head)
+        self._route = admitted.route
+        self._enter_account(admitted.account)
+        service = admitted.route.service
+        body = self._body.read_beginning(service)
+        rest = None
+        if not self._body.is_read:
+            rest = self._body.read_rest(service)
+        deadline = self._started + admitted.timeout_ms
+        return forwarder.Call(
+            balancer.Demand(
+                service,
+                admitted.route.service_class,
+                admitted.regions,
+                deadline,
+            ),
+            attempt.Outgoing(
+                self._head.method,
+                self._head.path,
+                self._outgoing_headers(admitted.depth + 1),
+                self._head.framing,
+                body,
+                rest,
+                deadline,
+            ),
+            self._head.find(forwarder.NO_RETRY_HEADER) is None,
+            forwarder.fingerprint_of(self._head, body),
+        )
+
+    def _outgoing_headers(self, depth: int) -> messages.Headers:
+        head = self._head
+        headers = [
+            pair
+            for pair in messages.forwardable(head.headers)
+            if pair[0] not in answers.OWN_HEADERS
+        ]
+        headers += [
+            (answers.REQUEST_ID_HEADER, self._request_id.encode()),
+            (admission.DEPTH_HEADER, b'%d' % depth),
+        ]
+        match head.framing:
+            case messages.Framing.CHUNKED:
+                headers.append((b'transfer-encoding', b'chunked'))
+            case messages.Framing.LENGTH:
+                headers.append((b'content-length', b'%d' % head.length))
+        return headers
+
+    def _caller(self, *, is_usable: bool) -> answers.Caller:
+        keeps_alive = (
+            is_usable
+            and self._head.keeps_alive
+            and not self._shared.is_stopping
+        )
+        return answers.Caller(self._head, self._request_id, keeps_alive)
+
+    def _send_refusal(self, refusal: outcomes.RefusedError) -> bool:
+        """Answers with an error; True if the connection stays usable."""
+        self._status = refusal.status
+        caller = self._caller(is_usable=self._body.is_read)
+        if self._forwarder is not None:
+            # The level nearest to the failure has spent its retries.
+            refusal.headers.append((forwarder.NO_RETRY_HEADER, b'1'))
+        self._socket.settimeout(_CALLER_TIMEOUT_S)
+        self._socket.sendall(answers.encode_refusal(caller, refusal))
+        return caller.keeps_alive
+
+    def _enter_account(self, account: routing.ClientAccount | None) -> None:
+        if account is None:
+            return
+        in_flight = self._shared.account_in_flight
+        running = in_flight.get(account.name, 0)
+        if running >= account.max_in_flight:
+            raise outcomes.not_run(
+                outcomes.Reason.ACCOUNT_LIMIT,
+                f'client account {account.name!r} has {running} requests in '
+                'flight here, which is its limit',
+            )
+        in_flight[account.name] = running + 1
+        self._account = account
+
+    def _leave_account(self) -> None:
+        if self._account is not None:
+            self._shared.account_in_flight[self._account.name] -= 1
+
+    def _record(
+        self,
+        outcome: outcomes.Outcome,
+        reason: outcomes.Reason,
+    ) -> None:
+        shared = self._shared
+        shared.metrics.count(
+            'mulberryquay_requests_total',
+            outcome.value,
+            reason.value,
+        )
+        route = self._route
+        account = self._account
+        tries = self._forwarder.tries if self._forwarder else ()
+        shared.accounts.add(
+            accounts.RequestAccount(
+                self._request_id,
+                round(shared.clock.wall(), 3),
+                self._head.method.decode('latin-1'),
+                self._head.path.partition(b'?')[0].decode('latin-1'),
+                account.name if account else '',
+                route.name if route else '',
+                route.service_class.name if route else '',
+                outcome.value,
+                reason.value,
+                self._status,
+                round(shared.clock.now() - self._started, 3),
+                tuple(tries),
+            ),
+        )
--- /dev/null
+++ b/src/mulberryquay/entry/forwarder.py
@@ -0,0 +1,270 @@
+"""Tries a request on targets until it is answered or must be refused."""
+
+from __future__ import annotations
+
+import typing
+
+import xxhash
+
+from mulberryquay.entry import (
+    accounts,
+    attempt,
+    balancer,
+    messages,
+    outcomes,
+    state,
+    targets,
+)
+
+#: Marks a resend and all calls below it: they must not be resent again.
+NO_RETRY_HEADER: typing.Final = b'mulberryquay-no-retry'
+
+#: Tells a target how long its answer is of use, in milliseconds.
+TIMEOUT_HEADER: typing.Final = b'mulberryquay-timeout-ms'
+
+#: Answers that another target may well not give.
+_UNAVAILABLE: typing.Final = frozenset((502, 503, 504))
+
+
+class Call(typing.NamedTuple):
+    """A request that has passed admission."""
+
+    demand: balancer.Demand
+    outgoing: attempt.Outgoing
+    #: Whether the caller allows resends.
+    may_retry: bool
+    #: Identifies the request among repeats, for the crash guard.
+    fingerprint: bytes
+
+
+@typing.final
+class Forwarder:
+    """Forwards one request; keeps what was tried for its account."""
+
+    def __init__(self, shared: state.EntryState, call: Call) -> None:
+        """Prepares to forward ``call``."""
+        self._shared = shared
+        self._call = call
+        self._queue = shared.balancer.queue_for(call.demand.service.name)
+        self._budget = shared.budget_for(call.demand.service.name)
+        self._target: targets.TargetState | None = None
+        self._attempt: attempt.Attempt | None = None
+        self.tries: list[accounts.Try] = []
+        #: Whether some try may have run the request.
+        self.may_have_run = False
+
+    def forward(self) -> outcomes.Received:
+        """Returns an answer; `finish` or `abandon` must follow.
+
+        Raises RefusedError, whose outcome holds for all tries together.
+        """
+        self._check_not_blocked()
+        self._budget.deposit()
+        excluded: frozenset[str] = frozenset()
+        while True:
+            target = self._acquire(excluded)
+            ended = self._try(target)
+            if not self._retries(ended):
+                return self._conclude(ended)
+            self._release_answer(ended)
+            excluded |= {target.row.name}
+
+    def finish(self, received: outcomes.Received) -> None:
+        """Ends a call whose answer was read to its end."""
+        if self._attempt is not None:
+            self._attempt.finish(received)
+        self._release()
+
+    def abandon(self, received: outcomes.Received) -> None:
+        """Ends a call whose answer was not read to its end."""
+        if self._attempt is not None:
+            self._attempt.abandon(received)
+        self._release()
+
+    def _acquire(self, excluded: frozenset[str]) -> targets.TargetState:
+        try:
+            return self._queue.acquire(self._call.demand, excluded)
+        except outcomes.RefusedError as refusal:
+            if self.may_have_run:
+                raise outcomes.unknown(
+                    refusal.reason,
+                    f'an earlier try may have run the request; {refusal}',
+                ) from refusal
+            raise
+
+    def _try(self, target: targets.TargetState) -> outcomes.Attempt:
+        """Runs one try; a target without an answer is released."""
+        started = self._shared.clock.now()
+        self._target = target
+        self._attempt = attempt.Attempt(
+            target,
+            self._call.outgoing,
+            self._shared.clock,
+        )
+        ended: outcomes.Attempt = outcomes.NotSent(outcomes.Reason.NONE)
+        try:
+            ended = self._attempt.run(self._try_headers(started))
+        finally:
+            if not isinstance(ended, outcomes.Received):
+                self._release()
+        self._record(target, ended, self._shared.clock.now() - started)
+        return ended
+
+    def _try_headers(self, now: float) -> messages.Headers:
+        remaining = max(0, int(self._call.demand.deadline - now))
+        headers = [(TIMEOUT_HEADER, b'%d' % remaining)]
+        if self.tries or not self._call.may_retry:
+            headers.append((NO_RETRY_HEADER, b'1'))
+        return headers
+
+    def _record(
+        self,
+        target: targets.TargetState,
+        ended: outcomes.Attempt,
+        duration: float,
+    ) -> None:
+        result, reason = _describe(ended)
+        self._shared.metrics.count(
+            'mulberryquay_tries_total',
+            result,
+            reason.value,
+        )
+        self.tries.append(
+            accounts.Try(
+                target.row.name,
+                target.row.domain,
+                target.row.incarnation,
+                result,
+                reason.value,
+                round(duration, 3),
+            ),
+        )
+        if isinstance(ended, outcomes.Lost):
+            self.may_have_run = True
+            if ended.reason is outcomes.Reason.CONNECTION_LOST:
+                self._report_broken(target, duration)
+
+    def _retries(self, ended: outcomes.Attempt) -> bool:
+        """Whether another try is allowed; takes it from the budget."""
+        if not self._is_repeatable(ended) or not self._has_tries_left():
+            return False
+        reason = _describe(ended)[1].value
+        if not self._budget.withdraw():
+            self._shared.metrics.count(
+                'mulberryquay_retries_denied_total',
+                reason,
+            )
+            return False
+        self._shared.metrics.count('mulberryquay_retries_total', reason)
+        return True
+
+    def _is_repeatable(self, ended: outcomes.Attempt) -> bool:
+        outgoing = self._call.outgoing
+        is_idempotent = self._call.demand.service_class.idempotent
+        match ended:
+            case outcomes.Received(head, _, _):
+                is_resendable = is_idempotent and outgoing.rest is None
+                is_final = head.find(NO_RETRY_HEADER) is not None
+                return (
+                    is_resendable
+                    and not is_final
+                    and head.status in _UNAVAILABLE
+                )
+            case outcomes.NotSent(outcomes.Reason.DEADLINE):
+                return False
+            case outcomes.NotSent():
+                return True
+            case outcomes.Shed():
+                return outgoing.rest is None
+            case outcomes.Lost():
+                return is_idempotent and outgoing.rest is None
+
+    def _has_tries_left(self) -> bool:
+        return (
+            self._call.may_retry
+            and len(self.tries) < self._call.demand.service_class.max_attempts
+            and self._shared.clock.now() < self._call.demand.deadline
+        )
+
+    def _conclude(self, ended: outcomes.Attempt) -> outcomes.Received:
+        match ended:
+            case outcomes.Received():
+                if not self._shared.guard.is_idle:
+                    self._clear_breakages()
+                return ended
+            case outcomes.Lost(reason):
+                raise outcomes.unknown(
+                    reason,
+                    'the target was reached but gave no whole answer; the '
+                    'request may have run',
+                )
+            case outcomes.NotSent(reason) | outcomes.Shed(reason):
+                make = outcomes.not_run
+                if self.may_have_run:
+                    make = outcomes.unknown
+                raise make(reason, 'no target took the request')
+
+    def _release_answer(self, ended: outcomes.Attempt) -> None:
+        if isinstance(ended, outcomes.Received):
+            self.may_have_run = True
+            self.abandon(ended)
+
+    def _release(self) -> None:
+        target = self._target
+        if target is not None:
+            self._target = None
+            self._queue.release(target)
+
+    def _check_not_blocked(self) -> None:
+        guard = self._shared.guard
+        if not guard.is_idle and guard.is_blocked(self._call.fingerprint):
+            raise outcomes.not_run(
+                outcomes.Reason.BREAKS_TARGETS,
+                'this request broke the targets that ran it; it is refused '
+                'for a while',
+                retry_after_s=60,
+            )
+
+    def _report_broken(
+        self,
+        target: targets.TargetState,
+        duration: float,
+    ) -> None:
+        fingerprint = self._call.fingerprint
+        name = target.row.name
+        self._shared.guard.record(fingerprint, name, ran_for=duration)
+        if self._shared.reporter is not None:
+            self._shared.reporter.report_broken(
+                fingerprint,
+                name,
+                ran_for=duration,
+            )
+
+    def _clear_breakages(self) -> None:
+        fingerprint = self._call.fingerprint
+        is_cleared = self._shared.guard.clear(fingerprint)
+        if is_cleared and self._shared.reporter is not None:
+            self._shared.reporter.report_cleared(fingerprint)
+
+
+def fingerprint_of(head: messages.RequestHead, body: bytes) -> bytes:
+    """Returns a digest of what makes a request the same request."""
+    digest = xxhash.xxh3_128()
+    digest.update(head.method)
+    digest.update(head.path)
+    digest.update(body)
+    return digest.digest()
+
+
+def _describe(ended: outcomes.Attempt) -> tuple[str, outcomes.Reason]:
+    match ended:
+        case outcomes.Received(head, _, _):
+            if head.status in _UNAVAILABLE:
+                return 'received', outcomes.Reason.TARGET_UNAVAILABLE
+            return 'received', outcomes.Reason.NONE
+        case outcomes.NotSent(reason):
+            return 'not-sent', reason
+        case outcomes.Shed(reason):
+            return 'shed', reason
+        case outcomes.Lost(reason):
+            return 'lost', reason
--- /dev/null
+++ b/src/mulberryquay/entry/messages.py
@@ -0,0 +1,399 @@
+"""Reads and writes HTTP/1.1 messages on gevent sockets.
+
+The parser is the `httptools` library (llhttp in strict mode). This module
+adds the limits, the framing rules that guard against request smuggling, and
+the order of events on a connection.
+"""
+
+from __future__ import annotations
+
+import collections
+import enum
+import typing
+
+import httptools
+
+from mulberryquay.coordination import errors
+
+READ_BYTES: typing.Final = 65536
+
+#: The largest head (start line and headers) that is read, in bytes.
+MAX_HEAD_BYTES: typing.Final = 32768
+
+CRLF: typing.Final = b'\r\n'
+LAST_CHUNK: typing.Final = b'0\r\n\r\n'
+
+Headers = list[tuple[bytes, bytes]]
+
+#: Headers of one connection only (RFC 9110, section 7.6.1).
+HOP_BY_HOP: typing.Final = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+        b'content-length',
+        b'expect',
+    ),
+)
+
+_NO_BODY_STATUSES: typing.Final = frozenset((204, 304))
+_FIRST_FINAL_STATUS: typing.Final = 200
+_SWITCHING_PROTOCOLS: typing.Final = 101
+
+
+class MessageError(errors.InvalidInputError):
+    """The peer's message breaks HTTP/1.1 or a limit."""
+
+    code = 'malformed-message'
+
+
+@typing.final
+class HeadTooLargeError(MessageError):
+    """The head is larger than `MAX_HEAD_BYTES`."""
+
+    code = 'head-too-large'
+    http_status = 431
+
+
+@typing.final
+class UnsupportedEncodingError(MessageError):
+    """The body has a transfer encoding other than chunked."""
+
+    code = 'unsupported-transfer-encoding'
+    http_status = 501
+
+
+@typing.final
+class UpgradeNotSupportedError(MessageError):
+    """The caller asked for a tunnel or another protocol."""
+
+    code = 'upgrade-not-supported'
+    http_status = 501
+
+
+@typing.final
+class CutShortError(errors.MulberryquayError):
+    """The peer closed the connection in the middle of a message."""
+
+    code = 'cut-short'
+
+
+class Framing(enum.Enum):
+    """How the length of a body is told."""
+
+    NONE = 'none'
+    LENGTH = 'length'
+    CHUNKED = 'chunked'
+    UNTIL_CLOSE = 'until-close'
+
+
+class RequestHead(typing.NamedTuple):
+    """Start line and headers of a request; header names in lower case."""
+
+    method: bytes
+    path: bytes
+    headers: Headers
+    framing: Framing
+    #: Body length in bytes; 0 unless the framing is LENGTH.
+    length: int
+    keeps_alive: bool
+    is_http_one_zero: bool
+
+    def find(self, name: bytes) -> bytes | None:
+        """Returns the first header of that lower-case name."""
+        return find_header(self.headers, name)
+
+
+class ResponseHead(typing.NamedTuple):
+    """Status and headers of a response; header names in lower case."""
+
+    status: int
+    headers: Headers
+    framing: Framing
+    length: int
+    keeps_alive: bool
+
+    def find(self, name: bytes) -> bytes | None:
+        """Returns the first header of that lower-case name."""
+        return find_header(self.headers, name)
+
+
+def find_header(headers: Headers, name: bytes) -> bytes | None:
+    """Returns the first header of a lower-case name."""
+    for header_name, header in headers:
+        if header_name == name:
+            return header
+    return None
+
+
+class _Reader:
+    """Feeds a parser from a socket and queues its events in order.
+
+    An event is a head, a body part (bytes) or None for the end of a
+    message.
+    """
+
+    def __init__(self, connection: typing.Any) -> None:
+        self._socket = connection
+        self._events: collections.deque[typing.Any] = collections.deque()
+        self._headers: Headers = []
+        self._head_bytes = 0
+        self._failure: MessageError | None = None
+        self._in_message = False
+        self._in_head = True
+        self._parser: typing.Any = None
+
+    @property
+    def is_clean(self) -> bool:
+        """Whether the connection stands between two messages."""
+        return not (self._events or self._in_message or self._failure)
+
+    def on_message_begin(self) -> None:
+        """Called by the parser."""
+        self._headers = []
+        self._in_message = True
+
+    def on_header(self, name: bytes, header: bytes) -> None:
+        """Called by the parser."""
+        self._headers.append((name.lower(), header))
+
+    def on_body(self, body: bytes) -> None:
+        """Called by the parser."""
+        self._events.append(body)
+
+    def on_message_complete(self) -> None:
+        """Called by the parser."""
+        self._events.append(None)
+        self._in_message = False
+        self._in_head = True
+        self._head_bytes = 0
+
+    def read_part(self) -> bytes | None:
+        """Returns the next part of the body, None at its end.
+
+        Raises MessageError, CutShortError and OSError.
+        """
+        part: bytes | None = self._next_event()
+        return part
+
+    def _next_event(self) -> typing.Any:
+        while not self._events:
+            if not self._receive():
+                raise CutShortError('the peer closed in mid-message')
+        return self._events.popleft()
+
+    def _receive(self) -> bool:
+        """Parses the next bytes; False when the peer closed."""
+        if self._failure:
+            raise self._failure
+        chunk = self._socket.recv(READ_BYTES)
+        if not chunk:
+            return False
+        if not self._events:
+            self._limit_head(len(chunk))
+        try:
+            self._parser.feed_data(chunk)
+        except httptools.HttpParserUpgrade:
+            self._failure = UpgradeNotSupportedError(
+                'protocol upgrades and CONNECT are not supported',
+            )
+        except httptools.HttpParserCallbackError as error:
+            self._failure = _as_message_error(error.__context__)
+        except httptools.HttpParserError as error:
+            self._failure = MessageError(f'malformed HTTP message: {error}')
+        if self._failure and not self._events:
+            raise self._failure
+        return True
+
+    def _limit_head(self, received: int) -> None:
+        if not self._in_head:
+            return
+        self._head_bytes += received
+        if self._head_bytes > MAX_HEAD_BYTES + READ_BYTES:
+            raise HeadTooLargeError(
+                f'expected a head of at most {MAX_HEAD_BYTES} bytes',
+            )
+
+    def _push_head(self, head: RequestHead | ResponseHead) -> None:
+        self._events.append(head)
+        self._in_head = False
+        # Trailers must not join the headers of the head (RFC 9110, 6.5.1).
+        self._headers = []
+
+    def _check_head_size(self, start_line: int) -> None:
+        size = start_line + sum(
+            len(name) + len(header) for name, header in self._headers
+        )
+        if size > MAX_HEAD_BYTES:
+            raise HeadTooLargeError(
+                f'got a head of {size} bytes, expected at most '
+                f'{MAX_HEAD_BYTES}',
+            )
+
+
+@typing.final
+class RequestReader(_Reader):
+    """Reads the requests of one caller's connection."""
+
+    def __init__(self, connection: typing.Any) -> None:
+        """Reads from ``connection``, a gevent socket."""
+        super().__init__(connection)
+        self._parser = httptools.HttpRequestParser(self)
+        self._url = b''
+
+    def on_message_begin(self) -> None:
+        """Called by the parser."""
+        super().on_message_begin()
+        self._url = b''
+
+    def on_url(self, url: bytes) -> None:
+        """Called by the parser, possibly once per part."""
+        self._url += url
+
+    def on_headers_complete(self) -> None:
+        """Called by the parser."""
+        self._check_head_size(len(self._url))
+        framing, length = _body_framing(self._headers)
+        head = RequestHead(
+            self._parser.get_method(),
+            self._url,
+            self._headers,
+            framing,
+            length,
+            self._parser.should_keep_alive(),
+            self._parser.get_http_version() == '1.0',
+        )
+        self._push_head(head)
+
+    def read_head(self) -> RequestHead | None:
+        """Returns the next request, None if the caller closed cleanly.
+
+        Raises MessageError, CutShortError and OSError.
+        """
+        while not self._events:
+            if not self._receive():
+                if self._in_message:
+                    raise CutShortError('the caller closed in mid-request')
+                return None
+        head: RequestHead = self._events.popleft()
+        return head
+
+
+@typing.final
+class ResponseReader(_Reader):
+    """Reads the responses on one connection to a target."""
+
+    def __init__(self, connection: typing.Any) -> None:
+        """Reads from ``connection``, a gevent socket."""
+        super().__init__(connection)
+        self._parser = httptools.HttpResponseParser(self)
+
+    def on_headers_complete(self) -> None:
+        """Called by the parser."""
+        self._check_head_size(0)
+        status = self._parser.get_status_code()
+        framing, length = _body_framing(self._headers)
+        if status in _NO_BODY_STATUSES or status < _FIRST_FINAL_STATUS:
+            framing = Framing.NONE
+        elif framing is Framing.NONE and length < 0:
+            framing = Framing.UNTIL_CLOSE
+        self._push_head(
+            ResponseHead(
+                status,
+                self._headers,
+                framing,
+                max(length, 0),
+                self._parser.should_keep_alive(),
+            ),
+        )
+
+    def read_head(self) -> ResponseHead:
+        """Returns the final response head; skips interim responses.
+
+        Raises MessageError, CutShortError and OSError.
+        """
+        while True:
+            head: ResponseHead = self._next_event()
+            if head.status >= _FIRST_FINAL_STATUS:
+                return head
+            if head.status == _SWITCHING_PROTOCOLS:
+                raise MessageError('got 101, which was not asked for')
+            self._next_event()
+
+    def read_until_close(self) -> bytes | None:
+        """Returns the next part of a body that ends with the connection.
+
+        Raises MessageError and OSError, also when the peer reset.
+        """
+        while not self._events:
+            if not self._receive():
+                return None
+        part: bytes | None = self._events.popleft()
+        return part
+
+
+def _as_message_error(cause: BaseException | None) -> MessageError:
+    if isinstance(cause, MessageError):
+        return cause
+    return MessageError(f'malformed HTTP message: {cause}')
+
+
+def _body_framing(headers: Headers) -> tuple[Framing, int]:
+    """Returns the framing and the length, -1 if no length was given.
+
+    Refuses what two parsers might read in two ways (RFC 9112, section 6.3).
+    """
+    lengths = [text for name, text in headers if name == b'content-length']
+    codings = [text for name, text in headers if name == b'transfer-encoding']
+    if not lengths and not codings:
+        return Framing.NONE, -1
+    if lengths and codings:
+        raise MessageError(
+            'got both Content-Length and Transfer-Encoding, expected one',
+        )
+    if codings:
+        if [coding.strip().lower() for coding in codings] != [b'chunked']:
+            raise UnsupportedEncodingError(
+                f'got Transfer-Encoding {codings!r}, expected chunked',
+            )
+        return Framing.CHUNKED, -1
+    if len(lengths) > 1 or not lengths[0].isdigit():
+        raise MessageError(
+            f'got Content-Length {lengths!r}, expected one whole number',
+        )
+    return Framing.LENGTH, int(lengths[0])
+
+
+def connection_tokens(headers: Headers) -> frozenset[bytes]:
+    """Returns the lower-case header names that Connection lists."""
+    return frozenset(
+        token.strip().lower()
+        for name, text in headers
+        if name == b'connection'
+        for token in text.split(b',')
+    )
+
+
+def forwardable(headers: Headers) -> Headers:
+    """Returns the headers that belong to more than one connection."""
+    named = connection_tokens(headers)
+    return [
+        pair
+        for pair in headers
+        if pair[0] not in HOP_BY_HOP and pair[0] not in named
+    ]
+
+
+def encode_head(start_line: bytes, headers: Headers) -> bytes:
+    """Returns a head ready to be sent."""
+    lines = [name + b': ' + header for name, header in headers]
+    return CRLF.join((start_line, *lines, b'', b''))
+
+
+def encode_chunk(part: bytes) -> bytes:
+    """Returns one chunk of a chunked body."""
+    return b'%x\r\n%b\r\n' % (len(part), part)
--- /dev/null
+++ b/src/mulberryquay/entry/outcomes.py
@@ -0,0 +1,186 @@
+"""What became of a request and of each try, as types."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import typing
+
+from mulberryquay.coordination import errors
+from mulberryquay.entry import messages
+
+if typing.TYPE_CHECKING:
+    from mulberryquay.entry import connections
+
+
+class Outcome(enum.Enum):
+    """What an answer says of the request; sent as a header."""
+
+    #: The target's own answer, whole.
+    ANSWERED = 'answered'
+    #: The request certainly did not run.
+    NOT_RUN = 'not-run'
+    #: The request may have run.
+    UNKNOWN = 'unknown'
+
+
+class Reason(enum.Enum):
+    """Why a request was refused, retried or lost; a metric label."""
+
+    NONE = 'none'
+    MALFORMED_REQUEST = 'malformed-request'
+    HEAD_TOO_LARGE = 'head-too-large'
+    BODY_TOO_LARGE = 'body-too-large'
+    REQUEST_CUT_SHORT = 'request-cut-short'
+    REQUEST_TIMEOUT = 'request-timeout'
+    NO_ROUTE = 'no-route'
+    UNKNOWN_ACCOUNT = 'unknown-account'
+    ACCOUNT_LIMIT = 'account-limit'
+    OUTSIDE_HOME_REGIONS = 'outside-home-regions'
+    NO_TARGET = 'no-target'
+    OVERLOADED = 'overloaded'
+    QUEUE_TIMEOUT = 'queue-timeout'
+    TOO_DEEP = 'too-deep'
+    STALE_CONFIGURATION = 'stale-configuration'
+    STOPPING = 'stopping'
+    BREAKS_TARGETS = 'breaks-targets'
+    CONNECT_FAILED = 'connect-failed'
+    CONNECTION_BUDGET = 'connection-budget'
+    TARGET_SHED = 'target-shed'
+    TARGET_UNAVAILABLE = 'target-unavailable'
+    CONNECTION_LOST = 'connection-lost'
+    MALFORMED_ANSWER = 'malformed-answer'
+    ANSWER_CUT_SHORT = 'answer-cut-short'
+    DEADLINE = 'deadline'
+    CALLER_GONE = 'caller-gone'
+    KEY_IN_USE = 'key-in-use'
+    KEY_MISMATCH = 'key-mismatch'
+    KEPT_ANSWER = 'kept-answer'
+    LEDGER_UNAVAILABLE = 'ledger-unavailable'
+
+
+_STATUS_BY_REASON: typing.Final = {
+    Reason.MALFORMED_REQUEST: 400,
+    Reason.HEAD_TOO_LARGE: 431,
+    Reason.BODY_TOO_LARGE: 413,
+    Reason.REQUEST_CUT_SHORT: 400,
+    Reason.REQUEST_TIMEOUT: 408,
+    Reason.NO_ROUTE: 404,
+    Reason.UNKNOWN_ACCOUNT: 403,
+    Reason.ACCOUNT_LIMIT: 429,
+    Reason.OUTSIDE_HOME_REGIONS: 421,
+    Reason.TOO_DEEP: 508,
+    Reason.BREAKS_TARGETS: 422,
+    Reason.KEY_IN_USE: 409,
+    Reason.KEY_MISMATCH: 422,
+}
+
+_STATUS_NOT_RUN: typing.Final = 503
+_STATUS_MAYBE_RUN: typing.Final = 502
+_STATUS_DEADLINE: typing.Final = 504
+
+#: Reasons that go away by themselves, so the caller may come back.
+_PASSING: typing.Final = frozenset(
+    (
+        Reason.ACCOUNT_LIMIT,
+        Reason.NO_TARGET,
+        Reason.OVERLOADED,
+        Reason.QUEUE_TIMEOUT,
+        Reason.STALE_CONFIGURATION,
+        Reason.STOPPING,
+        Reason.BREAKS_TARGETS,
+        Reason.CONNECT_FAILED,
+        Reason.CONNECTION_BUDGET,
+        Reason.TARGET_SHED,
+        Reason.KEY_IN_USE,
+        Reason.LEDGER_UNAVAILABLE,
+    ),
+)
+
+
+class RefusedError(errors.MulberryquayError):
+    """The entry answers a request itself, with an outcome and a reason."""
+
+    code = 'refused'
+
+    def __init__(
+        self,
+        outcome: Outcome,
+        reason: Reason,
+        message: str,
+        *,
+        status: int = 0,
+        headers: messages.Headers | None = None,
+        retry_after_s: int = 1,
+    ) -> None:
+        """A ``status`` of 0 takes the one that belongs to the reason."""
+        super().__init__(message)
+        self.outcome = outcome
+        self.reason = reason
+        self.status = status or _status_of(outcome, reason)
+        self.headers = list(headers or ())
+        if reason in _PASSING:
+            self.headers.append((b'retry-after', b'%d' % retry_after_s))
+
+
+def not_run(
+    reason: Reason,
+    message: str,
+    **options: typing.Any,
+) -> RefusedError:
+    """Returns the refusal of a request that certainly did not run."""
+    return RefusedError(Outcome.NOT_RUN, reason, message, **options)
+
+
+def unknown(
+    reason: Reason,
+    message: str,
+    **options: typing.Any,
+) -> RefusedError:
+    """Returns the answer for a request that may have run."""
+    return RefusedError(Outcome.UNKNOWN, reason, message, **options)
+
+
+def _status_of(outcome: Outcome, reason: Reason) -> int:
+    if reason is Reason.DEADLINE:
+        return _STATUS_DEADLINE
+    if outcome is Outcome.UNKNOWN:
+        return _STATUS_MAYBE_RUN
+    return _STATUS_BY_REASON.get(reason, _STATUS_NOT_RUN)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Received:
+    """The target's answer, or its beginning.
+
+    A ``body`` of None is still on the connection.
+    """
+
+    head: messages.ResponseHead
+    link: connections.Link
+    body: bytes | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotSent:
+    """No byte of the request left this entry."""
+
+    reason: Reason
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shed:
+    """The target said that it refused before running the request."""
+
+    reason: Reason
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lost:
+    """Bytes may have left and no answer came: it may have run."""
+
+    reason: Reason
+
+
+#: How one try on one target ended.
+Attempt = Received | NotSent | Shed | Lost
--- /dev/null
+++ b/src/mulberryquay/entry/request_body.py
@@ -0,0 +1,97 @@
+"""Reads a request's body: a part that can be sent again, then the rest."""
+
+from __future__ import annotations
+
+import typing
+
+from mulberryquay.entry import admission, messages, outcomes, routing
+
+#: The part of a body that is read before a target is chosen. Only requests
+#: that fit can be sent to a second target.
+REPLAY_BYTES: typing.Final = 65536
+
+_CONTINUE: typing.Final = b'HTTP/1.1 100 Continue\r\n\r\n'
+
+
+@typing.final
+class RequestBody:
+    """The body of one request on a caller's connection."""
+
+    def __init__(
+        self,
+        connection: typing.Any,
+        reader: messages.RequestReader,
+        head: messages.RequestHead,
+    ) -> None:
+        """Takes over ``reader`` behind the head."""
+        self._socket = connection
+        self._reader = reader
+        self._expects_continue = head.find(b'expect') is not None
+        self._size = 0
+        self._is_read = head.framing is messages.Framing.NONE
+        if self._is_read:
+            reader.read_part()
+
+    @property
+    def is_read(self) -> bool:
+        """Whether the connection stands behind the request."""
+        return self._is_read
+
+    def read_beginning(self, service: routing.Service) -> bytes:
+        """Returns the whole body, or the part that fits the replay buffer.
+
+        Raises RefusedError as not-run, and OSError.
+        """
+        if self._is_read:
+            return b''
+        if self._expects_continue:
+            self._socket.sendall(_CONTINUE)
+        parts = []
+        while self._size < REPLAY_BYTES:
+            part = self._read_part()
+            if part is None:
+                break
+            parts.append(part)
+        admission.check_length(service, self._size)
+        return b''.join(parts)
+
+    def read_rest(self, service: routing.Service) -> typing.Iterator[bytes]:
+        """Yields the parts beyond the replay buffer.
+
+        Raises RefusedError: some of the body may have reached a target.
+        """
+        while True:
+            part = self._read_part()
+            if part is None:
+                return
+            if self._size > service.max_body_bytes:
+                raise outcomes.unknown(
+                    outcomes.Reason.BODY_TOO_LARGE,
+                    f'got a body of more than {service.max_body_bytes} bytes',
+                )
+            yield part
+
+    def _read_part(self) -> bytes | None:
+        try:
+            part = self._reader.read_part()
+        except messages.MessageError as error:
+            raise outcomes.not_run(
+                outcomes.Reason.MALFORMED_REQUEST,
+                str(error),
+                status=error.http_status,
+            ) from error
+        except TimeoutError as error:
+            raise outcomes.not_run(
+                outcomes.Reason.REQUEST_TIMEOUT,
+                'the rest of the request did not arrive in time',
+            ) from error
+        except (messages.CutShortError, OSError) as error:
+            raise outcomes.not_run(
+                outcomes.Reason.REQUEST_CUT_SHORT,
+                'the caller closed before the end of its request',
+            ) from error
+        if part is None:
+            self._is_read = True
+        else:
+            self._size += len(part)
+        return part
--- /dev/null
+++ b/src/mulberryquay/entry/routing.py
@@ -0,0 +1,198 @@
+"""The configuration as an entry uses it: routes, classes, accounts."""
+
+from __future__ import annotations
+
+import typing
+
+from mulberryquay.control import kinds
+from mulberryquay.coordination import schema, store
+from mulberryquay.entry import outcomes
+
+
+class ServiceClass(typing.NamedTuple):
+    """What may be done with the requests of a route."""
+
+    name: str = 'default'
+    #: Whether a request may run more than once.
+    idempotent: bool = False
+    #: Whether the request is shed first under overload.
+    deferrable: bool = False
+    #: 0 to 100; under overload the higher value is served first.
+    value: int = 50
+    #: Tries in all, the first one included.
+    max_attempts: int = 3
+
+
+class Service(typing.NamedTuple):
+    """The limits of a service."""
+
+    name: str
+    timeout_ms: int
+    max_body_bytes: int
+    max_queue: int
+
+
+class ClientAccount(typing.NamedTuple):
+    """The limits of a client account."""
+
+    name: str
+    home_regions: tuple[str, ...]
+    max_in_flight: int
+
+
+class Route(typing.NamedTuple):
+    """What serves the requests below a path."""
+
+    name: str
+    path_prefix: str
+    service: Service
+    service_class: ServiceClass
+    home_regions: tuple[str, ...]
+
+
+Keyed = dict[tuple[str, str], store.Resource]
+
+
+@typing.final
+class RoutingTable:
+    """An immutable view of the configuration at one revision."""
+
+    def __init__(self, resources: Keyed) -> None:
+        """Builds the table; incomplete routes are left out."""
+        specs = _specs_by_kind(resources)
+        self._classes = {
+            name: _make_class(name, spec)
+            for name, spec in specs[kinds.SERVICE_CLASS].items()
+        }
+        self._services = {
+            name: _make_service(name, spec)
+            for name, spec in specs[kinds.SERVICE].items()
+        }
+        self._accounts = {
+            name: _make_account(name, spec)
+            for name, spec in specs[kinds.CLIENT_ACCOUNT].items()
+        }
+        self._routes = {
+            route.path_prefix: route
+            for route in self._make_routes(specs[kinds.ROUTE])
+        }
+        self._domains_out = frozenset(
+            name
+            for name, spec in specs[kinds.FAILURE_DOMAIN].items()
+            if spec['state'] == kinds.STATE_OUT
+        )
+
+    @property
+    def domains_out(self) -> frozenset[str]:
+        """The failure domains that operators have taken out."""
+        return self._domains_out
+
+    def find_route(self, path: str) -> Route:
+        """Returns the route with the longest prefix of whole segments.
+
+        Raises RefusedError with the reason ``no-route``.
+        """
+        prefix = path.partition('?')[0]
+        while prefix:
+            route = self._routes.get(prefix)
+            if route is not None:
+                return route
+            prefix = prefix[:-1] if prefix.endswith('/') else _parent(prefix)
+        raise outcomes.not_run(
+            outcomes.Reason.NO_ROUTE,
+            'no route serves this path; declare one with `apply`',
+        )
+
+    def find_account(self, name: str) -> ClientAccount:
+        """Returns a client account; raises RefusedError."""
+        account = self._accounts.get(name)
+        if account is None:
+            raise outcomes.not_run(
+                outcomes.Reason.UNKNOWN_ACCOUNT,
+                f'client account {name!r} is not declared',
+            )
+        return account
+
+    def _make_routes(
+        self,
+        specs: dict[str, schema.Spec],
+    ) -> typing.Iterator[Route]:
+        for name, spec in sorted(specs.items(), reverse=True):
+            service = self._services.get(spec['service'])
+            service_class = self._classes.get(spec['service_class'])
+            if service_class is None and spec['service_class'] == 'default':
+                service_class = ServiceClass()
+            if service is None or service_class is None:
+                continue
+            yield Route(
+                name,
+                spec['path_prefix'],
+                service,
+                service_class,
+                tuple(spec['home_regions']),
+            )
+
+
+def allowed_regions(
+    route: Route,
+    account: ClientAccount | None,
+) -> frozenset[str] | None:
+    """Returns the regions that may serve a request, None for all."""
+    allowed = frozenset(route.home_regions)
+    if account is None or not account.home_regions:
+        return allowed or None
+    of_account = frozenset(account.home_regions)
+    if not allowed:
+        return of_account
+    return allowed & of_account
+
+
+def _parent(prefix: str) -> str:
+    """Drops the last segment and keeps the slash before it."""
+    return prefix[: prefix.rfind('/') + 1]
+
+
+def _specs_by_kind(
+    resources: Keyed,
+) -> dict[str, dict[str, schema.Spec]]:
+    specs: dict[str, dict[str, schema.Spec]] = {
+        kind: {}
+        for kind in (
+            kinds.SERVICE,
+            kinds.FAILURE_DOMAIN,
+            kinds.ROUTE,
+            kinds.CLIENT_ACCOUNT,
+            kinds.SERVICE_CLASS,
+        )
+    }
+    for resource in resources.values():
+        if resource.spec is not None and resource.kind in specs:
+            specs[resource.kind][resource.name] = resource.spec
+    return specs
+
+
+def _make_class(name: str, spec: schema.Spec) -> ServiceClass:
+    return ServiceClass(
+        name,
+        spec['idempotent'],
+        spec['deferrable'],
+        spec['value'],
+        spec['max_attempts'],
+    )
+
+
+def _make_service(name: str, spec: schema.Spec) -> Service:
+    return Service(
+        name,
+        spec['timeout_ms'],
+        spec['max_body_bytes'],
+        spec['max_queue'],
+    )
+
+
+def _make_account(name: str, spec: schema.Spec) -> ClientAccount:
+    return ClientAccount(
+        name,
+        tuple(spec['home_regions']),
+        spec['max_in_flight'],
+    )
--- /dev/null
+++ b/src/mulberryquay/entry/state.py
@@ -0,0 +1,143 @@
+"""What the tasks of one entry share."""
+
+from __future__ import annotations
+
+import itertools
+import typing
+
+from mulberryquay import metrics
+from mulberryquay.coordination import (
+    clock,
+    crash_guard,
+    retry_budget,
+    shares,
+)
+from mulberryquay.entry import accounts, balancer, routing
+
+#: Resends allowed for each fresh call of a service.
+RETRY_RATIO: typing.Final = 0.1
+
+_REASON: typing.Final = ('reason',)
+
+METRICS: typing.Final = (
+    metrics.Declared(
+        'mulberryquay_requests_total',
+        'Requests by outcome and reason.',
+        labels=('outcome', 'reason'),
+    ),
+    metrics.Declared(
+        'mulberryquay_retries_total',
+        'Resends by the reason for which the try before failed.',
+        labels=_REASON,
+    ),
+    metrics.Declared(
+        'mulberryquay_retries_denied_total',
+        'Resends that were allowed but for the retry budget, by reason.',
+        labels=_REASON,
+    ),
+    metrics.Declared(
+        'mulberryquay_tries_total',
+        'Tries on targets by result and reason.',
+        labels=('result', 'reason'),
+    ),
+    metrics.Declared(
+        'mulberryquay_cross_region_bytes_total',
+        'Body bytes sent to and received from targets of other regions.',
+        labels=('direction',),
+    ),
+    metrics.Declared(
+        'mulberryquay_control_bytes_total',
+        'Bytes exchanged with control hosts.',
+        labels=('direction',),
+    ),
+    metrics.Declared(
+        'mulberryquay_in_flight',
+        'Requests being served now.',
+        is_gauge=True,
+    ),
+    metrics.Declared(
+        'mulberryquay_waiting',
+        'Requests waiting for a target now.',
+        is_gauge=True,
+    ),
+    metrics.Declared(
+        'mulberryquay_config_revision',
+        'Revision of the configuration in force here.',
+        is_gauge=True,
+    ),
+    metrics.Declared(
+        'mulberryquay_config_fresh',
+        '1 while a control host vouches for the configuration.',
+        is_gauge=True,
+    ),
+)
+
+
+class Reporter(typing.Protocol):
+    """Tells the control hosts about requests that break targets."""
+
+    def report_broken(
+        self,
+        fingerprint: bytes,
+        target: str,
+        *,
+        ran_for: float,
+    ) -> None:
+        """Reports a target that broke while it ran a request."""
+
+    def report_cleared(self, fingerprint: bytes) -> None:
+        """Reports that a request reported before was answered."""
+
+
+@typing.final
+class EntryState:
+    """The knowledge, limits and records of one entry."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        region: str,
+        domain: str,
+        new_policy: typing.Callable[[], balancer.Policy],
+        time: clock.Clock | None = None,
+        serves_stale: bool = False,
+    ) -> None:
+        """Starts without configuration and targets."""
+        self.name = name
+        self.region = region
+        self.clock = time or clock.Clock()
+        self.serves_stale = serves_stale
+        self.metrics = metrics.Metrics(METRICS)
+        self.table = routing.RoutingTable({})
+        self.view = shares.ShareView(name)
+        self.balancer = balancer.Balancer(
+            self.view,
+            new_policy,
+            self.clock,
+            region=region,
+            domain=domain,
+        )
+        self.guard = crash_guard.CrashGuard(self.clock)
+        self.accounts = accounts.AccountBook()
+        self.account_in_flight: dict[str, int] = {}
+        self.in_flight = 0
+        self.is_fresh = False
+        self.is_stopping = False
+        self.reporter: Reporter | None = None
+        self._budgets: dict[str, retry_budget.RetryBudget] = {}
+        started = int(self.clock.wall())
+        self._request_prefix = f'{name}-{started:x}-'
+        self._request_numbers = itertools.count(1)
+
+    def next_request_id(self) -> str:
+        """Returns an id that no other entry and no restart repeats."""
+        return f'{self._request_prefix}{next(self._request_numbers):x}'
+
+    def budget_for(self, service: str) -> retry_budget.RetryBudget:
+        """Returns the retry budget of a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = retry_budget.RetryBudget(ratio=RETRY_RATIO)
+            self._budgets[service] = budget
+        return budget
--- /dev/null
+++ b/src/mulberryquay/entry/targets.py
@@ -0,0 +1,161 @@
+"""What an entry knows of each target."""
+
+from __future__ import annotations
+
+import math
+import typing
+
+from mulberryquay import protocol, settings
+from mulberryquay.coordination import clock
+from mulberryquay.entry import connections
+
+#: A load report counts for 1/e of its value after this long.
+REPORT_DECAY_MS: typing.Final = 100.0
+
+#: Weight of the newest answer in the fast and the slow latency average.
+_FAST_WEIGHT: typing.Final = 0.3
+_SLOW_WEIGHT: typing.Final = 0.02
+
+#: A target is slow when its fast average is this many times the slow one.
+_SLOW_FACTOR: typing.Final = 5.0
+_SLOW_FLOOR_MS: typing.Final = 20.0
+_SLOW_ANSWERS: typing.Final = 3
+
+#: Calls in a row without an answer that suspend a target.
+_MAX_TIMEOUTS: typing.Final = 3
+
+_FIRST_SUSPENSION_MS: typing.Final = 100.0
+_MAX_SUSPENSION_MS: typing.Final = 5000.0
+
+
+@typing.final
+class TargetState:
+    """One target with this entry's own observations."""
+
+    __slots__ = (
+        '_clock',
+        '_failures',
+        '_fast_ms',
+        '_reported',
+        '_reported_at',
+        '_slow_answers',
+        '_slow_ms',
+        '_timeouts',
+        'in_flight',
+        'limit',
+        'link_limit',
+        'pool',
+        'row',
+        'served',
+        'shed',
+        'suspended_until',
+        'tier',
+    )
+
+    def __init__(self, row: protocol.TargetRow, time: clock.Clock) -> None:
+        """Starts without observations and without permission to use it."""
+        self.row = row
+        self.pool = connections.Pool(
+            settings.parse_address(row.address),
+            time,
+        )
+        #: Calls that this entry runs on the target now.
+        self.in_flight = 0
+        #: Calls that this entry may run on the target at once.
+        self.limit = 0
+        #: Connections that this entry may open to the target.
+        self.link_limit = 1
+        #: 0 for the entry's own domain, 1 for its region, 2 for others.
+        self.tier = 2
+        #: Good answers since the last beat, kept while the target is cold.
+        self.served = 0
+        #: Whether the target shed or slowed down since the last beat.
+        self.shed = False
+        self.suspended_until = 0.0
+        self._clock = time
+        self._failures = 0
+        self._fast_ms = 0.0
+        self._slow_ms = 0.0
+        self._slow_answers = 0
+        self._timeouts = 0
+        self._reported = 0.0
+        self._reported_at = 0.0
+
+    @property
+    def is_warm(self) -> bool:
+        """Whether the target has shown that it bears all its slots."""
+        return self.row.allowance >= self.row.slots
+
+    @property
+    def latency_ms(self) -> float:
+        """The fast average of the answers' latency, 0 before the first."""
+        return self._fast_ms
+
+    @property
+    def has_room(self) -> bool:
+        """Whether this entry may send the target another call."""
+        return self.in_flight < self.limit
+
+    def load(self, now: float) -> float:
+        """Estimates the calls per slot, own ones and aged reports."""
+        others = 0.0
+        if self._reported:
+            age = now - self._reported_at
+            others = self._reported * math.exp(-age / REPORT_DECAY_MS)
+        return (self.in_flight + others) / self.row.slots
+
+    def record_answer(self, latency: float, *, reported: int | None) -> None:
+        """Takes an answer's latency (ms) and the load that it carried.
+
+        ``reported`` is the target's calls in flight, this one included.
+        """
+        self._failures = 0
+        self._timeouts = 0
+        self.suspended_until = 0
+        if not self.is_warm:
+            self.served += 1
+        if reported is not None:
+            self._reported = max(0.0, reported - self.in_flight)
+            self._reported_at = self._clock.now()
+        self._average(latency)
+
+    def record_failure(self) -> None:
+        """Suspends the target for a growing while."""
+        pause = _FIRST_SUSPENSION_MS * 2**self._failures
+        self._failures = min(self._failures + 1, 10)
+        self.suspended_until = self._clock.now() + min(
+            pause,
+            _MAX_SUSPENSION_MS,
+        )
+
+    def record_timeout(self, waited: float) -> None:
+        """Takes a call without an answer; several suspend the target."""
+        self._average(waited)
+        self._timeouts += 1
+        if self._timeouts >= _MAX_TIMEOUTS:
+            self._timeouts = 0
+            self.record_failure()
+
+    def record_shed(self) -> None:
+        """Suspends the target and reports that it bears less."""
+        self.shed = True
+        self.record_failure()
+
+    def _average(self, latency: float) -> None:
+        if not self._slow_ms:
+            self._fast_ms = latency
+            self._slow_ms = latency
+            return
+        self._fast_ms += _FAST_WEIGHT * (latency - self._fast_ms)
+        if self._is_slow(latency):
+            self._slow_answers += 1
+        else:
+            self._slow_answers = 0
+            self._slow_ms += _SLOW_WEIGHT * (latency - self._slow_ms)
+        if self._slow_answers >= _SLOW_ANSWERS:
+            self._slow_answers = 0
+            self.shed = True
+
+    def _is_slow(self, latency: float) -> bool:
+        bound = max(self._slow_ms * _SLOW_FACTOR, _SLOW_FLOOR_MS)
+        return latency > bound and self._fast_ms > bound / 2
--- /dev/null
+++ b/src/mulberryquay/kernel/__init__.py
@@ -0,0 +1,1 @@
+"""The kernel: registries that plug-ins fill through named hooks."""
--- /dev/null
+++ b/src/mulberryquay/protocol.py
@@ -0,0 +1,149 @@
+"""The messages between entries and control hosts."""
+
+from __future__ import annotations
+
+import typing
+
+from mulberryquay.coordination import wire
+
+#: Changes with each incompatible change of a message.
+PROTOCOL_VERSION: typing.Final = 1
+
+
+class Hello(typing.NamedTuple):
+    """First message of an entry; the control host answers with its state."""
+
+    protocol_version: int
+    entry: str
+    region: str
+    domain: str
+    #: Where the entry answers account queries, as ``host:port``.
+    admin_address: str
+    #: What the entry knows of targets, for a control host that restarted.
+    known_targets: list[tuple[str, int, int]]
+
+
+class ConfigSlice(typing.NamedTuple):
+    """A part of the whole configuration at one revision."""
+
+    revision: int
+    #: Rows of `coordination.store.Resource`.
+    resources: list[list[typing.Any]]
+    is_last: bool
+
+
+class ConfigDelta(typing.NamedTuple):
+    """One accepted change, as a row of `coordination.store.Resource`."""
+
+    resource: list[typing.Any]
+
+
+class TargetRow(typing.NamedTuple):
+    """A target as entries see it."""
+
+    name: str
+    service: str
+    #: ``host:port`` with an IP number.
+    address: str
+    region: str
+    domain: str
+    #: Calls that the target can run at once when warm.
+    slots: int
+    #: Connections that the target can hold over all entries.
+    connections: int
+    #: Grows with each restart of the target.
+    incarnation: int
+    #: Calls that the target may run at once now, over all entries.
+    allowance: int
+    is_leaving: bool
+    #: Status codes that say the target refused before running the call.
+    shed_statuses: list[int]
+
+
+class TargetsChanged(typing.NamedTuple):
+    """Targets that changed and names of targets that are gone."""
+
+    #: Rows of `TargetRow`.
+    changed: list[list[typing.Any]]
+    removed: list[str]
+    #: True if ``changed`` lists all targets, so that others are gone.
+    is_complete: bool
+
+
+class EntriesProposed(typing.NamedTuple):
+    """An entry list that waits for the confirmation of every live entry."""
+
+    epoch: int
+    members: list[str]
+
+
+class EntriesCommitted(typing.NamedTuple):
+    """An entry list that every live entry confirmed."""
+
+    epoch: int
+    members: list[str]
+
+
+class Beat(typing.NamedTuple):
+    """An entry's regular report; answered by `BeatAnswer`."""
+
+    sequence: int
+    config_revision: int
+    entries_epoch: int
+    #: Good answers of targets that are not warm, by name.
+    served: dict[str, int]
+    #: Incarnations of targets that shed or slowed down, by name.
+    shed: dict[str, int]
+
+
+class BeatAnswer(typing.NamedTuple):
+    """Renews the freshness lease from the time the beat was sent."""
+
+    sequence: int
+    lease_ms: int
+
+
+class TargetBroken(typing.NamedTuple):
+    """A target's connection was lost while it ran a request."""
+
+    fingerprint: bytes
+    target: str
+    #: How long the request ran before the connection was lost.
+    ran_for_ms: float
+
+
+class RequestCleared(typing.NamedTuple):
+    """A request that had been reported by `TargetBroken` was answered."""
+
+    fingerprint: bytes
+
+
+class RequestBlocked(typing.NamedTuple):
+    """A request broke several targets; refuse it for a while."""
+
+    fingerprint: bytes
+    duration_ms: int
+
+
+class Goodbye(typing.NamedTuple):
+    """Last message of an entry that stopped with nothing in flight."""
+
+    entry: str
+
+
+WORDS: typing.Final = wire.Vocabulary(
+    (
+        Hello,
+        ConfigSlice,
+        ConfigDelta,
+        TargetsChanged,
+        EntriesProposed,
+        EntriesCommitted,
+        Beat,
+        BeatAnswer,
+        TargetBroken,
+        RequestCleared,
+        RequestBlocked,
+        Goodbye,
+    ),
+)
--- /dev/null
+++ b/src/mulberryquay/settings.py
@@ -0,0 +1,167 @@
+"""Settings from flags, each also read from the environment."""
+
+from __future__ import annotations
+
+import ipaddress
+import os
+import re
+import typing
+
+from absl import flags
+
+from mulberryquay.coordination import errors, units
+
+#: A flag ``entry_port`` is read from ``MULBERRYQUAY_ENTRY_PORT``.
+ENVIRONMENT_PREFIX: typing.Final = 'MULBERRYQUAY_'
+
+_MAX_PORT: typing.Final = 65535
+_NAME_PATTERN: typing.Final = re.compile('[a-z0-9]([a-z0-9.-]{0,62})')
+
+
+@typing.final
+class InvalidSettingError(errors.InvalidInputError):
+    """A flag or environment variable has a value that is not allowed."""
+
+    code = 'invalid-setting'
+
+
+class Setting(typing.NamedTuple):
+    """One declared setting; the type of ``default`` gives its type."""
+
+    name: str
+    default: str | int | bool
+    help: str
+    #: Bounds of a number, both allowed.
+    minimum: int = 0
+    maximum: int = units.MAX_INT64
+    #: What a text must be: any, name, address, addresses or path.
+    form: str = 'any'
+    choices: tuple[str, ...] = ()
+    required: bool = False
+
+
+Values = dict[str, typing.Any]
+
+LISTEN_HELP: typing.Final = 'where to listen, as IP:PORT; port 0 picks one'
+
+LOG_LEVEL: typing.Final = Setting(
+    'log_level',
+    'info',
+    'the lowest level of log lines to write',
+    choices=('debug', 'info', 'warning', 'error'),
+)
+
+
+def parse(
+    declared: typing.Sequence[Setting],
+    arguments: typing.Sequence[str],
+    *,
+    environment: typing.Mapping[str, str] | None = None,
+) -> tuple[Values, list[str]]:
+    """Returns the settings and the arguments that are no flags.
+
+    A flag goes before its environment variable, which goes before the
+    default. Raises InvalidSettingError naming the flag, what was got and
+    what is allowed.
+    """
+    if environment is None:
+        environment = os.environ
+    flag_values = flags.FlagValues()
+    for setting in declared:
+        _define(setting, flag_values)
+    from_environment = [
+        f'--{setting.name}={environment[variable]}'
+        for setting in declared
+        if (variable := ENVIRONMENT_PREFIX + setting.name.upper())
+        in environment
+    ]
+    try:
+        rest = flag_values(['mulberryquay', *from_environment, *arguments])
+    except flags.Error as error:
+        raise InvalidSettingError(f'{error}; see --help') from error
+    settings = {
+        setting.name: _check(setting, flag_values[setting.name].value)
+        for setting in declared
+    }
+    return settings, rest[1:]
+
+
+def parse_address(address: str) -> tuple[str, int]:
+    """Splits a checked ``IP:PORT``."""
+    host, _, port = address.rpartition(':')
+    return host.strip('[]'), int(port)
+
+
+def describe(declared: typing.Sequence[Setting]) -> str:
+    """Returns the help text of the settings, one line each."""
+    return '\n'.join(
+        f'  --{setting.name}  {setting.help} '
+        f'({allowed(setting)}; default {setting.default!r})'
+        for setting in declared
+    )
+
+
+def allowed(setting: Setting) -> str:
+    """Says in words which values a setting takes."""
+    if isinstance(setting.default, bool):
+        return 'true or false'
+    if isinstance(setting.default, int):
+        return f'a whole number from {setting.minimum} to {setting.maximum}'
+    if setting.choices:
+        return 'one of: ' + ', '.join(setting.choices)
+    return {
+        'any': 'a text',
+        'name': 'a name of 1 to 63 of a-z, 0-9, "-" and "."',
+        'address': 'an address as IP:PORT',
+        'addresses': 'addresses as IP:PORT, parted by commas',
+        'path': 'a path',
+    }[setting.form]
+
+
+def _define(setting: Setting, flag_values: flags.FlagValues) -> None:
+    define = flags.DEFINE_string
+    if isinstance(setting.default, bool):
+        define = flags.DEFINE_boolean
+    elif isinstance(setting.default, int):
+        define = flags.DEFINE_integer
+    define(
+        setting.name,
+        setting.default,
+        setting.help,
+        flag_values=flag_values,
+    )
+
+
+def _check(setting: Setting, got: typing.Any) -> typing.Any:
+    if not _is_allowed(setting, got):
+        raise InvalidSettingError(
+            f'--{setting.name}: got {got!r}, expected {allowed(setting)}',
+        )
+    return got
+
+
+def _is_allowed(setting: Setting, got: typing.Any) -> bool:
+    if isinstance(got, bool):
+        return True
+    if isinstance(got, int):
+        return setting.minimum <= got <= setting.maximum
+    if setting.choices:
+        return got in setting.choices
+    if not got:
+        return not setting.required
+    if setting.form == 'name':
+        return bool(_NAME_PATTERN.fullmatch(got))
+    if setting.form in {'address', 'addresses'}:
+        many = setting.form == 'addresses'
+        parts = got.split(',') if many else [got]
+        return all(_is_address(part) for part in parts)
+    return True
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(':')
+    try:
+        ipaddress.ip_address(host.strip('[]'))
+    except ValueError:
+        return False
+    return port.isdecimal() and int(port) <= _MAX_PORT
--- /dev/null
+++ b/src/mulberryquay/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for what surrounds the system: targets that announce."""
--- /dev/null
+++ b/src/mulberryquay/standin/target.py
@@ -0,0 +1,174 @@
+"""A stand-in target: slots, a cold start, drain, sheds, chosen failures."""
+
+from __future__ import annotations
+
+import collections
+import json
+import typing
+
+import gevent
+from gevent import lock, server, socket
+
+from mulberryquay.coordination import clock, errors
+from mulberryquay.entry import attempt, messages
+
+
+_SHED_STATUS: typing.Final = 503
+_BACKLOG: typing.Final = 256
+
+
+class Answer(typing.NamedTuple):
+    """What a handler returns; ``raw`` replaces the whole answer."""
+
+    status: int = 200
+    body: bytes = b''
+    headers: typing.Sequence[tuple[bytes, bytes]] = ()
+    raw: bytes | None = None
+
+
+class Received(typing.NamedTuple):
+    """A request as the stand-in saw it."""
+
+    head: messages.RequestHead
+    body: bytes
+
+
+Handler = typing.Callable[[Received], Answer]
+
+
+@typing.final
+class StandInTarget:
+    """Serves HTTP with a number of slots; the rest waits or is shed."""
+
+    def __init__(
+        self,
+        handler: Handler,
+        *,
+        slots: int = 6,
+        sheds: bool = False,
+        address: str = '127.0.0.1',
+        time: clock.Clock | None = None,
+    ) -> None:
+        """Opens a port; ``sheds`` refuses calls beyond the slots."""
+        self._handler = handler
+        self._slots = slots
+        self._sheds = sheds
+        self._clock = time or clock.Clock()
+        self._free = lock.BoundedSemaphore(slots)
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((address, 0))
+        listener.listen(_BACKLOG)
+        self._server = server.StreamServer(listener, self._serve)
+        self._sockets: set[typing.Any] = set()
+        self.address = f'{address}:{listener.getsockname()[1]}'
+        #: Calls that run or wait now, and the most there ever were.
+        self.in_flight = 0
+        self.max_in_flight = 0
+        #: How often each request (by method and path) ran.
+        self.runs: collections.Counter[str] = collections.Counter()
+        self.request_ids: list[bytes] = []
+
+    def start(self) -> None:
+        """Begins to serve."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Closes the port and all connections, as a crash does."""
+        self._server.stop(timeout=0)
+        for connection in list(self._sockets):
+            connection.close()
+
+    def _serve(self, connection: typing.Any, _address: typing.Any) -> None:
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._sockets.add(connection)
+        reader = messages.RequestReader(connection)
+        try:
+            while True:
+                head = reader.read_head()
+                if head is None:
+                    return
+                if not self._answer(connection, head, _read_body(reader)):
+                    return
+        except (OSError, errors.MulberryquayError):
+            return
+        finally:
+            self._sockets.discard(connection)
+            connection.close()
+
+    def _answer(
+        self,
+        connection: typing.Any,
+        head: messages.RequestHead,
+        body: bytes,
+    ) -> bool:
+        self.in_flight += 1
+        self.max_in_flight = max(self.max_in_flight, self.in_flight)
+        try:
+            answer = self._run(Received(head, body))
+        finally:
+            self.in_flight -= 1
+        if answer.raw is not None:
+            connection.sendall(answer.raw)
+            return False
+        connection.sendall(_encode(answer, self.in_flight + 1))
+        return True
+
+    def _run(self, received: Received) -> Answer:
+        if self._sheds and self.in_flight > self._slots:
+            return Answer(
+                _SHED_STATUS, b'busy\n', [(attempt.NOT_RUN_HEADER, b'1')]
+            )
+        with self._free:
+            head = received.head
+            self.runs[f'{head.method.decode()} {head.path.decode()}'] += 1
+            self.request_ids.append(
+                head.find(b'mulberryquay-request-id') or b''
+            )
+            return self._handler(received)
+
+
+def describe_request(target_name: str) -> Handler:
+    """Returns a handler that answers what it received, as JSON.
+
+    ``/sleep/N`` in a path waits N milliseconds first.
+    """
+
+    def handle(received: Received) -> Answer:
+        path = received.head.path.decode('latin-1')
+        _, is_slow, duration = path.partition('/sleep/')
+        if is_slow and duration.isdecimal():
+            gevent.sleep(int(duration) / clock.MS_PER_SECOND)
+        body = json.dumps(
+            {
+                'target': target_name,
+                'method': received.head.method.decode(),
+                'path': path,
+                'body_bytes': len(received.body),
+            },
+        )
+        return Answer(
+            body=body.encode() + b'\n',
+            headers=[(b'content-type', b'application/json')],
+        )
+
+    return handle
+
+
+def _read_body(reader: messages.RequestReader) -> bytes:
+    parts: list[bytes] = []
+    while True:
+        part = reader.read_part()
+        if part is None:
+            return b''.join(parts)
+        parts.append(part)
+
+
+def _encode(answer: Answer, load: int) -> bytes:
+    headers = [
+        (b'content-length', b'%d' % len(answer.body)),
+        (attempt.LOAD_HEADER, b'%d' % load),
+        *answer.headers,
+    ]
+    status_line = b'HTTP/1.1 %d Answer' % answer.status
+    return messages.encode_head(status_line, headers) + answer.body
--- /dev/null
+++ b/testing/coordination/test_journal.py
@@ -0,0 +1,134 @@
+"""Tests of the synced journal: torn, damaged and failed writes."""
+
+from __future__ import annotations
+
+import errno
+import os
+import pathlib
+import typing
+import unittest
+
+from mulberryquay.coordination import journal
+from testing import fixtures
+
+CASE: typing.Final = unittest.TestCase()
+
+
+class FailingDisk(journal.FileSystem):
+    """Fails the next sync once it is told to."""
+
+    def __init__(self) -> None:
+        """Starts healthy."""
+        self.is_failing = False
+
+    def sync(self, descriptor: int) -> None:
+        """Fails as a disk that lost its pages."""
+        if self.is_failing:
+            self.is_failing = False
+            raise OSError(errno.EIO, 'input/output error')
+        super().sync(descriptor)
+
+
+def _write(folder: pathlib.Path, records: list[typing.Any]) -> pathlib.Path:
+    log = journal.Journal(folder)
+    log.recover()
+    log.append(records)
+    log.close()
+    return next(folder.glob('journal-*'))
+
+
+def _recover(folder: pathlib.Path) -> journal.Recovered:
+    log = journal.Journal(folder)
+    try:
+        return log.recover()
+    finally:
+        log.close()
+
+
+def test_records_survive_a_restart() -> None:
+    """What was appended is read back in order."""
+    with fixtures.folder() as folder:
+        _write(folder, [['a', 1], ['b', 2]])
+        CASE.assertEqual(_recover(folder).records, [['a', 1], ['b', 2]])
+
+
+def test_torn_last_write_is_cut_off_at_every_length() -> None:
+    """A crash in mid-write loses only the record that was not synced."""
+    with fixtures.folder() as folder:
+        path = _write(folder, [['kept', 1]])
+        whole = path.read_bytes()
+        _write(folder, [['torn', 2]])
+        torn = path.read_bytes()
+        for length in range(len(whole), len(torn)):
+            path.write_bytes(torn[:length])
+            recovered = _recover(folder)
+            CASE.assertEqual(recovered.records, [['kept', 1]])
+            CASE.assertEqual(recovered.torn_bytes, length - len(whole))
+
+
+def test_zeros_after_a_crash_are_cut_off() -> None:
+    """File systems may extend a file before its blocks are written."""
+    with fixtures.folder() as folder:
+        path = _write(folder, [['kept', 1]])
+        path.write_bytes(path.read_bytes() + bytes(64))
+        CASE.assertEqual(_recover(folder).records, [['kept', 1]])
+
+
+def test_damage_before_the_end_is_reported() -> None:
+    """A synced record that changed is never passed over."""
+    with fixtures.folder() as folder:
+        path = _write(folder, [['first', 1], ['second', 2]])
+        body = bytearray(path.read_bytes())
+        body[10] ^= 0xFF
+        path.write_bytes(bytes(body))
+        with CASE.assertRaises(journal.JournalCorruptError):
+            _recover(folder)
+
+
+def test_snapshot_replaces_the_records_before_it() -> None:
+    """After a compaction only newer records are replayed."""
+    with fixtures.folder() as folder:
+        log = journal.Journal(folder)
+        log.recover()
+        log.append([1, 2])
+        log.compact({'sum': 3})
+        log.append([4])
+        log.close()
+        recovered = _recover(folder)
+        CASE.assertEqual(recovered.snapshot, {'sum': 3})
+        CASE.assertEqual(recovered.records, [4])
+        CASE.assertEqual(len(list(folder.glob('journal-*'))), 1)
+
+
+def test_unfinished_snapshot_is_ignored() -> None:
+    """A crash before the rename leaves the journal in charge."""
+    with fixtures.folder() as folder:
+        _write(folder, [1, 2])
+        (folder / 'snapshot-00000000000000000002.partial').write_bytes(b'x')
+        CASE.assertEqual(_recover(folder).records, [1, 2])
+
+
+def test_failed_sync_stops_all_later_writes() -> None:
+    """After a failed fsync a later success would prove nothing."""
+    with fixtures.folder() as folder:
+        disk = FailingDisk()
+        log = journal.Journal(folder, file_system=disk)
+        log.recover()
+        log.append(['kept'])
+        disk.is_failing = True
+        with CASE.assertRaises(journal.JournalFailedError):
+            log.append(['lost'])
+        with CASE.assertRaises(journal.JournalFailedError):
+            log.append(['refused'])
+        log.close()
+        CASE.assertEqual(_recover(folder).records[0], 'kept')
+
+
+def test_folder_is_held_by_one_journal() -> None:
+    """Two processes must not write to one folder."""
+    with fixtures.folder() as folder:
+        log = journal.Journal(folder)
+        with CASE.assertRaises(journal.FolderInUseError):
+            journal.Journal(folder)
+        log.close()
+        CASE.assertTrue(os.path.exists(folder / 'lock'))
--- /dev/null
+++ b/testing/coordination/test_store.py
@@ -0,0 +1,140 @@
+"""Tests of the versioned store: races, resends, restarts, watches."""
+
+from __future__ import annotations
+
+import pathlib
+import typing
+import unittest
+
+import gevent
+import hypothesis
+from hypothesis import strategies
+
+from mulberryquay.coordination import errors, history, journal, store
+from testing import fixtures
+
+CASE: typing.Final = unittest.TestCase()
+KIND: typing.Final = 'services'
+
+
+def _open(folder: pathlib.Path, **options: int) -> store.Store:
+    return store.Store(journal.Journal(folder), **options)
+
+
+def test_resend_gets_the_first_answer() -> None:
+    """Equal version and equal content is the same change."""
+    with fixtures.folder() as folder:
+        resources = _open(folder)
+        first = resources.put(KIND, 'stock', version=1, spec={'a': 1})
+        again = resources.put(KIND, 'stock', version=1, spec={'a': 1})
+        CASE.assertEqual(first, again)
+        CASE.assertEqual(resources.revision, 1)
+
+
+def test_equal_version_with_other_content_is_a_conflict() -> None:
+    """Of two operators with one version number, one wins."""
+    with fixtures.folder() as folder:
+        resources = _open(folder)
+        outcomes: list[str] = []
+
+        def race(content: int) -> None:
+            try:
+                resources.put(KIND, 'stock', version=1, spec={'a': content})
+            except store.VersionConflictError as error:
+                outcomes.append(error.code)
+            else:
+                outcomes.append('accepted')
+
+        gevent.joinall([gevent.spawn(race, content) for content in range(8)])
+        CASE.assertEqual(outcomes.count('accepted'), 1)
+        CASE.assertEqual(outcomes.count('version-conflict'), 7)
+
+
+def test_old_put_cannot_undo_a_delete() -> None:
+    """A resend that arrives late meets the tombstone."""
+    with fixtures.folder() as folder:
+        resources = _open(folder)
+        resources.put(KIND, 'stock', version=1, spec={'a': 1})
+        deleted = resources.put(KIND, 'stock', version=2, spec=None)
+        CASE.assertEqual(
+            resources.put(KIND, 'stock', version=2, spec=None),
+            deleted,
+        )
+        with CASE.assertRaises(store.VersionConflictError):
+            resources.put(KIND, 'stock', version=1, spec={'a': 1})
+        with CASE.assertRaises(errors.NotFoundError):
+            resources.get(KIND, 'stock')
+
+
+def test_state_survives_restarts_after_hundreds_of_changes() -> None:
+    """Snapshots bound the replay, and no accepted change is lost."""
+    with fixtures.folder() as folder:
+        for round_number in range(4):
+            resources = _open(folder, snapshot_after=64)
+            for change in range(100):
+                number = round_number * 100 + change
+                resources.put(
+                    KIND,
+                    f'service-{number % 7}',
+                    version=number + 1,
+                    spec={'number': number},
+                )
+            resources.close()
+        log = journal.Journal(folder)
+        CASE.assertLess(len(log.recover().records), 64)
+        log.close()
+        resources = _open(folder)
+        CASE.assertEqual(resources.revision, 400)
+        newest = {
+            item.spec['number']
+            for item in resources.list_kind(KIND)
+            if item.spec
+        }
+        CASE.assertEqual(newest, set(range(393, 400)))
+        resources.close()
+
+
+def test_watch_resumes_or_says_that_it_cannot() -> None:
+    """A revision that is too old is refused, never skipped."""
+    with fixtures.folder() as folder:
+        resources = _open(folder, history_size=3)
+        for version in range(1, 6):
+            resources.put(KIND, 'stock', version=version, spec={'v': version})
+        changes = resources.changes.since(2)
+        CASE.assertEqual([change.revision for change in changes], [3, 4, 5])
+        for wrong in (1, 6):
+            with CASE.assertRaises(history.RevisionCompactedError):
+                resources.changes.since(wrong)
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=40)
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(('a', 'b')),
+            strategies.integers(1, 4),
+            strategies.sampled_from((None, 1, 2)),
+        ),
+        max_size=12,
+    ),
+)
+def test_restart_never_changes_the_state(
+    puts: list[tuple[str, int, int | None]],
+) -> None:
+    """Whatever operators send, a restart shows the same resources."""
+    with fixtures.folder() as folder:
+        resources = _open(folder, snapshot_after=3)
+        versions: dict[str, int] = {}
+        for name, version, content in puts:
+            spec = None if content is None else {'content': content}
+            try:
+                accepted = resources.put(KIND, name, version=version, spec=spec)
+            except errors.MulberryquayError:
+                continue
+            CASE.assertGreaterEqual(accepted.version, versions.get(name, 0))
+            versions[name] = accepted.version
+        before = (resources.revision, resources.list_all())
+        resources.close()
+        resources = _open(folder)
+        CASE.assertEqual((resources.revision, resources.list_all()), before)
+        resources.close()
--- /dev/null
+++ b/testing/fixtures.py
@@ -0,0 +1,329 @@
+"""Shared fixtures: context managers that start parts and end them."""
+
+from __future__ import annotations
+
+import contextlib
+import itertools
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import typing
+
+import gevent
+from gevent import socket
+
+from mulberryquay import announcer, settings
+from mulberryquay.commands import api_client
+from mulberryquay.control import daemon as control_daemon
+from mulberryquay.coordination import clock
+from mulberryquay.entry import daemon as entry_daemon
+from mulberryquay.entry import messages
+from mulberryquay.kernel import plugins
+from mulberryquay.standin import target
+
+KERNEL: typing.Final = plugins.load_kernel()
+
+#: Long enough for any machine; a passing test never waits for it.
+PATIENCE_S: typing.Final = 30.0
+
+_INCARNATIONS: typing.Final = itertools.count(1)
+
+
+class Response(typing.NamedTuple):
+    """A whole answer as a caller sees it."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def outcome(self) -> str:
+        """The outcome and the reason, as ``outcome/reason``."""
+        return '/'.join(
+            self.headers.get(f'mulberryquay-{name}', '?')
+            for name in ('outcome', 'reason')
+        )
+
+
+def wait_until(condition: typing.Callable[[], typing.Any]) -> typing.Any:
+    """Returns the first true result; raises AssertionError at the end."""
+    deadline = clock.Clock().now() + PATIENCE_S * clock.MS_PER_SECOND
+    while True:
+        found = condition()
+        if found:
+            return found
+        if clock.Clock().now() > deadline:
+            raise AssertionError(f'still not true: {condition}')
+        gevent.sleep(0.005)
+
+
+@contextlib.contextmanager
+def folder() -> typing.Iterator[pathlib.Path]:
+    """Yields an empty folder."""
+    with tempfile.TemporaryDirectory() as name:
+        yield pathlib.Path(name)
+
+
+class Control:
+    """A control host in this process and a client of its API."""
+
+    def __init__(self, daemon: control_daemon.ControlDaemon) -> None:
+        """Wraps a started daemon."""
+        self.daemon = daemon
+        self.api = f'127.0.0.1:{daemon.api_port}'
+        self.client = api_client.ApiClient(self.api)
+
+    def put(
+        self, kind: str, name: str, version: int = 1, **spec: object
+    ) -> int:
+        """Declares a resource and returns the revision."""
+        body = {'version': version, 'spec': spec}
+        answer = self.client.call('PUT', f'/v1/{kind}/{name}', body)
+        return int(answer['revision'])
+
+    def declare(
+        self,
+        service: str = 'stock',
+        *,
+        route: dict[str, object] | None = None,
+        service_class: dict[str, object] | None = None,
+        **limits: object,
+    ) -> None:
+        """Declares a service with a route at ``/<service>``."""
+        self.put('services', service, **limits)
+        if service_class is not None:
+            self.put('service-classes', service, **service_class)
+        self.put(
+            'routes',
+            service,
+            path_prefix=f'/{service}',
+            service=service,
+            service_class=service if service_class else 'default',
+            **(route or {}),
+        )
+
+    def wait_in_force(self) -> None:
+        """Waits until every live entry confirmed the newest revision."""
+        revision = self.daemon.store.revision
+        path = f'/v1/revisions/{revision}'
+        wait_until(lambda: self.client.call('GET', path)['in_force'])
+
+
+@contextlib.contextmanager
+def control(
+    data_folder: pathlib.Path | None = None,
+    *,
+    target_lease_ms: int = 6000,
+) -> typing.Iterator[Control]:
+    """Yields a running control host."""
+    with contextlib.ExitStack() as stack:
+        data_folder = data_folder or stack.enter_context(folder())
+        daemon = control_daemon.ControlDaemon(
+            {
+                'data_folder': str(data_folder),
+                'api_listen': '127.0.0.1:0',
+                'feed_listen': '127.0.0.1:0',
+                'target_lease_ms': target_lease_ms,
+            },
+            KERNEL,
+        )
+        daemon.start()
+        try:
+            yield Control(daemon)
+        finally:
+            daemon.stop()
+
+
+@contextlib.contextmanager
+def entry(
+    controls: Control,
+    name: str = 'entry-1',
+    *,
+    region: str = 'north',
+    domain: str = 'north-1',
+    **changes: object,
+) -> typing.Iterator[entry_daemon.EntryDaemon]:
+    """Yields a running entry whose configuration is fresh."""
+    values, _ = settings.parse(
+        entry_daemon.SETTINGS,
+        [
+            f'--name={name}',
+            f'--region={region}',
+            f'--domain={domain}',
+            '--listen=127.0.0.1:0',
+            '--admin_listen=127.0.0.1:0',
+            f'--control=127.0.0.1:{controls.daemon.feed_port}',
+            '--drain_ms=0',
+            '--stop_timeout_ms=2000',
+        ],
+        environment={},
+    )
+    daemon = entry_daemon.EntryDaemon({**values, **changes}, KERNEL)
+    daemon.start()
+    try:
+        wait_until(lambda: daemon.state.is_fresh)
+        yield daemon
+    finally:
+        daemon.stop()
+
+
+@contextlib.contextmanager
+def target_of(
+    controls: Control,
+    name: str,
+    handler: target.Handler | None = None,
+    *,
+    service: str = 'stock',
+    region: str = 'north',
+    domain: str = 'north-1',
+    slots: int = 6,
+    sheds: bool = False,
+    warm: bool = True,
+    shed_status: int = 0,
+) -> typing.Iterator[target.StandInTarget]:
+    """Yields a stand-in target that announced itself.
+
+    A ``warm`` one has its whole allowance at once.
+    """
+    stand_in = target.StandInTarget(
+        handler or target.describe_request(name),
+        slots=slots,
+        sheds=sheds,
+    )
+    stand_in.start()
+    announcement = {
+        'name': name,
+        'service': service,
+        'address': stand_in.address,
+        'region': region,
+        'domain': domain,
+        'slots': slots,
+        'connections': 220,
+        'incarnation': next(_INCARNATIONS),
+        'shed_status': shed_status,
+    }
+    announcing = announcer.Announcer(announcement, [controls.api])
+    announcing.announce()
+    if warm:
+        controls.daemon.targets.record_served(name, 0)
+        while controls.daemon.targets.get(name).allowance < slots:
+            controls.daemon.targets.record_served(name, slots * 4)
+    announcing.start()
+    try:
+        yield stand_in
+    finally:
+        announcing.stop()
+        stand_in.stop()
+
+
+def wait_for_targets(daemon: entry_daemon.EntryDaemon, *names: str) -> None:
+    """Waits until the entry may use all the named targets."""
+    known = daemon.state.balancer.all_targets
+    wait_until(
+        lambda: all(name in known and known[name].limit for name in names),
+    )
+
+
+def send(port: int, raw: bytes, *, method: bytes = b'GET') -> Response:
+    """Sends raw bytes on a new connection and reads one answer.
+
+    Raises messages.CutShortError and OSError as the caller would see them.
+    """
+    connection = socket.create_connection(('127.0.0.1', port))
+    connection.settimeout(PATIENCE_S)
+    try:
+        connection.sendall(raw)
+        return receive(messages.ResponseReader(connection), method=method)
+    finally:
+        connection.close()
+
+
+def receive(
+    reader: messages.ResponseReader,
+    *,
+    method: bytes = b'GET',
+) -> Response:
+    """Reads one answer."""
+    head = reader.read_head()
+    parts = []
+    read = reader.read_part
+    if head.framing is messages.Framing.UNTIL_CLOSE:
+        read = reader.read_until_close
+    while method != b'HEAD':
+        part = read()
+        if part is None:
+            break
+        parts.append(part)
+    headers = {name.decode(): header.decode() for name, header in head.headers}
+    return Response(head.status, headers, b''.join(parts))
+
+
+def request_bytes(
+    path: str,
+    *,
+    method: str = 'GET',
+    headers: dict[str, str] | None = None,
+    body: bytes = b'',
+) -> bytes:
+    """Returns a request ready to be sent."""
+    lines = [f'{method} {path} HTTP/1.1', 'Host: test']
+    lines += [f'{name}: {header}' for name, header in (headers or {}).items()]
+    if body:
+        lines.append(f'Content-Length: {len(body)}')
+    return '\r\n'.join((*lines, '', '')).encode() + body
+
+
+def ask(
+    daemon: entry_daemon.EntryDaemon,
+    path: str,
+    **options: typing.Any,
+) -> Response:
+    """Sends one request to an entry."""
+    method = options.get('method', 'GET').encode()
+    return send(daemon.port, request_bytes(path, **options), method=method)
+
+
+def account_of(
+    daemon: entry_daemon.EntryDaemon,
+    response: Response,
+) -> typing.Any:
+    """Returns the account that an entry keeps of an answered request."""
+    client = api_client.ApiClient(f'127.0.0.1:{daemon.admin_port}')
+    request_id = response.headers['mulberryquay-request-id']
+    return client.call('GET', f'/accounts/{request_id}')
+
+
+@contextlib.contextmanager
+def process(
+    *arguments: str,
+) -> typing.Iterator[tuple[subprocess.Popen[str], str]]:
+    """Yields a mulberryquay process and the first line it printed."""
+    running = subprocess.Popen(
+        [sys.executable, '-m', 'mulberryquay', *arguments],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.DEVNULL,
+        text=True,
+        env={**os.environ, 'PYTHONUNBUFFERED': '1'},
+    )
+    assert running.stdout is not None
+    try:
+        yield running, running.stdout.readline().strip()
+    finally:
+        if running.poll() is None:
+            running.send_signal(signal.SIGKILL)
+        running.wait()
+        running.stdout.close()
+
+
+def ports_in(line: str) -> list[int]:
+    """Returns the port numbers that a daemon printed."""
+    return [int(word.strip(',')) for word in line.split() if word[0].isdigit()]
+
+
+def parse_json(response: Response) -> typing.Any:
+    """Returns the JSON body of an answer."""
+    return json.loads(response.body)
--- /dev/null
+++ b/testing/test_sessions.py
@@ -0,0 +1,92 @@
+"""Whole sessions against their golden files."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import typing
+
+from testing import fixtures, sessions
+
+_RESOURCES: typing.Final = (
+    ('failure-domains', 'north-1', {'region': 'north'}),
+    ('failure-domains', 'north-2', {'region': 'north'}),
+    ('service-classes', 'lookup', {'idempotent': True}),
+    ('services', 'stock', {}),
+    (
+        'routes',
+        'stock',
+        {
+            'path_prefix': '/stock',
+            'service': 'stock',
+            'service_class': 'lookup',
+        },
+    ),
+)
+
+
+def _write_resources(folder: pathlib.Path) -> None:
+    resources = [
+        {'kind': kind, 'name': name, 'version': 1, 'spec': spec}
+        for kind, name, spec in _RESOURCES
+    ]
+    (folder / 'stock.json').write_text(json.dumps(resources))
+
+
+def test_session_of_a_first_day() -> None:
+    """Apply, announce, request, watch, drain, restore, leave."""
+    with (
+        fixtures.folder() as folder,
+        fixtures.control() as control,
+        fixtures.entry(control) as entry,
+    ):
+        _write_resources(folder)
+        session = sessions.Session(control.api)
+        session.note('nothing is declared yet')
+        session.ask(entry, '/stock/canvas')
+        session.note('the operator declares a service')
+        path = str(folder / 'stock.json')
+        session.run('apply', '-f', path)
+        session.note('the same file again changes nothing')
+        session.run('apply', '-f', path)
+        session.note('no target has announced itself')
+        session.ask(entry, '/stock/canvas')
+        _follow_targets(session, control, entry)
+        session.note('every accepted change, from the beginning')
+        session.run('watch', '--since=0', '--count=7')
+        session.note('mistakes')
+        session.run('drain', 'north-9')
+        session.run('get', 'nonsense')
+        session.run('account', 'entry-9-00000000000-1')
+        session.compare('first-day')
+
+
+def _follow_targets(
+    session: sessions.Session,
+    control: fixtures.Control,
+    entry: typing.Any,
+) -> None:
+    with (
+        fixtures.target_of(control, 'stock-a', domain='north-1'),
+        fixtures.target_of(control, 'stock-b', domain='north-2') as leaving,
+    ):
+        fixtures.wait_for_targets(entry, 'stock-a', 'stock-b')
+        session.note('two targets announced themselves')
+        answered = session.ask(entry, '/stock/canvas?size=4')
+        session.run('account', answered.headers['mulberryquay-request-id'])
+        session.note('the domain of the first is taken out')
+        session.run('drain', 'north-1')
+        session.ask(entry, '/stock/canvas')
+        session.note('the target of the other domain leaves')
+        target = control.daemon.targets.get('stock-b')
+        control.daemon.targets.leave(
+            'stock-b',
+            incarnation=target.incarnation,
+        )
+        known = entry.state.balancer.all_targets
+        fixtures.wait_until(lambda: not known['stock-b'].limit)
+        session.ask(entry, '/stock/canvas')
+        session.note('the domain comes back')
+        session.run('restore', 'north-1')
+        session.ask(entry, '/stock/canvas')
+        assert leaving.in_flight == 0
