--- a/testing/fixtures.py
+++ b/testing/fixtures.py
@@ -78,7 +78,7 @@
         self.client = api_client.ApiClient(self.api)
 
     def put(
-        self, kind: str, name: str, version: int = 1, **spec: object
+        self, kind: str, name: str, version: int = 1, **spec: typing.Any
     ) -> int:
         """Declares a resource and returns the revision."""
         body = {'version': version, 'spec': spec}
@@ -89,9 +89,9 @@
         self,
         service: str = 'stock',
         *,
-        route: dict[str, object] | None = None,
-        service_class: dict[str, object] | None = None,
-        **limits: object,
+        route: dict[str, typing.Any] | None = None,
+        service_class: dict[str, typing.Any] | None = None,
+        **limits: typing.Any,
     ) -> None:
         """Declares a service with a route at ``/<service>``."""
         self.put('services', service, **limits)
@@ -145,7 +145,7 @@
     *,
     region: str = 'north',
     domain: str = 'north-1',
-    **changes: object,
+    **changes: typing.Any,
 ) -> typing.Iterator[entry_daemon.EntryDaemon]:
     """Yields a running entry whose configuration is fresh."""
     values, _ = settings.parse(
--- a/testing/run.py
+++ b/testing/run.py
@@ -47,7 +47,7 @@
                 suite.addTest(case)
     runner = unittest.TextTestRunner(
         stream=sys.stdout,
-        resultclass=_Tally,
+        resultclass=typing.cast(typing.Any, _Tally),
         verbosity=0,
     )
     result = runner.run(suite)
--- a/testing/test_sessions.py
+++ b/testing/test_sessions.py
@@ -8,7 +8,7 @@
 
 from testing import fixtures, sessions
 
-_RESOURCES: typing.Final = (
+_RESOURCES: typing.Final[tuple[tuple[str, str, typing.Any], ...]] = (
     ('failure-domains', 'north-1', {'region': 'north'}),
     ('failure-domains', 'north-2', {'region': 'north'}),
     ('service-classes', 'lookup', {'idempotent': True}),
