--- a/src/mulberryquay/commands/showcase.py
+++ b/src/mulberryquay/commands/showcase.py
@@ -143,6 +143,7 @@
             'domain': _DOMAINS[0],
             'listen': values['listen'],
             'admin_listen': '127.0.0.1:0',
+            'peer_listen': '127.0.0.1:0',
             'control': f'127.0.0.1:{feed_port}',
             'policy': entry_daemon.DEFAULT_POLICY,
             'stale_config': entry_daemon.REFUSE_STALE,
--- a/src/mulberryquay/control/daemon.py
+++ b/src/mulberryquay/control/daemon.py
@@ -151,6 +151,10 @@
         self._feed.stop()
         self._store.close()
 
+    def cut_feed(self) -> None:
+        """Ends all streams to entries for good, as a cut network does."""
+        self._feed.stop()
+
     def _refresh(self) -> None:
         gauge = self._metrics.gauge
         gauge('mulberryquay_control_revision', self._store.revision)
--- a/src/mulberryquay/control/directory.py
+++ b/src/mulberryquay/control/directory.py
@@ -65,6 +65,14 @@
     is_removed: bool
 
 
+class Hint(typing.NamedTuple):
+    """What an entry knew of a target before a control host restarted."""
+
+    incarnation: int
+    granted: int
+    is_warm: bool
+
+
 @typing.final
 class _Entry:
     """What the directory holds of one target."""
@@ -95,7 +103,7 @@
         self._started_at = time.now()
         self._targets: dict[str, _Entry] = {}
         self._departed: dict[str, int] = {}
-        self._hints: dict[str, tuple[int, int]] = {}
+        self._hints: dict[str, Hint] = {}
         self._changes: history.History[TargetChange] = history.History(
             size=_WATCH_HISTORY,
         )
@@ -187,7 +195,7 @@
         """Grows a target's allowance by good answers."""
         known = self._targets.get(name)
         if known and known.growth.record_served(answers):
-            self._update(known, 'allowance', allowance=known.growth.current)
+            self._update_allowance(known)
 
     def record_shed(self, name: str, *, incarnation: int) -> None:
         """Shrinks the allowance of a target that shed or slowed down."""
@@ -195,12 +203,12 @@
         if known is None or known.row.incarnation != incarnation:
             return
         if known.growth.record_shed():
-            self._update(known, 'allowance', allowance=known.growth.current)
+            self._update_allowance(known)
 
-    def hint(self, name: str, *, incarnation: int, granted: int) -> None:
+    def hint(self, name: str, known: Hint) -> None:
         """Notes what an entry knows, for targets yet to be relearned."""
         if self.is_relearning:
-            self._hints[name] = (incarnation, granted)
+            self._hints[name] = known
 
     def _find(self, name: str) -> _Entry:
         try:
@@ -212,15 +220,24 @@
 
     def _add(self, row: protocol.TargetRow, reason: str) -> protocol.TargetRow:
         growth = allowance.Allowance(slots=row.slots, cold=True)
-        incarnation, granted = self._hints.pop(row.name, (0, 0))
-        if incarnation == row.incarnation:
-            growth.restore(granted)
-        known = _Entry(row._replace(allowance=growth.current), growth)
+        hint = self._hints.pop(row.name, None)
+        if hint and hint.incarnation == row.incarnation:
+            growth.restore(hint.granted, is_warm=hint.is_warm)
+        row = row._replace(allowance=growth.current, is_warm=growth.is_warm)
+        known = _Entry(row, growth)
         known.renewed_at = self._clock.now()
         self._targets[row.name] = known
         self._changes.append(TargetChange(known.row, reason, is_removed=False))
         return known.row
 
+    def _update_allowance(self, known: _Entry) -> None:
+        self._update(
+            known,
+            'allowance',
+            allowance=known.growth.current,
+            is_warm=known.growth.is_warm,
+        )
+
     def _update(
         self,
         known: _Entry,
@@ -260,7 +277,8 @@
     shed_status = spec.pop('shed_status')
     return protocol.TargetRow(
         **spec,
-        allowance=1,
+        allowance=allowance.FIRST_ALLOWANCE,
+        is_warm=False,
         is_leaving=False,
         shed_statuses=[shed_status] if shed_status else [],
     )
--- a/src/mulberryquay/control/feed.py
+++ b/src/mulberryquay/control/feed.py
@@ -55,6 +55,7 @@
         self._sent_committed = shares.EntryList(0, ())
         self._sent_pending: shares.EntryList | None = None
         self._tasks: list[gevent.Greenlet] = []
+        self._streams: set[wire.Stream] = set()
         self.bytes_sent = 0
         self.bytes_received = 0
 
@@ -72,10 +73,13 @@
         """Closes all streams."""
         gevent.killall(self._tasks)
         self._server.stop(timeout=0)
+        for stream in list(self._streams):
+            stream.close()
 
     def _serve(self, connection: typing.Any, _address: typing.Any) -> None:
         stream = wire.Stream(connection, protocol.WORDS)
         stream.set_timeout(_SILENCE_MS)
+        self._streams.add(stream)
         outbound: queue.Queue = queue.Queue(maxsize=_MAX_QUEUED)
         entry = ''
         writer = gevent.spawn(self._write, stream, outbound)
@@ -100,6 +104,7 @@
         if self._queues.get(entry) is outbound:
             self._queues.pop(entry)
         stream.close()
+        self._streams.discard(stream)
         self.bytes_received += stream.bytes_received
         self.bytes_sent += stream.bytes_sent
 
@@ -111,14 +116,16 @@
                 f'got protocol version {hello.protocol_version}, expected '
                 f'{protocol.PROTOCOL_VERSION}; use matching releases',
             )
-        for name, incarnation, granted in hello.known_targets:
-            self._directory.hint(name, incarnation=incarnation, granted=granted)
+        for name, incarnation, granted, is_warm in hello.known_targets:
+            hint = directory.Hint(incarnation, granted, is_warm)
+            self._directory.hint(name, hint)
         self._enqueue_state(outbound)
         self._queues[hello.entry] = outbound
         status = membership.EntryStatus(
             region=hello.region,
             domain=hello.domain,
             admin=hello.admin_address,
+            peer=hello.peer_address,
         )
         self._membership.join(hello.entry, status)
         _LOG.info('entry joined', extra={'entry': hello.entry})
@@ -156,6 +163,7 @@
             outbound.put_nowait(
                 protocol.EntriesProposed(pending.epoch, list(pending.members)),
             )
+        outbound.put_nowait(self._peers_message())
 
     def _read(
         self,
@@ -178,6 +186,9 @@
                     self._take_breakage(message)
                 case protocol.RequestCleared(fingerprint):
                     self._guard.clear(fingerprint)
+                case protocol.Leaving():
+                    self._membership.start_leaving(entry)
+                    self._send_entry_list()
                 case protocol.Goodbye():
                     self._membership.leave(entry)
                     self._send_entry_list()
@@ -238,6 +249,7 @@
             self._broadcast(
                 protocol.EntriesProposed(pending.epoch, list(pending.members)),
             )
+            self._broadcast(self._peers_message())
         committed = self._membership.committed
         if committed != self._sent_committed:
             self._sent_committed = committed
@@ -248,6 +260,15 @@
                 ),
             )
 
+    def _peers_message(self) -> protocol.PeersChanged:
+        return protocol.PeersChanged(
+            [
+                [name, status.region, status.peer_address]
+                for name, status in self._membership.entries.items()
+                if not status.is_leaving
+            ],
+        )
+
     def _send_config_changes(self) -> None:
         sent = self._store.revision
         while True:
--- a/src/mulberryquay/control/membership.py
+++ b/src/mulberryquay/control/membership.py
@@ -15,14 +15,24 @@
 class EntryStatus:
     """What is known of one live entry."""
 
-    def __init__(self, *, region: str, domain: str, admin: str) -> None:
+    def __init__(
+        self,
+        *,
+        region: str,
+        domain: str,
+        admin: str,
+        peer: str,
+    ) -> None:
         """Starts with nothing confirmed."""
         self.region = region
         self.domain = domain
         self.admin_address = admin
+        self.peer_address = peer
         self.config_revision = 0
         self.entries_epoch = 0
         self.beat_at = clock.Milliseconds(0)
+        #: Whether the entry has begun to stop; it still has to confirm.
+        self.is_leaving = False
 
 
 @typing.final
@@ -83,6 +93,13 @@
         status.entries_epoch = entries_epoch
         self._commit_if_confirmed()
 
+    def start_leaving(self, name: str) -> None:
+        """Proposes a list without an entry that has begun to stop."""
+        status = self._entries.get(name)
+        if status is not None and not status.is_leaving:
+            status.is_leaving = True
+            self._propose()
+
     def leave(self, name: str) -> None:
         """Removes an entry that stopped."""
         if self._entries.pop(name, None) is not None:
@@ -114,7 +131,13 @@
         newest = self._pending or self._committed
         self._pending = shares.EntryList(
             newest.epoch + 1,
-            tuple(sorted(self._entries)),
+            tuple(
+                sorted(
+                    name
+                    for name, status in self._entries.items()
+                    if not status.is_leaving
+                ),
+            ),
         )
         self._commit_if_confirmed()
 
--- a/src/mulberryquay/coordination/allowance.py
+++ b/src/mulberryquay/coordination/allowance.py
@@ -22,6 +22,7 @@
         """``slots`` is the target's full concurrency, at least 1."""
         self._slots = max(1, slots)
         self._current = FIRST_ALLOWANCE if cold else self._slots
+        self._is_warm = not cold
         self._served = 0
 
     @property
@@ -30,18 +31,19 @@
         return self._current
 
     @property
-    def is_full(self) -> bool:
+    def is_warm(self) -> bool:
         """Whether the target has shown that it bears all its slots."""
-        return self._current >= self._slots
+        return self._is_warm
 
     def record_served(self, answers: int) -> bool:
         """Counts good answers; True when the allowance changed."""
-        if self.is_full:
+        if self._is_warm:
             return False
         self._served += answers
         if self._served < self._current * ANSWERS_PER_STEP:
             return False
         self._served = 0
+        self._is_warm = self._current >= self._slots
         self._current = min(self._slots, self._current * 2)
         return True
 
@@ -49,17 +51,20 @@
         """Halves the allowance; True when it changed."""
         self._served = 0
         reduced = max(FIRST_ALLOWANCE, self._current // 2)
-        changed = reduced != self._current
+        changed = self._is_warm or reduced != self._current
+        self._is_warm = False
         self._current = reduced
         return changed
 
     def reset_cold(self) -> bool:
         """Starts over after a restart; True when the allowance changed."""
-        changed = self._current != FIRST_ALLOWANCE
+        changed = self._is_warm or self._current != FIRST_ALLOWANCE
+        self._is_warm = False
         self._current = FIRST_ALLOWANCE
         self._served = 0
         return changed
 
-    def restore(self, granted: int) -> None:
+    def restore(self, granted: int, *, is_warm: bool) -> None:
         """Continues from an allowance that was granted before."""
+        self._is_warm = is_warm
         self._current = max(FIRST_ALLOWANCE, min(self._slots, granted))
--- a/src/mulberryquay/entry/accounts.py
+++ b/src/mulberryquay/entry/accounts.py
@@ -31,6 +31,8 @@
     result: str
     reason: str
     duration_ms: float
+    #: The request's id at the entry to which it was relayed, if it was.
+    relayed_as: str = ''
 
 
 class RequestAccount(typing.NamedTuple):
--- a/src/mulberryquay/entry/answers.py
+++ b/src/mulberryquay/entry/answers.py
@@ -8,19 +8,21 @@
 
 from mulberryquay import web
 from mulberryquay.coordination import errors
-from mulberryquay.entry import admission, forwarder, messages, outcomes
-
-OUTCOME_HEADER: typing.Final = b'mulberryquay-outcome'
-REASON_HEADER: typing.Final = b'mulberryquay-reason'
-REQUEST_ID_HEADER: typing.Final = b'mulberryquay-request-id'
+from mulberryquay.entry import (
+    admission,
+    attempt,
+    forwarder,
+    messages,
+    outcomes,
+)
 
 #: Headers that only entries may set on what targets and callers see.
 OWN_HEADERS: typing.Final = frozenset(
     (
         admission.DEPTH_HEADER,
-        OUTCOME_HEADER,
-        REASON_HEADER,
-        REQUEST_ID_HEADER,
+        attempt.OUTCOME_HEADER,
+        attempt.REASON_HEADER,
+        attempt.REQUEST_ID_HEADER,
         forwarder.NO_RETRY_HEADER,
         forwarder.TIMEOUT_HEADER,
     ),
@@ -63,7 +65,7 @@
         caller.keeps_alive and framing is not messages.Framing.UNTIL_CLOSE
     )
     caller = caller._replace(keeps_alive=keeps_alive)
-    first = _encode_head(caller, received.head, framing)
+    first = _encode_head(caller, received, framing)
     if received.body is not None:
         connection.sendall(first + received.body)
         return keeps_alive
@@ -93,7 +95,7 @@
     if caller is None or not caller.keeps_alive:
         headers.append(_CLOSE)
     if caller is not None:
-        headers.append((REQUEST_ID_HEADER, caller.request_id.encode()))
+        headers.append((attempt.REQUEST_ID_HEADER, caller.request_id.encode()))
     answer = messages.encode_head(_status_line(refusal.status), headers)
     if caller is not None and caller.head.method == b'HEAD':
         return answer
@@ -114,9 +116,10 @@
 
 def _encode_head(
     caller: Caller,
-    answer: messages.ResponseHead,
+    received: outcomes.Received,
     framing: messages.Framing,
 ) -> bytes:
+    answer = received.head
     headers = [
         pair
         for pair in messages.forwardable(answer.headers)
@@ -129,8 +132,8 @@
             headers.append((b'content-length', b'%d' % answer.length))
         case messages.Framing.NONE:
             _copy_length(caller, answer, headers)
-    headers += _own_headers(outcomes.Outcome.ANSWERED, outcomes.Reason.NONE)
-    headers.append((REQUEST_ID_HEADER, caller.request_id.encode()))
+    headers += _own_headers(received.outcome, received.reason)
+    headers.append((attempt.REQUEST_ID_HEADER, caller.request_id.encode()))
     if not caller.keeps_alive:
         headers.append(_CLOSE)
     return messages.encode_head(_status_line(answer.status), headers)
@@ -152,8 +155,8 @@
     reason: outcomes.Reason,
 ) -> messages.Headers:
     return [
-        (OUTCOME_HEADER, outcome.value.encode()),
-        (REASON_HEADER, reason.value.encode()),
+        (attempt.OUTCOME_HEADER, outcome.value.encode()),
+        (attempt.REASON_HEADER, reason.value.encode()),
     ]
 
 
--- a/src/mulberryquay/entry/attempt.py
+++ b/src/mulberryquay/entry/attempt.py
@@ -21,6 +21,11 @@
 LOAD_HEADER: typing.Final = b'mulberryquay-load'
 
 
+OUTCOME_HEADER: typing.Final = b'mulberryquay-outcome'
+REASON_HEADER: typing.Final = b'mulberryquay-reason'
+REQUEST_ID_HEADER: typing.Final = b'mulberryquay-request-id'
+
+
 class Outgoing(typing.NamedTuple):
     """A request ready to be sent to any target."""
 
@@ -153,6 +158,8 @@
         received: outcomes.Received,
         latency: float,
     ) -> outcomes.Attempt:
+        if self._target.is_peer:
+            return _judge_relayed(received)
         head = received.head
         if self._is_shed(head):
             self._target.record_shed()
@@ -216,6 +223,27 @@
             self._pump.kill()
 
 
+def _judge_relayed(received: outcomes.Received) -> outcomes.Attempt:
+    """Takes over the outcome that another entry states."""
+    head = received.head
+    outcome = outcomes.Outcome(_text(head, OUTCOME_HEADER))
+    reason = outcomes.Reason(_text(head, REASON_HEADER))
+    if outcome is outcomes.Outcome.NOT_RUN:
+        return outcomes.Shed(reason)
+    return outcomes.Received(
+        head,
+        received.link,
+        received.body,
+        outcome,
+        reason,
+        _text(head, REQUEST_ID_HEADER),
+    )
+
+
+def _text(head: messages.ResponseHead, name: bytes) -> str:
+    return (head.find(name) or b'').decode('latin-1')
+
+
 def _reported_load(head: messages.ResponseHead) -> int | None:
     text = head.find(LOAD_HEADER)
     if text is None or not text.isdigit():
--- a/src/mulberryquay/entry/balancer.py
+++ b/src/mulberryquay/entry/balancer.py
@@ -13,7 +13,7 @@
 
 from mulberryquay import protocol
 from mulberryquay.coordination import clock, shares
-from mulberryquay.entry import outcomes, routing, targets
+from mulberryquay.entry import outcomes, relays, routing, targets
 
 #: Calls that all entries together may send a warm target, per slot. Above
 #: 1, a target has its next call at hand; far above, calls wait at the wrong
@@ -23,6 +23,11 @@
 #: A request waits this long for a target at the most.
 MAX_QUEUE_MS: typing.Final = 2000.0
 
+#: A request waits this long for a share of a cold target at the most.
+MAX_SHARE_WAIT_MS: typing.Final = 1000.0
+
+_SHARE_POLL_MS: typing.Final = 5.0
+
 Regions = frozenset[str] | None
 
 
@@ -35,6 +40,8 @@
     regions: Regions
     #: When the request is of no more use, on the entry's clock.
     deadline: float
+    #: Whether another entry may be asked to serve the request.
+    may_relay: bool = True
 
 
 class Policy(typing.Protocol):
@@ -71,8 +78,14 @@
 class ServiceQueue:
     """The targets of one service and the requests that wait for them."""
 
-    def __init__(self, policy: Policy, time: clock.Clock) -> None:
+    def __init__(
+        self,
+        policy: Policy,
+        time: clock.Clock,
+        peers: relays.Relays,
+    ) -> None:
         """Starts without targets."""
+        self._relays = peers
         self.targets: dict[str, targets.TargetState] = {}
         self._policy = policy
         self._clock = time
@@ -100,8 +113,19 @@
             if target is not None:
                 target.in_flight += 1
                 return target
-        self._check_possible(demand, excluded)
-        return self._wait(demand, excluded)
+        started = self._clock.now()
+        while True:
+            if self._is_possible(demand, excluded):
+                target = self._wait(demand, excluded)
+            else:
+                target = self._find_peer(demand, excluded)
+            if target is not None:
+                return target
+            # Every share may be void while the entry list changes.
+            waited = self._clock.now() - started
+            if waited > MAX_SHARE_WAIT_MS:
+                raise _no_target(demand)
+            self._clock.sleep(_SHARE_POLL_MS)
 
     def release(self, target: targets.TargetState) -> None:
         """Ends a call on a target and serves those who wait."""
@@ -127,6 +151,20 @@
         for skipped in passed:
             heapq.heappush(self._waiting, skipped)
 
+    def send_on_waiting(self) -> None:
+        """Wakes the requests that no target here may serve any more."""
+        for place in self._waiting:
+            waiter = place[-1]
+            if waiter.is_over:
+                continue
+            if not self._is_possible(waiter.demand, waiter.excluded):
+                self._end(waiter)
+                waiter.granted.set(None)
+        self._waiting = [
+            place for place in self._waiting if not place[-1].is_over
+        ]
+        heapq.heapify(self._waiting)
+
     def _has_room(self) -> bool:
         return any(target.has_room for target in self.targets.values())
 
@@ -162,32 +200,54 @@
             now,
         )
 
-    def _check_possible(
+    def _is_possible(
         self,
         demand: Demand,
         excluded: frozenset[str],
-    ) -> None:
-        usable = any(
+    ) -> bool:
+        return any(
             target.limit and _is_allowed(target, demand.regions, excluded)
             for target in self.targets.values()
         )
-        if not usable:
-            raise outcomes.not_run(
-                outcomes.Reason.NO_TARGET,
-                f'service {demand.service.name!r} has no target that may '
-                'serve this request now',
-            )
+
+    def _find_peer(
+        self,
+        demand: Demand,
+        excluded: frozenset[str],
+    ) -> targets.TargetState | None:
+        """Returns an entry that has a share of a cold target, if any.
+
+        Its in-flight count is raised. Raises RefusedError if no target is
+        cold either.
+        """
+        cold_rows = [
+            target.row
+            for target in self.targets.values()
+            if target.is_shared_out
+            and _is_allowed(target, demand.regions, excluded)
+        ]
+        if not cold_rows:
+            raise _no_target(demand)
+        if not demand.may_relay:
+            return None
+        peer = self._relays.find(cold_rows, demand.regions, excluded)
+        if peer is not None:
+            peer.in_flight += 1
+        return peer
 
     def _wait(
         self,
         demand: Demand,
         excluded: frozenset[str],
-    ) -> targets.TargetState:
+    ) -> targets.TargetState | None:
+        """Returns a target, or None if there is none to wait for any more."""
         if self._waiting_count >= demand.service.max_queue:
             self._make_place(demand)
         waiter = _Waiter(demand, excluded)
         heapq.heappush(self._waiting, self._place_of(waiter))
         self._waiting_count += 1
+        # Those who wait already may not be allowed what is free.
+        self.serve_waiting()
         remaining = min(demand.deadline - self._clock.now(), MAX_QUEUE_MS)
         try:
             granted = waiter.granted.get(
@@ -195,7 +255,7 @@
             )
         except gevent.Timeout:
             if waiter.granted.ready() and waiter.granted.successful():
-                return typing.cast(targets.TargetState, waiter.granted.get())
+                return _granted_to(waiter)
             raise outcomes.not_run(
                 outcomes.Reason.QUEUE_TIMEOUT,
                 'no target had room in time',
@@ -205,7 +265,7 @@
             raise
         finally:
             self._end(waiter)
-        return typing.cast(targets.TargetState, granted)
+        return typing.cast(targets.TargetState | None, granted)
 
     def _place_of(self, waiter: _Waiter) -> _Place:
         service_class = waiter.demand.service_class
@@ -226,6 +286,8 @@
             f'service {demand.service.name!r} has its full queue of '
             f'{demand.service.max_queue} requests',
         )
+        self._waiting = live
+        heapq.heapify(self._waiting)
         if not live or max(live)[:2] <= newcomer:
             raise refusal
         last = max(live)[-1]
@@ -235,7 +297,9 @@
     def _give_back(self, waiter: _Waiter) -> None:
         """Returns a target that was granted to a greenlet that is killed."""
         if waiter.granted.ready() and waiter.granted.successful():
-            self.release(waiter.granted.get())
+            target = _granted_to(waiter)
+            if target is not None:
+                self.release(target)
 
     def _end(self, waiter: _Waiter) -> None:
         if not waiter.is_over:
@@ -255,9 +319,11 @@
         *,
         region: str,
         domain: str,
+        peers: relays.Relays,
     ) -> None:
         """Starts without targets; ``view`` divides the cold ones."""
         self._view = view
+        self._relays = peers
         self._new_policy = new_policy
         self._clock = time
         self._region = region
@@ -281,7 +347,11 @@
         """Returns the queue of a service, empty if it has no targets."""
         queue = self._services.get(service)
         if queue is None:
-            queue = ServiceQueue(self._new_policy(), self._clock)
+            queue = ServiceQueue(
+                self._new_policy(),
+                self._clock,
+                self._relays,
+            )
             self._services[service] = queue
         return queue
 
@@ -313,11 +383,14 @@
         """Divides all targets anew and serves those who wait."""
         for target in self._targets.values():
             target.limit = self._limit(target)
+            target.is_shared_out = self._is_shared_out(target)
             target.link_limit = self._link_limit(target)
             if not target.limit:
                 target.pool.close_idle()
         for queue in self._services.values():
-            queue.serve_waiting()
+            if queue.waiting_count:
+                queue.send_on_waiting()
+                queue.serve_waiting()
 
     def collect_reports(self) -> tuple[dict[str, int], dict[str, int]]:
         """Returns what control hosts should know and forgets it.
@@ -339,7 +412,7 @@
     def fits_pending_shares(self) -> bool:
         """Whether the calls in flight fit the shares of cold targets."""
         return all(
-            target.is_warm or target.in_flight <= target.limit
+            target.row.is_warm or target.in_flight <= target.limit
             for target in self._targets.values()
         )
 
@@ -377,18 +450,36 @@
         row = target.row
         if row.is_leaving or row.domain in self._domains_out:
             return 0
-        if target.is_warm:
+        if row.is_warm:
             whole = row.slots * OVERCOMMIT / self._view.member_count
             return max(1, math.ceil(whole))
         if not self._is_fresh:
             return 0
         return self._view.share(row.name, row.allowance)
 
+    def _is_shared_out(self, target: targets.TargetState) -> bool:
+        """Whether the target is cold and only other entries may use it."""
+        row = target.row
+        is_open = not row.is_leaving and row.domain not in self._domains_out
+        return is_open and not row.is_warm and not target.limit
+
     def _link_limit(self, target: targets.TargetState) -> int:
         whole = target.row.connections // self._view.member_count
         return max(1, whole)
 
 
+def _granted_to(waiter: _Waiter) -> targets.TargetState | None:
+    return typing.cast(targets.TargetState | None, waiter.granted.get())
+
+
+def _no_target(demand: Demand) -> outcomes.RefusedError:
+    return outcomes.not_run(
+        outcomes.Reason.NO_TARGET,
+        f'service {demand.service.name!r} has no target that may serve this '
+        'request now',
+    )
+
+
 def _is_allowed(
     target: targets.TargetState,
     regions: Regions,
--- a/src/mulberryquay/entry/caller.py
+++ b/src/mulberryquay/entry/caller.py
@@ -30,9 +30,17 @@
     """Serves one connection until either side ends it."""
 
     def __init__(
-        self, shared: state.EntryState, connection: typing.Any
+        self,
+        shared: state.EntryState,
+        connection: typing.Any,
+        *,
+        is_peer: bool = False,
     ) -> None:
-        """Takes over ``connection``, an accepted gevent socket."""
+        """Takes over ``connection``, an accepted gevent socket.
+
+        ``is_peer`` says that another entry opened it.
+        """
+        self._is_peer = is_peer
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._shared = shared
         self._socket = connection
@@ -75,6 +83,7 @@
                 self._socket,
                 self._reader,
                 head,
+                is_relayed=self._is_peer,
             ).serve()
         finally:
             self._shared.in_flight -= 1
--- a/src/mulberryquay/entry/control_link.py
+++ b/src/mulberryquay/entry/control_link.py
@@ -33,12 +33,14 @@
         addresses: typing.Sequence[tuple[str, int]],
         *,
         admin_address: str,
+        peer_address: str,
         domain: str,
     ) -> None:
         """Connects to one of ``addresses`` after `start`."""
         self._shared = shared
         self._addresses = tuple(addresses)
         self._admin_address = admin_address
+        self._peer_address = peer_address
         self._domain = domain
         self._stream: wire.Stream | None = None
         self._tasks: list[gevent.Greenlet] = []
@@ -62,6 +64,10 @@
             gevent.spawn(self._stay_fresh),
         ]
 
+    def announce_leaving(self) -> None:
+        """Gives up all shares, so that others can take them over."""
+        self._send(protocol.Leaving(self._shared.name))
+
     def stop(self) -> None:
         """Says goodbye, so that the lease need not run out."""
         if self._stream is not None:
@@ -110,9 +116,12 @@
             self._take(stream.receive())
 
     def _hello(self) -> protocol.Hello:
+        rows = [
+            target.row for target in self._shared.balancer.all_targets.values()
+        ]
         known = [
-            (target.row.name, target.row.incarnation, target.row.allowance)
-            for target in self._shared.balancer.all_targets.values()
+            (row.name, row.incarnation, row.allowance, row.is_warm)
+            for row in rows
         ]
         return protocol.Hello(
             protocol.PROTOCOL_VERSION,
@@ -120,6 +129,7 @@
             self._shared.region,
             self._domain,
             self._admin_address,
+            self._peer_address,
             known,
         )
 
@@ -136,6 +146,8 @@
                 self._shared.balancer.apply(message)
             case protocol.EntriesProposed() | protocol.EntriesCommitted():
                 self._take_entries(message)
+            case protocol.PeersChanged(peers):
+                self._shared.relays.update_peers(peers)
             case protocol.RequestBlocked(fingerprint, duration):
                 self._shared.guard.block(fingerprint, duration=duration)
             case _:
--- a/src/mulberryquay/entry/daemon.py
+++ b/src/mulberryquay/entry/daemon.py
@@ -55,6 +55,13 @@
         form='address',
         required=True,
     ),
+    settings.Setting(
+        'peer_listen',
+        '127.0.0.1:7702',
+        f'requests relayed by other entries: {settings.LISTEN_HELP}',
+        form='address',
+        required=True,
+    ),
     settings.Setting(
         'control',
         '127.0.0.1:7601',
@@ -126,13 +133,15 @@
         )
         self._listener = sockets.listen(values['listen'], reuse_port=True)
         self._admin_listener = sockets.listen(values['admin_listen'])
+        self._peer_listener = sockets.listen(values['peer_listen'])
         self._link = control_link.ControlLink(
             self._state,
             [
                 settings.parse_address(address)
                 for address in values['control'].split(',')
             ],
-            admin_address=self._admin_address(),
+            admin_address=self._address_of('admin_listen', self.admin_port),
+            peer_address=self._address_of('peer_listen', self.peer_port),
             domain=values['domain'],
         )
         self._state.reporter = self._link
@@ -148,6 +157,11 @@
         """The port for health, metrics and accounts."""
         return sockets.port_of(self._admin_listener)
 
+    @property
+    def peer_port(self) -> int:
+        """The port for requests that other entries relay."""
+        return sockets.port_of(self._peer_listener)
+
     @property
     def state(self) -> state.EntryState:
         """The entry's knowledge and counters."""
@@ -162,6 +176,11 @@
         self._link.start()
         self._server = server.StreamServer(self._listener, self._serve)
         self._server.start()
+        self._peer_server = server.StreamServer(
+            self._peer_listener,
+            self._serve_peer,
+        )
+        self._peer_server.start()
 
     def stop(self) -> None:
         """Stops without cutting off a request.
@@ -173,8 +192,10 @@
         _LOG.info('stopping')
         time = self._state.clock
         self._state.is_stopping = True
+        self._link.announce_leaving()
         time.sleep(self._values['drain_ms'])
         self._server.close()
+        self._peer_server.close()
         deadline = time.now() + self._values['stop_timeout_ms']
         while self._callers and time.now() < deadline:
             for task in list(self._callers):
@@ -184,16 +205,27 @@
         self._admin.stop(timeout=1)
 
     def _serve(self, connection: typing.Any, _address: typing.Any) -> None:
-        task = caller.CallerTask(self._state, connection)
+        self._run_task(caller.CallerTask(self._state, connection))
+
+    def _serve_peer(
+        self,
+        connection: typing.Any,
+        _address: typing.Any,
+    ) -> None:
+        self._run_task(
+            caller.CallerTask(self._state, connection, is_peer=True),
+        )
+
+    def _run_task(self, task: caller.CallerTask) -> None:
         self._callers.add(task)
         try:
             task.run()
         finally:
             self._callers.discard(task)
 
-    def _admin_address(self) -> str:
-        host = settings.parse_address(self._values['admin_listen'])[0]
-        return f'{host}:{self.admin_port}'
+    def _address_of(self, setting: str, port: int) -> str:
+        host = settings.parse_address(self._values[setting])[0]
+        return f'{host}:{port}'
 
     def _is_ready(self) -> bool:
         shared = self._state
--- a/src/mulberryquay/entry/exchange.py
+++ b/src/mulberryquay/entry/exchange.py
@@ -32,8 +32,14 @@
         connection: typing.Any,
         reader: messages.RequestReader,
         head: messages.RequestHead,
+        *,
+        is_relayed: bool,
     ) -> None:
-        """Takes a request whose head was read from ``reader``."""
+        """Takes a request whose head was read from ``reader``.
+
+        ``is_relayed`` says that another entry sent it.
+        """
+        self._is_relayed = is_relayed
         self._shared = shared
         self._socket = connection
         self._head = head
@@ -54,9 +60,10 @@
         outcome = outcomes.Outcome.UNKNOWN
         reason = outcomes.Reason.CALLER_GONE
         try:
-            keeps_alive = self._serve()
-            outcome = outcomes.Outcome.ANSWERED
-            reason = outcomes.Reason.NONE
+            received = self._forward()
+            keeps_alive = self._relay(received)
+            outcome = received.outcome
+            reason = received.reason
         except outcomes.RefusedError as refusal:
             outcome = refusal.outcome
             reason = refusal.reason
@@ -69,12 +76,16 @@
             self._record(outcome, reason)
         return keeps_alive
 
-    def _serve(self) -> bool:
+    def _forward(self) -> outcomes.Received:
         call = self._prepare()
         self._forwarder = forwarder.Forwarder(self._shared, call)
-        received = self._forwarder.forward()
+        return self._forwarder.forward()
+
+    def _relay(self, received: outcomes.Received) -> bool:
+        """Passes an answer on; True if the connection stays usable."""
         self._status = received.head.status
         self._socket.settimeout(_CALLER_TIMEOUT_S)
+        forwarding = typing.cast(forwarder.Forwarder, self._forwarder)
         try:
             keeps_alive = answers.relay(
                 self._socket,
@@ -82,9 +93,9 @@
                 received,
             )
         except BaseException:
-            self._forwarder.abandon(received)
+            forwarding.abandon(received)
             raise
-        self._forwarder.finish(received)
+        forwarding.finish(received)
         return keeps_alive and self._body.is_read
 
     def _prepare(self) -> forwarder.Call:
@@ -103,11 +114,12 @@
                 admitted.route.service_class,
                 admitted.regions,
                 deadline,
+                may_relay=not self._is_relayed,
             ),
             attempt.Outgoing(
                 self._head.method,
                 self._head.path,
-                self._outgoing_headers(admitted.depth + 1),
+                self._outgoing_headers(admitted.depth + (not self._is_relayed)),
                 self._head.framing,
                 body,
                 rest,
@@ -125,7 +137,7 @@
             if pair[0] not in answers.OWN_HEADERS
         ]
         headers += [
-            (answers.REQUEST_ID_HEADER, self._request_id.encode()),
+            (attempt.REQUEST_ID_HEADER, self._request_id.encode()),
             (admission.DEPTH_HEADER, b'%d' % depth),
         ]
         match head.framing:
--- a/src/mulberryquay/entry/forwarder.py
+++ b/src/mulberryquay/entry/forwarder.py
@@ -60,14 +60,18 @@
         """
         self._check_not_blocked()
         self._budget.deposit()
+        demand = self._call.demand
         excluded: frozenset[str] = frozenset()
-        while True:
-            target = self._acquire(excluded)
-            ended = self._try(target)
-            if not self._retries(ended):
-                return self._conclude(ended)
+        ended = self._try(self._queue.acquire(demand, excluded))
+        while self._retries(ended):
             self._release_answer(ended)
-            excluded |= {target.row.name}
+            excluded |= {self.tries[-1].target}
+            try:
+                target = self._queue.acquire(demand, excluded)
+            except outcomes.RefusedError as refusal:
+                raise self._refusal_after(ended, refusal) from refusal
+            ended = self._try(target)
+        return self._conclude(ended)
 
     def finish(self, received: outcomes.Received) -> None:
         """Ends a call whose answer was read to its end."""
@@ -81,16 +85,17 @@
             self._attempt.abandon(received)
         self._release()
 
-    def _acquire(self, excluded: frozenset[str]) -> targets.TargetState:
-        try:
-            return self._queue.acquire(self._call.demand, excluded)
-        except outcomes.RefusedError as refusal:
-            if self.may_have_run:
-                raise outcomes.unknown(
-                    refusal.reason,
-                    f'an earlier try may have run the request; {refusal}',
-                ) from refusal
-            raise
+    def _refusal_after(
+        self,
+        ended: outcomes.Attempt,
+        refusal: outcomes.RefusedError,
+    ) -> outcomes.RefusedError:
+        """Returns what to say when no target is left for another try."""
+        make = outcomes.unknown if self.may_have_run else outcomes.not_run
+        reason = refusal.reason
+        if reason is outcomes.Reason.NO_TARGET:
+            reason = _describe(ended)[1]
+        return make(reason, f'{len(self.tries)} tries failed; {refusal}')
 
     def _try(self, target: targets.TargetState) -> outcomes.Attempt:
         """Runs one try; a target without an answer is released."""
@@ -137,11 +142,13 @@
                 result,
                 reason.value,
                 round(duration, 3),
+                getattr(ended, 'relayed_as', ''),
             ),
         )
         if isinstance(ended, outcomes.Lost):
             self.may_have_run = True
-            if ended.reason is outcomes.Reason.CONNECTION_LOST:
+            is_broken = ended.reason is outcomes.Reason.CONNECTION_LOST
+            if is_broken and not target.is_peer:
                 self._report_broken(target, duration)
 
     def _retries(self, ended: outcomes.Attempt) -> bool:
@@ -162,9 +169,11 @@
         outgoing = self._call.outgoing
         is_idempotent = self._call.demand.service_class.idempotent
         match ended:
-            case outcomes.Received(head, _, _):
+            case outcomes.Received(head):
                 is_resendable = is_idempotent and outgoing.rest is None
-                is_final = head.find(NO_RETRY_HEADER) is not None
+                is_final = bool(ended.relayed_as) or (
+                    head.find(NO_RETRY_HEADER) is not None
+                )
                 return (
                     is_resendable
                     and not is_final
@@ -258,7 +267,9 @@
 
 def _describe(ended: outcomes.Attempt) -> tuple[str, outcomes.Reason]:
     match ended:
-        case outcomes.Received(head, _, _):
+        case outcomes.Received(head):
+            if ended.outcome is not outcomes.Outcome.ANSWERED:
+                return 'received', ended.reason
             if head.status in _UNAVAILABLE:
                 return 'received', outcomes.Reason.TARGET_UNAVAILABLE
             return 'received', outcomes.Reason.NONE
--- a/src/mulberryquay/entry/messages.py
+++ b/src/mulberryquay/entry/messages.py
@@ -42,6 +42,7 @@
 
 _NO_BODY_STATUSES: typing.Final = frozenset((204, 304))
 _FIRST_FINAL_STATUS: typing.Final = 200
+_VERSIONS: typing.Final = frozenset(('1.0', '1.1'))
 _SWITCHING_PROTOCOLS: typing.Final = 101
 
 
@@ -198,9 +199,7 @@
         try:
             self._parser.feed_data(chunk)
         except httptools.HttpParserUpgrade:
-            self._failure = UpgradeNotSupportedError(
-                'protocol upgrades and CONNECT are not supported',
-            )
+            self._failure = MessageError('got an upgrade, expected none')
         except httptools.HttpParserCallbackError as error:
             self._failure = _as_message_error(error.__context__)
         except httptools.HttpParserError as error:
@@ -257,6 +256,13 @@
     def on_headers_complete(self) -> None:
         """Called by the parser."""
         self._check_head_size(len(self._url))
+        version = self._parser.get_http_version()
+        if version not in _VERSIONS:
+            raise MessageError(f'got HTTP/{version}, expected 1.0 or 1.1')
+        if self._parser.should_upgrade():
+            raise UpgradeNotSupportedError(
+                'protocol upgrades and CONNECT are not supported',
+            )
         framing, length = _body_framing(self._headers)
         head = RequestHead(
             self._parser.get_method(),
@@ -265,7 +271,7 @@
             framing,
             length,
             self._parser.should_keep_alive(),
-            self._parser.get_http_version() == '1.0',
+            version == '1.0',
         )
         self._push_head(head)
 
--- a/src/mulberryquay/entry/outcomes.py
+++ b/src/mulberryquay/entry/outcomes.py
@@ -153,12 +153,16 @@
 class Received:
     """The target's answer, or its beginning.
 
-    A ``body`` of None is still on the connection.
+    A ``body`` of None is still on the connection. An answer that another
+    entry relayed has the outcome and reason that it gave.
     """
 
     head: messages.ResponseHead
     link: connections.Link
     body: bytes | None
+    outcome: Outcome = Outcome.ANSWERED
+    reason: Reason = Reason.NONE
+    relayed_as: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/mulberryquay/entry/relays.py
@@ -0,0 +1,108 @@
+"""Other entries as a way to targets that this entry has no share of.
+
+A cold target's allowance may be smaller than the number of entries, and a
+service may have cold targets only, so some entries have no share of any. They
+relay a request to an entry that has one, once at the most.
+"""
+
+from __future__ import annotations
+
+import random
+import typing
+
+from mulberryquay import protocol
+from mulberryquay.coordination import clock, shares
+from mulberryquay.entry import targets
+
+#: Requests that may be relayed to one entry at once.
+MAX_RELAYED: typing.Final = 64
+
+Peers = typing.Sequence[typing.Sequence[str]]
+
+
+@typing.final
+class Relays:
+    """The other live entries, and who has a share of a cold target."""
+
+    def __init__(
+        self,
+        entry: str,
+        view: shares.ShareView,
+        time: clock.Clock,
+        rng: random.Random,
+    ) -> None:
+        """Starts without peers; ``entry`` is this entry's own name."""
+        self._entry = entry
+        self._view = view
+        self._clock = time
+        self._rng = rng
+        self._peers: dict[str, targets.TargetState] = {}
+
+    def update_peers(self, peers: Peers) -> None:
+        """Takes rows of name, region and address of all live entries."""
+        rows = {
+            name: _peer_row(name, region, address)
+            for name, region, address in peers
+            if name != self._entry
+        }
+        for gone in set(self._peers) - set(rows):
+            self._peers.pop(gone).pool.close_idle()
+        for name, row in rows.items():
+            known = self._peers.get(name)
+            if known is None or known.row != row:
+                self._peers[name] = self._new_peer(row)
+
+    def find(
+        self,
+        cold_rows: typing.Sequence[protocol.TargetRow],
+        regions: frozenset[str] | None,
+        excluded: frozenset[str],
+    ) -> targets.TargetState | None:
+        """Returns a peer in ``regions`` with a share of a target, if any."""
+        owners = {owner for row in cold_rows for owner in self._owners_of(row)}
+        candidates = [
+            peer
+            for name, peer in sorted(self._peers.items())
+            if name in owners
+            and name not in excluded
+            and peer.has_room
+            and (regions is None or peer.row.region in regions)
+        ]
+        return self._rng.choice(candidates) if candidates else None
+
+    def _owners_of(self, row: protocol.TargetRow) -> list[str]:
+        members = self._view.committed.members
+        return [
+            member
+            for member in members
+            if shares.share_of(
+                row.allowance,
+                target=row.name,
+                entry=member,
+                members=members,
+            )
+        ]
+
+    def _new_peer(self, row: protocol.TargetRow) -> targets.TargetState:
+        peer = targets.TargetState(row, self._clock)
+        peer.is_peer = True
+        peer.limit = MAX_RELAYED
+        peer.link_limit = MAX_RELAYED
+        return peer
+
+
+def _peer_row(name: str, region: str, address: str) -> protocol.TargetRow:
+    return protocol.TargetRow(
+        name=name,
+        service='',
+        address=address,
+        region=region,
+        domain='',
+        slots=MAX_RELAYED,
+        connections=MAX_RELAYED,
+        incarnation=0,
+        allowance=MAX_RELAYED,
+        is_warm=True,
+        is_leaving=False,
+        shed_statuses=[],
+    )
--- a/src/mulberryquay/entry/state.py
+++ b/src/mulberryquay/entry/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import random
 import typing
 
 from mulberryquay import metrics
@@ -12,7 +13,7 @@
     retry_budget,
     shares,
 )
-from mulberryquay.entry import accounts, balancer, routing
+from mulberryquay.entry import accounts, balancer, relays, routing
 
 #: Resends allowed for each fresh call of a service.
 RETRY_RATIO: typing.Final = 0.1
@@ -111,12 +112,19 @@
         self.metrics = metrics.Metrics(METRICS)
         self.table = routing.RoutingTable({})
         self.view = shares.ShareView(name)
+        self.relays = relays.Relays(
+            name,
+            self.view,
+            self.clock,
+            random.Random(name),
+        )
         self.balancer = balancer.Balancer(
             self.view,
             new_policy,
             self.clock,
             region=region,
             domain=domain,
+            peers=self.relays,
         )
         self.guard = crash_guard.CrashGuard(self.clock)
         self.accounts = accounts.AccountBook()
--- a/src/mulberryquay/entry/targets.py
+++ b/src/mulberryquay/entry/targets.py
@@ -42,6 +42,8 @@
         '_slow_ms',
         '_timeouts',
         'in_flight',
+        'is_peer',
+        'is_shared_out',
         'limit',
         'link_limit',
         'pool',
@@ -65,6 +67,10 @@
         self.limit = 0
         #: Connections that this entry may open to the target.
         self.link_limit = 1
+        #: Whether this is another entry, to which requests are relayed.
+        self.is_peer = False
+        #: Whether it is cold and only other entries have a share of it.
+        self.is_shared_out = False
         #: 0 for the entry's own domain, 1 for its region, 2 for others.
         self.tier = 2
         #: Good answers since the last beat, kept while the target is cold.
@@ -81,11 +87,6 @@
         self._reported = 0.0
         self._reported_at = 0.0
 
-    @property
-    def is_warm(self) -> bool:
-        """Whether the target has shown that it bears all its slots."""
-        return self.row.allowance >= self.row.slots
-
     @property
     def latency_ms(self) -> float:
         """The fast average of the answers' latency, 0 before the first."""
@@ -112,7 +113,7 @@
         self._failures = 0
         self._timeouts = 0
         self.suspended_until = 0
-        if not self.is_warm:
+        if not self.row.is_warm:
             self.served += 1
         if reported is not None:
             self._reported = max(0.0, reported - self.in_flight)
--- a/src/mulberryquay/protocol.py
+++ b/src/mulberryquay/protocol.py
@@ -19,8 +19,11 @@
     domain: str
     #: Where the entry answers account queries, as ``host:port``.
     admin_address: str
+    #: Where the entry takes requests from other entries, as ``host:port``.
+    peer_address: str
     #: What the entry knows of targets, for a control host that restarted.
-    known_targets: list[tuple[str, int, int]]
+    #: Name, incarnation, allowance and whether it is warm.
+    known_targets: list[tuple[str, int, int, bool]]
 
 
 class ConfigSlice(typing.NamedTuple):
@@ -55,6 +58,8 @@
     incarnation: int
     #: Calls that the target may run at once now, over all entries.
     allowance: int
+    #: Whether the target has shown that it bears all its slots.
+    is_warm: bool
     is_leaving: bool
     #: Status codes that say the target refused before running the call.
     shed_statuses: list[int]
@@ -84,6 +89,13 @@
     members: list[str]
 
 
+class PeersChanged(typing.NamedTuple):
+    """The live entries to which requests can be relayed."""
+
+    #: Rows of name, region and ``host:port``.
+    peers: list[list[str]]
+
+
 class Beat(typing.NamedTuple):
     """An entry's regular report; answered by `BeatAnswer`."""
 
@@ -125,6 +137,12 @@
     duration_ms: int
 
 
+class Leaving(typing.NamedTuple):
+    """The entry began to stop: it takes no share of targets any more."""
+
+    entry: str
+
+
 class Goodbye(typing.NamedTuple):
     """Last message of an entry that stopped with nothing in flight."""
 
@@ -139,11 +157,13 @@
         TargetsChanged,
         EntriesProposed,
         EntriesCommitted,
+        PeersChanged,
         Beat,
         BeatAnswer,
         TargetBroken,
         RequestCleared,
         RequestBlocked,
+        Leaving,
         Goodbye,
     ),
 )
--- /dev/null
+++ b/testing/control/test_api.py
@@ -0,0 +1,211 @@
+"""Tests of the resource API: bad input, races, watches, announcements."""
+
+from __future__ import annotations
+
+import itertools
+import typing
+import unittest
+
+import gevent
+
+from mulberryquay.commands import api_client
+from testing import fixtures
+
+CASE: typing.Final = unittest.TestCase()
+
+_GOOD_TARGET: typing.Final = {
+    'name': 't',
+    'service': 's',
+    'address': '127.0.0.1:80',
+    'region': 'r',
+    'domain': 'd',
+    'slots': 2,
+    'connections': 10,
+    'incarnation': 5,
+}
+
+#: Method, path, body, and the code of the error.
+BAD_REQUESTS: typing.Final[tuple[tuple[str, str, typing.Any, str], ...]] = (
+    ('PUT', '/v1/services/a', None, 'invalid-input'),
+    ('PUT', '/v1/services/a', [], 'invalid-input'),
+    ('PUT', '/v1/services/a', {'version': 1}, 'invalid-input'),
+    ('PUT', '/v1/services/a', {'version': 0, 'spec': {}}, 'invalid-input'),
+    ('PUT', '/v1/services/a', {'version': True, 'spec': {}}, 'invalid-input'),
+    ('PUT', '/v1/services/a', {'version': 1.5, 'spec': {}}, 'invalid-input'),
+    ('PUT', '/v1/services/a', {'version': 1, 'spec': []}, 'invalid-resource'),
+    (
+        'PUT',
+        '/v1/services/a',
+        {'version': 1, 'spec': {'x': 1}},
+        'invalid-resource',
+    ),
+    (
+        'PUT',
+        '/v1/services/a',
+        {'version': 1, 'spec': {'timeout_ms': 0}},
+        'invalid-resource',
+    ),
+    (
+        'PUT',
+        '/v1/services/a',
+        {'version': 1, 'spec': {'timeout_ms': 'x'}},
+        'invalid-resource',
+    ),
+    (
+        'PUT',
+        '/v1/services/UPPER',
+        {'version': 1, 'spec': {}},
+        'invalid-resource',
+    ),
+    (
+        'PUT',
+        '/v1/failure-domains/a',
+        {'version': 1, 'spec': {}},
+        'invalid-resource',
+    ),
+    (
+        'PUT',
+        '/v1/failure-domains/a',
+        {'version': 1, 'spec': {'region': 'r', 'state': 'half'}},
+        'invalid-resource',
+    ),
+    (
+        'PUT',
+        '/v1/routes/a',
+        {'version': 1, 'spec': {'path_prefix': 'x', 'service': 's'}},
+        'invalid-resource',
+    ),
+    (
+        'PUT',
+        '/v1/client-accounts/a',
+        {'version': 1, 'spec': {'home_regions': ['r', 'r']}},
+        'invalid-resource',
+    ),
+    ('PUT', '/v1/targets/a', {'version': 1, 'spec': {}}, 'read-only-kind'),
+    ('PUT', '/v1/nonsense/a', {'version': 1, 'spec': {}}, 'unknown-part'),
+    ('GET', '/v1/nonsense', None, 'unknown-part'),
+    ('GET', '/v1/services/none', None, 'not-found'),
+    ('GET', '/v1/targets/none', None, 'unknown-target'),
+    ('GET', '/v1/services?watch=1&since=x', None, 'invalid-input'),
+    ('GET', '/v1/services?watch=1&since=999', None, 'revision-compacted'),
+    ('GET', '/v1/revisions/999', None, 'not-found'),
+    ('GET', '/nothing', None, 'unknown-path'),
+    ('DELETE', '/v1/services/none?version=1', None, 'not-found'),
+    ('DELETE', '/v1/services/none', None, 'invalid-input'),
+    ('PATCH', '/v1/services/none', None, 'method-not-allowed'),
+    ('POST', '/v1/announcements', {}, 'invalid-resource'),
+    (
+        'POST',
+        '/v1/announcements',
+        {**_GOOD_TARGET, 'address': 'host:80'},
+        'invalid-resource',
+    ),
+    (
+        'POST',
+        '/v1/announcements',
+        {**_GOOD_TARGET, 'slots': 0},
+        'invalid-resource',
+    ),
+    ('PUT', '/v1/announcements/none', {'incarnation': 1}, 'unknown-target'),
+    ('PUT', '/v1/announcements/none', {}, 'invalid-input'),
+    ('DELETE', '/v1/announcements/none?incarnation=1', None, 'unknown-target'),
+)
+
+
+def _code_of(client: api_client.ApiClient, *request: typing.Any) -> str:
+    try:
+        client.call(*request)
+    except api_client.ApiRefusedError as error:
+        CASE.assertTrue(400 <= error.status < 500, request)
+        return error.api_code
+    return 'accepted'
+
+
+def test_bad_input_gets_a_typed_error() -> None:
+    """Never a traceback, and nothing is accepted."""
+    with fixtures.control() as control:
+        for method, path, body, code in BAD_REQUESTS:
+            got = _code_of(control.client, method, path, body)
+            CASE.assertEqual(got, code, f'{method} {path} {body}')
+        CASE.assertEqual(control.daemon.store.revision, 0)
+
+
+def test_answers_are_not_mixed_up_between_requests_that_meet() -> None:
+    """Bottle keeps the request in a thread local; see web.new_app."""
+    with fixtures.control() as control:
+        for number in range(20):
+            control.put('services', f's{number}', timeout_ms=1000 + number)
+
+        def read(number: int) -> None:
+            client = api_client.ApiClient(control.api)
+            for _repeat in range(10):
+                spec = client.call('GET', f'/v1/services/s{number}')['spec']
+                CASE.assertEqual(spec['timeout_ms'], 1000 + number)
+                announcement = {**_GOOD_TARGET, 'name': f't{number}'}
+                row = client.call('POST', '/v1/announcements', announcement)
+                CASE.assertEqual(row['name'], f't{number}')
+
+        tasks = [gevent.spawn(read, number) for number in range(20)]
+        gevent.joinall(tasks, raise_error=True)
+
+
+def test_racing_operators_have_one_winner() -> None:
+    """Equal version numbers; the losers get a typed conflict."""
+    with fixtures.control() as control:
+
+        def race(number: int) -> str:
+            body = {'version': 1, 'spec': {'timeout_ms': number + 1}}
+            client = api_client.ApiClient(control.api)
+            return _code_of(client, 'PUT', '/v1/services/s', body)
+
+        tasks = [gevent.spawn(race, number) for number in range(6)]
+        gevent.joinall(tasks, raise_error=True)
+        codes = sorted(task.value for task in tasks)
+        CASE.assertEqual(codes, ['accepted'] + ['version-conflict'] * 5)
+
+
+def test_watch_shows_each_change_once_in_order() -> None:
+    """Also those made between the listing and the watch."""
+    with fixtures.control() as control:
+        control.put('services', 'a')
+        listed = control.client.call('GET', '/v1/services')['revision']
+        control.put('services', 'b')
+        control.put('failure-domains', 'd', region='r')
+        control.put('services', 'c')
+        watcher = api_client.ApiClient(control.api)
+        path = f'/v1/services?watch=1&since={listed}'
+        names = [
+            change['name']
+            for change in itertools.islice(watcher.stream(path), 2)
+        ]
+        CASE.assertEqual(names, ['b', 'c'])
+
+
+def test_announcement_lives_by_its_lease() -> None:
+    """Late messages of an earlier run change nothing."""
+    with fixtures.control(target_lease_ms=1000) as control:
+        call = control.client.call
+        announce = ('POST', '/v1/announcements')
+        call(*announce, _GOOD_TARGET)
+        stale = {**_GOOD_TARGET, 'incarnation': 4}
+        CASE.assertEqual(
+            _code_of(control.client, *announce, stale),
+            'stale-incarnation',
+        )
+        control.daemon.targets.record_served('t', 4)
+        CASE.assertEqual(call('GET', '/v1/targets/t')['allowance'], 2)
+        restarted = {**_GOOD_TARGET, 'incarnation': 6}
+        CASE.assertEqual(call(*announce, restarted)['allowance'], 1)
+        left = call('DELETE', '/v1/announcements/t?incarnation=6')
+        CASE.assertTrue(left['is_leaving'])
+        fixtures.wait_until(lambda: not call('GET', '/v1/targets')['items'])
+        CASE.assertEqual(
+            _code_of(control.client, *announce, restarted),
+            'stale-incarnation',
+        )
+        changes = control.client.stream('/v1/targets?watch=1&since=0')
+        reasons = [change['reason'] for change in itertools.islice(changes, 5)]
+        CASE.assertEqual(
+            reasons,
+            ['announced', 'allowance', 'restarted', 'leaving', 'left'],
+        )
--- a/testing/coordination/test_limits.py
+++ b/testing/coordination/test_limits.py
@@ -26,7 +26,9 @@
     for _answer in range(60):
         if growth.record_served(1):
             seen.append(growth.current)
-    CASE.assertEqual(seen, [1, 2, 4, 6])
+    # The last step proves that the target bears all its slots.
+    CASE.assertEqual(seen, [1, 2, 4, 6, 6])
+    CASE.assertTrue(growth.is_warm)
 
 
 @property_settings
--- /dev/null
+++ b/testing/entry/test_admission.py
@@ -0,0 +1,210 @@
+"""Tests of what an entry refuses before a target is chosen."""
+
+from __future__ import annotations
+
+import typing
+import unittest
+
+from mulberryquay.standin import target
+from testing import fixtures
+
+CASE: typing.Final = unittest.TestCase()
+
+_GET: typing.Final = b'GET /stock/x HTTP/1.1\r\nHost: t\r\n'
+_POST: typing.Final = b'POST /stock/x HTTP/1.1\r\nHost: t\r\n'
+
+#: Requests that two parsers might read in two ways, or that pass a limit.
+REFUSED: typing.Final = (
+    (
+        _POST + b'Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n',
+        400,
+    ),
+    (_POST + b'Content-Length: 5\r\nContent-Length: 6\r\n\r\nabcdef', 400),
+    (_POST + b'Content-Length: 5\r\nContent-Length: 5\r\n\r\nabcde', 400),
+    (_POST + b'Content-Length: +5\r\n\r\nabcde', 400),
+    (_POST + b'Content-Length: -1\r\n\r\n', 400),
+    (_POST + b'Content-Length: 5, 5\r\n\r\nabcde', 400),
+    (_POST + b'Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n', 400),
+    (_POST + b'Transfer-Encoding: chunked\r\n\r\n-1\r\nabc\r\n0\r\n\r\n', 400),
+    (_POST + b'Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n', 501),
+    (_POST + b'Transfer-Encoding: identity\r\n\r\n', 501),
+    (
+        _POST + b'Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n'
+        b'\r\n0\r\n\r\n',
+        400,
+    ),
+    (_GET + b'Bad Header: x\r\n\r\n', 400),
+    (_GET + b'X: a\r\n b\r\n\r\n', 400),
+    (b'GET /stock/x\r\n\r\n', 400),
+    (b'\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03' + b'\x00' * 50, 400),
+    (_GET + b'X: ' + b'a' * 40_000 + b'\r\n\r\n', 431),
+    (_GET + b'X: ' + b'a' * 200_000, 431),
+    (_GET + b'Connection: upgrade\r\nUpgrade: websocket\r\n\r\n', 501),
+    (b'CONNECT a:1 HTTP/1.1\r\nHost: a:1\r\n\r\n', 501),
+    (_POST + b'Content-Length: 999999999999\r\n\r\n', 413),
+    (_GET + b'Mulberryquay-Depth: 30\r\n\r\n', 508),
+    (_GET + b'Mulberryquay-Depth: x\r\n\r\n', 400),
+    (_GET + b'Mulberryquay-Account: nobody\r\n\r\n', 403),
+)
+
+
+def test_ambiguous_and_oversized_requests_are_refused_as_not_run() -> None:
+    """None of them reaches a target, and each has its status."""
+    with fixtures.control() as control, fixtures.entry(control) as entry:
+        control.declare()
+        with fixtures.target_of(control, 'stock-a') as stock:
+            fixtures.wait_for_targets(entry, 'stock-a')
+            for raw, status in REFUSED:
+                response = fixtures.send(entry.port, raw)
+                CASE.assertEqual(response.status, status, raw[:90])
+                CASE.assertIn('not-run', response.outcome, raw[:90])
+            CASE.assertFalse(stock.runs)
+            CASE.assertEqual(fixtures.ask(entry, '/stock/x').status, 200)
+
+
+def test_routes_match_whole_segments_and_the_longest_prefix() -> None:
+    """``/stock`` serves ``/stock/x`` but not ``/stocks``."""
+    with fixtures.control() as control, fixtures.entry(control) as entry:
+        control.declare('stock')
+        control.declare('rolls', route={'path_prefix': '/stock/rolls'})
+        control.wait_in_force()
+        find = entry.state.table.find_route
+        CASE.assertEqual(find('/stock').name, 'stock')
+        CASE.assertEqual(find('/stock/x/y?z=/stock/rolls').name, 'stock')
+        CASE.assertEqual(find('/stock/rolls/7').name, 'rolls')
+        for path in ('/stocks', '/', '*'):
+            CASE.assertEqual(
+                fixtures.ask(entry, path).outcome,
+                'not-run/no-route',
+            )
+
+
+def test_own_headers_of_a_caller_are_not_believed() -> None:
+    """A caller cannot choose its request's id or forge an outcome."""
+    seen = {}
+
+    def look(request: target.Received) -> target.Answer:
+        seen.update(dict(request.head.headers))
+        forged = [(b'mulberryquay-outcome', b'not-run')]
+        return target.Answer(headers=forged)
+
+    with fixtures.control() as control, fixtures.entry(control) as entry:
+        control.declare()
+        with fixtures.target_of(control, 'stock-a', look):
+            fixtures.wait_for_targets(entry, 'stock-a')
+            response = fixtures.ask(
+                entry,
+                '/stock/x',
+                headers={
+                    'Mulberryquay-Request-Id': 'forged',
+                    'Connection': 'keep-alive, X-Secret',
+                    'X-Secret': 'hop',
+                    'X-Kept': 'yes',
+                },
+            )
+    CASE.assertEqual(response.outcome, 'answered/none')
+    CASE.assertNotEqual(seen[b'mulberryquay-request-id'], b'forged')
+    CASE.assertNotIn(b'x-secret', seen)
+    CASE.assertEqual(seen[b'x-kept'], b'yes')
+    CASE.assertEqual(seen[b'mulberryquay-depth'], b'1')
+
+
+def test_request_outside_its_home_regions_is_refused_unread() -> None:
+    """The refusal names the home regions and comes before the body."""
+    with fixtures.control() as control, fixtures.entry(control) as entry:
+        control.declare('order', route={'home_regions': ['south']})
+        control.wait_in_force()
+        head = (
+            b'POST /order/1 HTTP/1.1\r\nHost: t\r\nContent-Length: 9\r\n'
+            b'Expect: 100-continue\r\n\r\n'
+        )
+        response = fixtures.send(entry.port, head)
+        CASE.assertEqual(response.status, 421)
+        CASE.assertEqual(response.outcome, 'not-run/outside-home-regions')
+        CASE.assertEqual(
+            response.headers['mulberryquay-home-regions'],
+            'south',
+        )
+
+
+def test_region_rule_holds_in_retries_and_spill() -> None:
+    """A target outside the home regions gets nothing, even as the last."""
+    with fixtures.control() as control, fixtures.entry(control) as entry:
+        control.declare(
+            'order',
+            service_class={'idempotent': True},
+            route={'home_regions': ['north', 'south']},
+        )
+        control.put('client-accounts', 'parish', home_regions=['north'])
+        broken = lambda _request: target.Answer(raw=b'')  # noqa: E731
+        with (
+            fixtures.target_of(control, 'n', broken, service='order'),
+            fixtures.target_of(
+                control,
+                's',
+                service='order',
+                region='south',
+                domain='south-1',
+            ) as south,
+            fixtures.target_of(
+                control,
+                'c',
+                service='order',
+                region='central',
+                domain='central-1',
+            ) as central,
+        ):
+            fixtures.wait_for_targets(entry, 'n', 's', 'c')
+            control.wait_in_force()
+            by_route = fixtures.ask(entry, '/order/1')
+            CASE.assertEqual(by_route.outcome, 'answered/none')
+            CASE.assertEqual(sum(south.runs.values()), 1)
+            by_account = fixtures.ask(
+                entry,
+                '/order/2',
+                headers={'Mulberryquay-Account': 'parish'},
+            )
+            CASE.assertEqual(by_account.outcome, 'unknown/connection-lost')
+            CASE.assertEqual(sum(south.runs.values()), 1)
+            CASE.assertFalse(central.runs)
+
+
+def test_account_limit_refuses_with_a_time_to_come_back() -> None:
+    """A noisy neighbour is held to its own limit."""
+    with fixtures.control() as control, fixtures.entry(control) as entry:
+        control.declare()
+        control.put('client-accounts', 'noisy', max_in_flight=0)
+        control.wait_in_force()
+        response = fixtures.ask(
+            entry,
+            '/stock/x',
+            headers={'Mulberryquay-Account': 'noisy'},
+        )
+        CASE.assertEqual(response.status, 429)
+        CASE.assertEqual(response.outcome, 'not-run/account-limit')
+        CASE.assertIn('retry-after', response.headers)
+
+
+def test_configuration_that_nobody_vouches_for_is_not_used() -> None:
+    """Cut off from control, an entry refuses; settable to serve on."""
+    with fixtures.control() as control:
+        with (
+            fixtures.entry(control) as refusing,
+            fixtures.entry(control, 'e2', stale_config='serve') as serving,
+        ):
+            control.declare()
+            with fixtures.target_of(control, 'stock-a'):
+                for entry in (refusing, serving):
+                    fixtures.wait_for_targets(entry, 'stock-a')
+                control.wait_in_force()
+                control.daemon.cut_feed()
+                fixtures.wait_until(lambda: not refusing.state.is_fresh)
+                fixtures.wait_until(lambda: not serving.state.is_fresh)
+                CASE.assertEqual(
+                    fixtures.ask(refusing, '/stock/x').outcome,
+                    'not-run/stale-configuration',
+                )
+                CASE.assertEqual(
+                    fixtures.ask(serving, '/stock/x').outcome,
+                    'answered/none',
+                )
--- /dev/null
+++ b/testing/entry/test_balancer.py
@@ -0,0 +1,229 @@
+"""Tests of limits, queues, cold targets and relays over several entries."""
+
+from __future__ import annotations
+
+import contextlib
+import typing
+import unittest
+from unittest import mock
+
+import gevent
+
+from mulberryquay.coordination import allowance, clock
+from mulberryquay.entry import daemon, targets
+from mulberryquay.standin import target
+from testing import fixtures
+
+CASE: typing.Final = unittest.TestCase()
+
+
+def _sleeping(milliseconds: int) -> target.Handler:
+    def handle(request: target.Received) -> target.Answer:
+        gevent.sleep(milliseconds / 1000)
+        return target.Answer(body=request.head.path)
+
+    return handle
+
+
+def _keep_asking(
+    entries: list[daemon.EntryDaemon],
+    number: int,
+    stopped: list[bool],
+    seen: list[str],
+) -> None:
+    turn = number
+    while not stopped:
+        turn += 1
+        if entries:
+            asked = entries[turn % len(entries)]
+            with contextlib.suppress(OSError):
+                seen.append(fixtures.ask(asked, '/stock/x').outcome)
+        gevent.sleep(0.001)
+
+
+def test_cold_target_never_runs_more_than_it_bears() -> None:
+    """Entries join and leave while all of them have callers."""
+    with fixtures.control() as control, contextlib.ExitStack() as stack:
+        control.declare(service_class={'idempotent': True})
+        # The allowance stays at 1, as for a target that has just started.
+        stack.enter_context(
+            mock.patch.object(allowance.Allowance, 'record_served'),
+        ).return_value = False
+        stock = stack.enter_context(
+            fixtures.target_of(control, 'stock-a', _sleeping(3), warm=False),
+        )
+        entries = [
+            stack.enter_context(fixtures.entry(control, f'e{number}'))
+            for number in range(4)
+        ]
+        stopped: list[bool] = []
+        seen: list[str] = []
+        callers = [
+            gevent.spawn(_keep_asking, entries, number, stopped, seen)
+            for number in range(8)
+        ]
+        for number in range(6):
+            with fixtures.entry(control, f'visitor-{number}') as visitor:
+                entries.append(visitor)
+                gevent.sleep(0.1)
+                entries.remove(visitor)
+        stopped.append(True)
+        gevent.joinall(callers, raise_error=True)
+        CASE.assertEqual(stock.max_in_flight, 1)
+        CASE.assertGreater(seen.count('answered/none'), 50)
+
+
+def test_cold_target_warms_up_by_served_work() -> None:
+    """The control host raises the allowance for all entries."""
+    with (
+        fixtures.control() as control,
+        fixtures.entry(control) as entry,
+        fixtures.target_of(control, 'stock-a', slots=4, warm=False),
+    ):
+        control.declare()
+        control.wait_in_force()
+        fixtures.wait_for_targets(entry, 'stock-a')
+        known = entry.state.balancer.all_targets['stock-a']
+        CASE.assertEqual(known.limit, 1)
+
+        def is_warm() -> bool:
+            fixtures.ask(entry, '/stock/x')
+            return known.row.is_warm
+
+        fixtures.wait_until(is_warm)
+        CASE.assertGreaterEqual(known.limit, 4)
+
+
+def test_entry_without_a_share_relays_once() -> None:
+    """The only target is cold and belongs to the other entry."""
+    with (
+        fixtures.control() as control,
+        fixtures.entry(control, 'e1') as first,
+        fixtures.entry(control, 'e2') as second,
+        fixtures.target_of(control, 'stock-a', warm=False),
+    ):
+        control.declare()
+        control.wait_in_force()
+        entries = (first, second)
+        known = [one.state.balancer.all_targets for one in entries]
+        fixtures.wait_until(
+            lambda: (
+                all('stock-a' in one for one in known)
+                and sum(one['stock-a'].limit for one in known) == 1
+            ),
+        )
+        answers = [fixtures.ask(one, '/stock/x') for one in entries]
+        CASE.assertEqual(
+            [answer.outcome for answer in answers],
+            ['answered/none'] * 2,
+        )
+        accounts = [
+            fixtures.account_of(one, answer)
+            for one, answer in zip(entries, answers, strict=True)
+        ]
+        relayed = [one for one in accounts if one['tries'][0]['relayed_as']]
+        CASE.assertEqual(len(relayed), 1)
+        CASE.assertIn(relayed[0]['tries'][0]['target'], ('e1', 'e2'))
+
+
+def test_overload_sheds_deferrable_work_first() -> None:
+    """Far more than the queue holds arrives at once."""
+    with fixtures.control() as control, fixtures.entry(control) as entry:
+        control.declare('stock', max_queue=80)
+        control.put('service-classes', 'order', value=90)
+        control.put('service-classes', 'sheet', deferrable=True, value=99)
+        for name in ('order', 'sheet'):
+            control.put(
+                'routes',
+                name,
+                path_prefix=f'/{name}',
+                service='stock',
+                service_class=name,
+            )
+        with fixtures.target_of(control, 'a', _sleeping(5), slots=2):
+            fixtures.wait_for_targets(entry, 'a')
+            control.wait_in_force()
+            paths = ['/sheet/x', '/sheet/y', '/order/x'] * 60
+            tasks = [gevent.spawn(fixtures.ask, entry, path) for path in paths]
+            gevent.joinall(tasks, raise_error=True)
+    by_class: dict[str, list[str]] = {'/order': [], '/sheet': []}
+    for path, task in zip(paths, tasks, strict=True):
+        by_class[path[:6]].append(task.value.outcome)
+        if task.value.status == 503:
+            CASE.assertIn('retry-after', task.value.headers)
+    CASE.assertEqual(set(by_class['/order']), {'answered/none'})
+    CASE.assertIn('not-run/overloaded', by_class['/sheet'])
+
+
+def test_nearest_domain_is_preferred_and_spilled_from() -> None:
+    """Another domain serves once the near target has no room."""
+    with fixtures.control() as control, fixtures.entry(control) as entry:
+        control.declare()
+        with (
+            fixtures.target_of(control, 'near', _sleeping(30), slots=1) as near,
+            fixtures.target_of(
+                control,
+                'far',
+                _sleeping(30),
+                slots=4,
+                domain='north-2',
+            ) as far,
+        ):
+            fixtures.wait_for_targets(entry, 'near', 'far')
+            fixtures.ask(entry, '/stock/x')
+            CASE.assertFalse(far.runs)
+            tasks = [
+                gevent.spawn(fixtures.ask, entry, '/stock/x')
+                for _number in range(6)
+            ]
+            gevent.joinall(tasks, raise_error=True)
+            CASE.assertTrue(far.runs)
+            CASE.assertLessEqual(near.max_in_flight, 2)
+
+
+def test_domain_taken_out_gets_no_new_work_and_finishes_its_own() -> None:
+    """In-flight calls of the domain end well; later ones go elsewhere."""
+    with fixtures.control() as control, fixtures.entry(control) as entry:
+        control.declare()
+        control.put('failure-domains', 'north-1', region='north')
+        with (
+            fixtures.target_of(control, 'out', _sleeping(100)) as out,
+            fixtures.target_of(control, 'in', domain='north-2'),
+        ):
+            fixtures.wait_for_targets(entry, 'out', 'in')
+            running = gevent.spawn(fixtures.ask, entry, '/stock/x')
+            fixtures.wait_until(lambda: out.in_flight)
+            control.put(
+                'failure-domains',
+                'north-1',
+                2,
+                region='north',
+                state='out',
+            )
+            control.wait_in_force()
+            before = sum(out.runs.values())
+            for _number in range(5):
+                answer = fixtures.ask(entry, '/stock/x')
+                CASE.assertEqual(fixtures.parse_json(answer)['target'], 'in')
+            CASE.assertEqual(sum(out.runs.values()), before)
+            CASE.assertEqual(running.get().outcome, 'answered/none')
+
+
+def test_target_that_turned_cold_again_is_noticed() -> None:
+    """Three answers far above its usual latency report it as slow."""
+    time = clock.ManualClock()
+    row = _warm_row()
+    known = targets.TargetState(row, time)
+    for _answer in range(50):
+        known.record_answer(5, reported=1)
+    CASE.assertFalse(known.shed)
+    for _answer in range(6):
+        known.record_answer(200, reported=1)
+    CASE.assertTrue(known.shed)
+
+
+def _warm_row() -> typing.Any:
+    """Returns the row of a warm target."""
+    with fixtures.control() as control:
+        with fixtures.target_of(control, 'stock-a'):
+            return control.daemon.targets.get('stock-a')
--- /dev/null
+++ b/testing/entry/test_outcomes.py
@@ -0,0 +1,353 @@
+"""Every way a target can fail, for each sort of service class."""
+
+from __future__ import annotations
+
+import typing
+import unittest
+
+import gevent
+from gevent import socket
+
+from mulberryquay.coordination import errors
+from mulberryquay.standin import target
+from testing import fixtures
+
+CASE: typing.Final = unittest.TestCase()
+
+_WHOLE: typing.Final = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+
+
+class Failure(typing.NamedTuple):
+    """A way to fail, and what the caller must be told of it."""
+
+    name: str
+    raw: bytes
+    #: Expected when the class is idempotent and another target is good.
+    idempotent: str
+    #: Expected for a class that must run at most once.
+    at_most_once: str
+
+
+_LOST: typing.Final = 'unknown/connection-lost'
+_BAD: typing.Final = 'unknown/malformed-answer'
+_OK: typing.Final = 'answered/none'
+
+FAILURES: typing.Final = (
+    Failure('closes without an answer', b'', _OK, _LOST),
+    Failure('closes in the head', b'HTTP/1.1 200 OK\r\nCont', _OK, _LOST),
+    Failure(
+        'closes in a small body',
+        b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort',
+        _OK,
+        _LOST,
+    ),
+    Failure('sends no HTTP', b'what is this\r\n\r\n', _OK, _BAD),
+    Failure(
+        'sends two lengths',
+        b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab',
+        _OK,
+        _BAD,
+    ),
+    Failure(
+        'sends a length and chunks',
+        b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n'
+        b'Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n',
+        _OK,
+        _BAD,
+    ),
+    Failure(
+        'switches protocols unasked',
+        b'HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n',
+        _OK,
+        _BAD,
+    ),
+    Failure(
+        'says that it did not run the request',
+        b'HTTP/1.1 503 Busy\r\nMulberryquay-Not-Run: 1\r\n'
+        b'Content-Length: 0\r\n\r\n',
+        _OK,
+        _OK,
+    ),
+    Failure(
+        'is unavailable, which proves nothing',
+        b'HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n',
+        _OK,
+        'answered/none 503',
+    ),
+    Failure(
+        'answers twice',
+        _WHOLE + _WHOLE,
+        _OK,
+        _OK,
+    ),
+)
+
+
+def _raw_handler(raw: bytes) -> target.Handler:
+    return lambda _request: target.Answer(raw=raw)
+
+
+def _declare(control: fixtures.Control) -> None:
+    control.declare('read', service_class={'idempotent': True})
+    control.declare('order', service_class={'idempotent': False})
+
+
+def test_every_failure_has_its_true_outcome() -> None:
+    """A bad target is tried first, a good one stands by."""
+    with fixtures.control() as control, fixtures.entry(control) as entry:
+        _declare(control)
+        for failure in FAILURES:
+            for service in ('read', 'order'):
+                _check_failure(control, entry, service, failure)
+
+
+def _check_failure(
+    control: fixtures.Control,
+    entry: typing.Any,
+    service: str,
+    failure: Failure,
+) -> None:
+    for _fresh_call in range(20):
+        entry.state.budget_for(service).deposit()
+    bad_handler = _raw_handler(failure.raw)
+    with (
+        # The bad one is nearer, so it is the first to be tried.
+        fixtures.target_of(
+            control,
+            'bad',
+            bad_handler,
+            service=service,
+            domain='north-1',
+        ) as bad,
+        fixtures.target_of(
+            control,
+            'good',
+            service=service,
+            domain='north-2',
+        ) as good,
+    ):
+        fixtures.wait_for_targets(entry, 'bad', 'good')
+        response = fixtures.ask(
+            entry, f'/{service}/x', method='POST', body=b'b'
+        )
+        runs = sum(bad.runs.values()) + sum(good.runs.values())
+    is_idempotent = service == 'read'
+    expected = failure.idempotent if is_idempotent else failure.at_most_once
+    got = response.outcome
+    if ' ' in expected:
+        got = f'{got} {response.status}'
+    CASE.assertEqual(got, expected, f'{service}: target {failure.name}')
+    is_shed = b'Not-Run' in failure.raw
+    if not is_idempotent and not is_shed:
+        CASE.assertEqual(runs, 1, f'target {failure.name}')
+
+
+def test_refused_connection_is_not_run_and_tried_elsewhere() -> None:
+    """Nothing was sent, so even an order may go to another target."""
+    with fixtures.control() as control, fixtures.entry(control) as entry:
+        _declare(control)
+        with fixtures.target_of(control, 'gone', service='order') as gone:
+            fixtures.wait_for_targets(entry, 'gone')
+            gone.stop()
+            alone = fixtures.ask(entry, '/order/1', method='POST', body=b'b')
+            CASE.assertEqual(alone.outcome, 'not-run/connect-failed')
+            with fixtures.target_of(
+                control,
+                'good',
+                service='order',
+                domain='north-2',
+            ):
+                fixtures.wait_for_targets(entry, 'good')
+                both = fixtures.ask(entry, '/order/2', method='POST', body=b'b')
+                CASE.assertEqual(both.outcome, 'answered/none')
+
+
+def test_stalled_target_ends_as_unknown_at_the_deadline() -> None:
+    """The answer may still come, so the connection is not used again."""
+
+    def stall(request: target.Received) -> target.Answer:
+        if request.head.path.endswith(b'slow'):
+            gevent.sleep(0.3)
+        return target.Answer(body=request.head.path)
+
+    with fixtures.control() as control, fixtures.entry(control) as entry:
+        _declare(control)
+        with fixtures.target_of(control, 'slow', stall, service='order'):
+            fixtures.wait_for_targets(entry, 'slow')
+            late = fixtures.ask(
+                entry,
+                '/order/slow',
+                headers={'Mulberryquay-Timeout-Ms': '50'},
+            )
+            CASE.assertEqual(late.status, 504)
+            CASE.assertEqual(late.outcome, 'unknown/deadline')
+            for number in range(20):
+                path = f'/order/{number}'
+                answer = fixtures.ask(entry, path)
+                CASE.assertEqual(answer.body.decode(), path)
+
+
+def test_answers_out_of_order_reach_their_own_callers() -> None:
+    """Slow and fast requests share targets and connections."""
+
+    def echo(request: target.Received) -> target.Answer:
+        number = int(request.head.path.rpartition(b'/')[2])
+        gevent.sleep(0.002 * (number * 7 % 11))
+        return target.Answer(body=request.head.path + request.body)
+
+    with fixtures.control() as control, fixtures.entry(control) as entry:
+        _declare(control)
+        with fixtures.target_of(control, 'echo', echo, service='read'):
+            fixtures.wait_for_targets(entry, 'echo')
+
+            def ask(number: int) -> None:
+                body = b'x' * (number * 997)
+                path = f'/read/{number}'
+                answer = fixtures.ask(entry, path, method='POST', body=body)
+                CASE.assertEqual(answer.body, path.encode() + body)
+
+            tasks = [gevent.spawn(ask, number) for number in range(120)]
+            gevent.joinall(tasks, raise_error=True)
+
+
+def test_long_answer_cut_short_resets_the_caller() -> None:
+    """It must never look whole, whatever its framing."""
+    beginnings = (
+        b'Content-Length: 200000\r\n\r\n' + b'x' * 100_000,
+        b'Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n',
+    )
+    with fixtures.control() as control, fixtures.entry(control) as entry:
+        _declare(control)
+        for beginning in beginnings:
+            raw = b'HTTP/1.1 200 OK\r\n' + beginning
+            with fixtures.target_of(
+                control,
+                'cut',
+                _raw_handler(raw),
+                service='read',
+            ):
+                fixtures.wait_for_targets(entry, 'cut')
+                with CASE.assertRaises((OSError, errors.MulberryquayError)):
+                    fixtures.ask(entry, '/read/x')
+        CASE.assertEqual(
+            entry.state.metrics.read(
+                'mulberryquay_requests_total',
+                'unknown',
+                'answer-cut-short',
+            ),
+            2,
+        )
+
+
+def test_large_bodies_pass_both_ways_while_streaming() -> None:
+    """An echo of 8 MB needs both directions at once."""
+    with fixtures.control() as control, fixtures.entry(control) as entry:
+        _declare(control)
+        with fixtures.target_of(
+            control,
+            'echo',
+            lambda request: target.Answer(body=request.body),
+            service='read',
+        ):
+            fixtures.wait_for_targets(entry, 'echo')
+            body = bytes(range(256)) * 4096 * 8
+            answer = fixtures.ask(entry, '/read/x', method='POST', body=body)
+            CASE.assertEqual(answer.outcome, 'answered/none')
+            CASE.assertEqual(answer.body, body)
+
+
+def test_chunked_request_reaches_the_target_whole() -> None:
+    """Chunks are re-framed, and pipelined requests keep their order."""
+    raw = (
+        b'POST /read/1 HTTP/1.1\r\nHost: t\r\nTransfer-Encoding: chunked\r\n'
+        b'\r\n5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n'
+        b'GET /read/2 HTTP/1.1\r\nHost: t\r\nConnection: close\r\n\r\n'
+    )
+    with fixtures.control() as control, fixtures.entry(control) as entry:
+        _declare(control)
+        with fixtures.target_of(
+            control,
+            'echo',
+            lambda request: target.Answer(body=request.body or b'none'),
+            service='read',
+        ):
+            fixtures.wait_for_targets(entry, 'echo')
+            connection = socket.create_connection(('127.0.0.1', entry.port))
+            connection.sendall(raw)
+            received = b''
+            while chunk := connection.recv(65536):
+                received += chunk
+        CASE.assertLess(
+            received.find(b'hello world'), received.find(b'\r\n\r\nnone')
+        )
+        CASE.assertEqual(received.count(b'200 OK'), 2)
+
+
+def test_request_that_breaks_targets_is_stopped_after_two() -> None:
+    """Its caller sends it again and again, through two entries."""
+    with (
+        fixtures.control() as control,
+        fixtures.entry(control, 'entry-1') as first,
+        fixtures.entry(control, 'entry-2') as second,
+    ):
+        _declare(control)
+        names = [f't{number}' for number in range(5)]
+        with _several(control, names, _raw_handler(b'')) as broken:
+            for entry in (first, second):
+                fixtures.wait_for_targets(entry, *names)
+            for entry in (first, second, first):
+                fixtures.ask(entry, '/order/poison', method='POST', body=b'b')
+                gevent.sleep(0.05)
+            fixtures.wait_until(
+                lambda: (
+                    fixtures.ask(
+                        second,
+                        '/order/poison',
+                        method='POST',
+                        body=b'b',
+                    ).outcome
+                    == 'not-run/breaks-targets'
+                ),
+            )
+            runs = sum(sum(one.runs.values()) for one in broken)
+            CASE.assertLessEqual(runs, 3)
+            other = fixtures.ask(first, '/order/ok', method='POST', body=b'b')
+            CASE.assertEqual(other.outcome, _LOST)
+
+
+def _several(
+    control: fixtures.Control,
+    names: list[str],
+    handler: target.Handler,
+) -> typing.Any:
+    return fixtures.several(
+        fixtures.target_of(control, name, handler, service='order')
+        for name in names
+    )
+
+
+def test_account_tells_each_try() -> None:
+    """The analyst reads what was tried, where, and how it ended."""
+    with fixtures.control() as control, fixtures.entry(control) as entry:
+        _declare(control)
+        with (
+            fixtures.target_of(
+                control,
+                'bad',
+                _raw_handler(b''),
+                service='read',
+            ),
+            fixtures.target_of(
+                control,
+                'good',
+                service='read',
+                domain='north-2',
+            ),
+        ):
+            fixtures.wait_for_targets(entry, 'bad', 'good')
+            response = fixtures.ask(entry, '/read/x?secret=1')
+        account = fixtures.account_of(entry, response)
+        tries = [(one['target'], one['result']) for one in account['tries']]
+        CASE.assertEqual(tries, [('bad', 'lost'), ('good', 'received')])
+        CASE.assertEqual(account['path'], '/read/x')
+        CASE.assertEqual(account['outcome'], 'answered')
--- a/testing/fixtures.py
+++ b/testing/fixtures.py
@@ -100,10 +100,12 @@
         self.put(
             'routes',
             service,
-            path_prefix=f'/{service}',
-            service=service,
-            service_class=service if service_class else 'default',
-            **(route or {}),
+            **{
+                'path_prefix': f'/{service}',
+                'service': service,
+                'service_class': service if service_class else 'default',
+                **(route or {}),
+            },
         )
 
     def wait_in_force(self) -> None:
@@ -156,6 +158,7 @@
             f'--domain={domain}',
             '--listen=127.0.0.1:0',
             '--admin_listen=127.0.0.1:0',
+            '--peer_listen=127.0.0.1:0',
             f'--control=127.0.0.1:{controls.daemon.feed_port}',
             '--drain_ms=0',
             '--stop_timeout_ms=2000',
@@ -209,8 +212,7 @@
     announcing = announcer.Announcer(announcement, [controls.api])
     announcing.announce()
     if warm:
-        controls.daemon.targets.record_served(name, 0)
-        while controls.daemon.targets.get(name).allowance < slots:
+        while not controls.daemon.targets.get(name).is_warm:
             controls.daemon.targets.record_served(name, slots * 4)
     announcing.start()
     try:
@@ -327,3 +329,12 @@
 def parse_json(response: Response) -> typing.Any:
     """Returns the JSON body of an answer."""
     return json.loads(response.body)
+
+
+@contextlib.contextmanager
+def several(
+    managers: typing.Iterable[contextlib.AbstractContextManager[typing.Any]],
+) -> typing.Iterator[list[typing.Any]]:
+    """Yields what several context managers yield."""
+    with contextlib.ExitStack() as stack:
+        yield [stack.enter_context(manager) for manager in managers]
