--- /dev/null
+++ b/benchmarks/run.py
@@ -0,0 +1,23 @@
+"""Runs the measurements named as arguments, or all, and prints them."""
+
+from __future__ import annotations
+
+import importlib
+import json
+import sys
+import typing
+
+MEASUREMENTS: typing.Final = ('data_path',)
+
+
+def main(chosen: typing.Sequence[str]) -> None:
+    """Prints one JSON object per measurement."""
+    for name in chosen or MEASUREMENTS:
+        module = importlib.import_module(f'benchmarks.{name}')
+        sys.stdout.write(f'{name}\n')
+        outcome = module.run()
+        sys.stdout.write(json.dumps(outcome._asdict(), indent=2) + '\n')
+
+
+if __name__ == '__main__':
+    main(sys.argv[1:])
--- a/src/mulberryquay/commands/daemons.py
+++ b/src/mulberryquay/commands/daemons.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import gc
+import typing
 
 import mulberryquay
 from mulberryquay import logs, settings
@@ -12,6 +13,11 @@
 from mulberryquay.kernel import plugins
 
 
+#: Container objects between collections of the three generations. Few
+#: cycles arise per request, and each collection holds the hub.
+_GC_THRESHOLDS: typing.Final = (50_000, 20, 50)
+
+
 def mulberryquay_register(kernel: plugins.Kernel) -> None:
     """Registers ``control``, ``entry`` and ``version``."""
     kernel.commands.add(
@@ -86,3 +92,4 @@
     """Spares the collector the objects that live as long as the process."""
     gc.collect()
     gc.freeze()
+    gc.set_threshold(*_GC_THRESHOLDS)
--- a/src/mulberryquay/control/directory.py
+++ b/src/mulberryquay/control/directory.py
@@ -84,7 +84,7 @@
     ) -> None:
         self.row = row
         self.growth = growth
-        self.renewed_at = clock.Milliseconds(0)
+        self.renewed_at = 0.0
 
 
 @typing.final
--- a/src/mulberryquay/control/membership.py
+++ b/src/mulberryquay/control/membership.py
@@ -30,7 +30,7 @@
         self.peer_address = peer
         self.config_revision = 0
         self.entries_epoch = 0
-        self.beat_at = clock.Milliseconds(0)
+        self.beat_at = 0.0
         #: Whether the entry has begun to stop; it still has to confirm.
         self.is_leaving = False
 
--- a/src/mulberryquay/coordination/clock.py
+++ b/src/mulberryquay/coordination/clock.py
@@ -7,7 +7,8 @@
 
 import gevent
 
-Milliseconds = typing.NewType('Milliseconds', float)
+#: All times and durations.
+Milliseconds = float
 
 MS_PER_SECOND: typing.Final = 1000.0
 
@@ -17,11 +18,11 @@
 
     def now(self) -> Milliseconds:
         """Returns monotonic time; comparable within one process only."""
-        return Milliseconds(time.monotonic() * MS_PER_SECOND)
+        return time.monotonic() * MS_PER_SECOND
 
     def wall(self) -> Milliseconds:
         """Returns time since the Unix epoch; may step."""
-        return Milliseconds(time.time() * MS_PER_SECOND)
+        return time.time() * MS_PER_SECOND
 
     def sleep(self, duration: float) -> None:
         """Suspends the current greenlet for ``duration`` milliseconds."""
@@ -38,11 +39,11 @@
 
     def now(self) -> Milliseconds:
         """Returns the set time."""
-        return Milliseconds(self._now)
+        return self._now
 
     def wall(self) -> Milliseconds:
         """Returns the set time."""
-        return Milliseconds(self._now)
+        return self._now
 
     def sleep(self, duration: float) -> None:
         """Advances the clock and yields to other greenlets once."""
--- a/src/mulberryquay/entry/accounts.py
+++ b/src/mulberryquay/entry/accounts.py
@@ -13,6 +13,9 @@
 #: All other requests that are remembered.
 MAX_NOTABLE: typing.Final = 10_000
 
+#: Decimal places of times that are shown.
+_DIGITS: typing.Final = 3
+
 
 @typing.final
 class UnknownRequestError(errors.NotFoundError):
@@ -41,8 +44,9 @@
     request_id: str
     #: Milliseconds since the Unix epoch.
     received_at: float
-    method: str
-    path: str
+    method: bytes
+    #: As it came; the query is left out of what is shown.
+    path: bytes
     account: str
     route: str
     service_class: str
@@ -50,7 +54,7 @@
     reason: str
     status: int
     duration_ms: float
-    tries: tuple[Try, ...]
+    tries: list[Try]
 
 
 @typing.final
@@ -93,5 +97,15 @@
     """Returns an account as the admin API shows it."""
     return {
         **account._asdict(),
-        'tries': [attempt._asdict() for attempt in account.tries],
+        'received_at': round(account.received_at, _DIGITS),
+        'method': account.method.decode('latin-1'),
+        'path': account.path.partition(b'?')[0].decode('latin-1'),
+        'duration_ms': round(account.duration_ms, _DIGITS),
+        'tries': [
+            {
+                **attempt._asdict(),
+                'duration_ms': round(attempt.duration_ms, _DIGITS),
+            }
+            for attempt in account.tries
+        ],
     }
--- a/src/mulberryquay/entry/admission.py
+++ b/src/mulberryquay/entry/admission.py
@@ -4,15 +4,11 @@
 
 import typing
 
-from mulberryquay.entry import forwarder, messages, outcomes, routing, state
+from mulberryquay.entry import header_names, messages, outcomes, routing, state
 
 #: Calls that stem from one request may be nested this deep.
 MAX_DEPTH: typing.Final = 30
 
-ACCOUNT_HEADER: typing.Final = b'mulberryquay-account'
-DEPTH_HEADER: typing.Final = b'mulberryquay-depth'
-HOME_REGIONS_HEADER: typing.Final = b'mulberryquay-home-regions'
-
 _MAX_TIMEOUT_MS: typing.Final = 3_600_000
 _MAX_DEPTH_TOLD: typing.Final = 1_000_000
 
@@ -40,21 +36,23 @@
             outcomes.Reason.STALE_CONFIGURATION,
             'no control host vouches for the configuration now',
         )
-    route = shared.table.find_route(head.path.decode('latin-1'))
+    route = shared.table.find_route(head.path)
+    service = route.service
+    if not head.noted and not route.home_regions:
+        return Admitted(route, None, None, 0, service.timeout_ms)
     account = _find_account(shared, head)
     regions = routing.allowed_regions(route, account)
     _check_regions(shared, regions)
-    depth = _read_number(head, DEPTH_HEADER, 0, _MAX_DEPTH_TOLD)
+    depth = _read_number(head, header_names.DEPTH, 0, _MAX_DEPTH_TOLD)
     if depth >= MAX_DEPTH:
         raise outcomes.not_run(
             outcomes.Reason.TOO_DEEP,
             f'got a call {depth} deep, expected less than {MAX_DEPTH}',
         )
-    service = route.service
     check_length(service, head.length)
     timeout = _read_number(
         head,
-        forwarder.TIMEOUT_HEADER,
+        header_names.TIMEOUT,
         service.timeout_ms,
         _MAX_TIMEOUT_MS,
     )
@@ -81,7 +79,7 @@
     shared: state.EntryState,
     head: messages.RequestHead,
 ) -> routing.ClientAccount | None:
-    name = head.find(ACCOUNT_HEADER)
+    name = head.find(header_names.ACCOUNT)
     if name is None:
         return None
     return shared.table.find_account(name.decode('latin-1'))
@@ -97,7 +95,7 @@
     raise outcomes.not_run(
         outcomes.Reason.OUTSIDE_HOME_REGIONS,
         f'this request may be served only in: {homes}',
-        headers=[(HOME_REGIONS_HEADER, homes.encode())],
+        headers=[(header_names.HOME_REGIONS, homes.encode())],
     )
 
 
--- a/src/mulberryquay/entry/answers.py
+++ b/src/mulberryquay/entry/answers.py
@@ -2,35 +2,23 @@
 
 from __future__ import annotations
 
+import enum
 import json
 import typing
 from http import HTTPStatus
 
 from mulberryquay import web
 from mulberryquay.coordination import errors
-from mulberryquay.entry import (
-    admission,
-    attempt,
-    forwarder,
-    messages,
-    outcomes,
-)
-
-#: Headers that only entries may set on what targets and callers see.
-OWN_HEADERS: typing.Final = frozenset(
-    (
-        admission.DEPTH_HEADER,
-        attempt.OUTCOME_HEADER,
-        attempt.REASON_HEADER,
-        attempt.REQUEST_ID_HEADER,
-        forwarder.NO_RETRY_HEADER,
-        forwarder.TIMEOUT_HEADER,
-    ),
-)
+from mulberryquay.entry import header_names, messages, outcomes
 
 _CLOSE: typing.Final = (b'connection', b'close')
-_REASON_PHRASES: typing.Final = {
-    status.value: status.phrase.encode() for status in HTTPStatus
+_ENCODED: typing.Final[dict[enum.Enum, bytes]] = {
+    member: member.value.encode()
+    for member in (*outcomes.Outcome, *outcomes.Reason)
+}
+_STATUS_LINES: typing.Final = {
+    status.value: f'HTTP/1.1 {status.value} {status.phrase}'.encode()
+    for status in HTTPStatus
 }
 
 
@@ -61,15 +49,15 @@
     target cut its answer short.
     """
     framing = _framing_for(caller.head, received.head)
-    keeps_alive = (
-        caller.keeps_alive and framing is not messages.Framing.UNTIL_CLOSE
-    )
-    caller = caller._replace(keeps_alive=keeps_alive)
+    keeps_alive = caller.keeps_alive
+    if framing is messages.Framing.UNTIL_CLOSE:
+        keeps_alive = False
+        caller = caller._replace(keeps_alive=False)
     first = _encode_head(caller, received, framing)
     if received.body is not None:
-        connection.sendall(first + received.body)
+        messages.send_all(connection, first + received.body)
         return keeps_alive
-    connection.sendall(first)
+    messages.send_all(connection, first)
     if framing is not messages.Framing.NONE:
         _relay_body(connection, received, framing)
     return keeps_alive
@@ -95,7 +83,7 @@
     if caller is None or not caller.keeps_alive:
         headers.append(_CLOSE)
     if caller is not None:
-        headers.append((attempt.REQUEST_ID_HEADER, caller.request_id.encode()))
+        headers.append((header_names.REQUEST_ID, caller.request_id.encode()))
     answer = messages.encode_head(_status_line(refusal.status), headers)
     if caller is not None and caller.head.method == b'HEAD':
         return answer
@@ -120,11 +108,7 @@
     framing: messages.Framing,
 ) -> bytes:
     answer = received.head
-    headers = [
-        pair
-        for pair in messages.forwardable(answer.headers)
-        if pair[0] not in OWN_HEADERS
-    ]
+    headers = [*answer.kept, *_own_headers(received.outcome, received.reason)]
     match framing:
         case messages.Framing.CHUNKED:
             headers.append((b'transfer-encoding', b'chunked'))
@@ -132,8 +116,7 @@
             headers.append((b'content-length', b'%d' % answer.length))
         case messages.Framing.NONE:
             _copy_length(caller, answer, headers)
-    headers += _own_headers(received.outcome, received.reason)
-    headers.append((attempt.REQUEST_ID_HEADER, caller.request_id.encode()))
+    headers.append((header_names.REQUEST_ID, caller.request_id.encode()))
     if not caller.keeps_alive:
         headers.append(_CLOSE)
     return messages.encode_head(_status_line(answer.status), headers)
@@ -155,8 +138,8 @@
     reason: outcomes.Reason,
 ) -> messages.Headers:
     return [
-        (attempt.OUTCOME_HEADER, outcome.value.encode()),
-        (attempt.REASON_HEADER, reason.value.encode()),
+        (header_names.OUTCOME, _ENCODED[outcome]),
+        (header_names.REASON, _ENCODED[reason]),
     ]
 
 
@@ -189,5 +172,5 @@
 
 
 def _status_line(status: int) -> bytes:
-    phrase = _REASON_PHRASES.get(status, b'Status')
-    return b'HTTP/1.1 %d %b' % (status, phrase)
+    known = _STATUS_LINES.get(status)
+    return known or b'HTTP/1.1 %d Status' % status
--- a/src/mulberryquay/entry/attempt.py
+++ b/src/mulberryquay/entry/attempt.py
@@ -5,25 +5,22 @@
 import typing
 
 import gevent
-from gevent import socket
 
-from mulberryquay.coordination import clock, errors
-from mulberryquay.entry import connections, messages, outcomes, targets
+from mulberryquay.coordination import clock, errors, watchdog
+from mulberryquay.entry import (
+    connections,
+    header_names,
+    messages,
+    outcomes,
+    targets,
+)
 
 #: Answers with a body up to this size are read whole before the caller
 #: gets the first byte, so that a short one is never passed on.
 WHOLE_ANSWER_BYTES: typing.Final = 65536
 
-#: Header by which a target says that it refused before running a request.
-NOT_RUN_HEADER: typing.Final = b'mulberryquay-not-run'
-
-#: Header by which a target tells its calls in flight on each answer.
-LOAD_HEADER: typing.Final = b'mulberryquay-load'
-
-
-OUTCOME_HEADER: typing.Final = b'mulberryquay-outcome'
-REASON_HEADER: typing.Final = b'mulberryquay-reason'
-REQUEST_ID_HEADER: typing.Final = b'mulberryquay-request-id'
+#: Each further part of a longer answer must come this soon.
+_PART_TIMEOUT_S: typing.Final = 60.0
 
 
 class Outgoing(typing.NamedTuple):
@@ -50,16 +47,23 @@
         target: targets.TargetState,
         outgoing: Outgoing,
         time: clock.Clock,
+        watching: watchdog.Watchdog,
     ) -> None:
         """Prepares a try; ``target`` has been granted by the balancer."""
+        self.deadline = outgoing.deadline
         self._target = target
         self._outgoing = outgoing
         self._clock = time
+        self._watchdog = watching
+        self._link: connections.Link | None = None
+        self._is_overdue = False
         self._pump: gevent.Greenlet | None = None
         self._rest_failure: errors.MulberryquayError | None = None
 
     def run(self, headers: messages.Headers) -> outcomes.Attempt:
         """Tries the request with ``headers`` added to its own."""
+        if self._clock.now() >= self.deadline:
+            return outcomes.NotSent(outcomes.Reason.DEADLINE)
         try:
             link = self._target.pool.take(limit=self._target.link_limit)
         except connections.ConnectFailedError:
@@ -67,17 +71,27 @@
             return outcomes.NotSent(outcomes.Reason.CONNECT_FAILED)
         except connections.ConnectionBudgetError:
             return outcomes.NotSent(outcomes.Reason.CONNECTION_BUDGET)
+        self._link = link
+        self._watchdog.watch(self)
         try:
             ended = self._exchange(link, headers)
         except BaseException:
             self._stop_pump()
             self._target.pool.discard(link)
             raise
+        finally:
+            self._watchdog.release(self)
         if not isinstance(ended, outcomes.Received):
             self._stop_pump()
             self._target.pool.discard(link)
         return ended
 
+    def expire(self) -> None:
+        """Ends the wait for an answer that comes too late."""
+        self._is_overdue = True
+        if self._link is not None:
+            self._link.end_wait()
+
     def finish(self, received: outcomes.Received) -> None:
         """Keeps the connection if it may carry another request."""
         link = received.link
@@ -99,8 +113,6 @@
         headers: messages.Headers,
     ) -> outcomes.Attempt:
         started = self._clock.now()
-        if not self._set_timeout(link):
-            return outcomes.NotSent(outcomes.Reason.DEADLINE)
         request = self._encode(headers)
         try:
             sent = link.socket.send(request)
@@ -110,13 +122,10 @@
             return outcomes.NotSent(outcomes.Reason.CONNECT_FAILED)
         try:
             received = self._converse(link, request[sent:])
-        except TimeoutError:
-            self._target.record_timeout(self._clock.now() - started)
-            return outcomes.Lost(outcomes.Reason.DEADLINE)
         except messages.MessageError:
-            return self._lose(outcomes.Reason.MALFORMED_ANSWER)
+            return self._lose(outcomes.Reason.MALFORMED_ANSWER, started)
         except (OSError, messages.CutShortError):
-            return self._lose(outcomes.Reason.CONNECTION_LOST)
+            return self._lose(outcomes.Reason.CONNECTION_LOST, started)
         return self._judge(received, self._clock.now() - started)
 
     def _converse(
@@ -131,6 +140,7 @@
         head = link.reader.read_head()
         if self._is_small(head):
             return self._read_whole(head, link)
+        link.socket.settimeout(_PART_TIMEOUT_S)
         return outcomes.Received(head, link, None)
 
     def _is_small(self, head: messages.ResponseHead) -> bool:
@@ -150,8 +160,6 @@
             if part is None:
                 return outcomes.Received(head, link, body)
             body += part
-            if len(body) < head.length and not self._set_timeout(link):
-                raise TimeoutError
 
     def _judge(
         self,
@@ -170,22 +178,22 @@
     def _is_shed(self, head: messages.ResponseHead) -> bool:
         if head.status in self._target.row.shed_statuses:
             return True
-        return head.find(NOT_RUN_HEADER) is not None
+        return head.find(header_names.NOT_RUN) is not None
 
-    def _lose(self, reason: outcomes.Reason) -> outcomes.Lost:
+    def _lose(
+        self,
+        reason: outcomes.Reason,
+        started: float,
+    ) -> outcomes.Lost:
+        if self._is_overdue:
+            self._target.record_timeout(self._clock.now() - started)
+            return outcomes.Lost(outcomes.Reason.DEADLINE)
         failure = self._rest_failure
         if isinstance(failure, outcomes.RefusedError):
             return outcomes.Lost(failure.reason)
         self._target.record_failure()
         return outcomes.Lost(reason)
 
-    def _set_timeout(self, link: connections.Link) -> bool:
-        remaining = self._outgoing.deadline - self._clock.now()
-        if remaining <= 0:
-            return False
-        link.socket.settimeout(remaining / clock.MS_PER_SECOND)
-        return True
-
     def _encode(self, headers: messages.Headers) -> bytes:
         outgoing = self._outgoing
         start_line = b'%b %b HTTP/1.1' % (outgoing.method, outgoing.path)
@@ -209,7 +217,7 @@
             return False
         except errors.MulberryquayError as error:
             self._rest_failure = error
-            link.socket.shutdown(socket.SHUT_RDWR)
+            link.end_wait()
             return False
         return True
 
@@ -226,8 +234,8 @@
 def _judge_relayed(received: outcomes.Received) -> outcomes.Attempt:
     """Takes over the outcome that another entry states."""
     head = received.head
-    outcome = outcomes.Outcome(_text(head, OUTCOME_HEADER))
-    reason = outcomes.Reason(_text(head, REASON_HEADER))
+    outcome = outcomes.Outcome(_text(head, header_names.OUTCOME))
+    reason = outcomes.Reason(_text(head, header_names.REASON))
     if outcome is outcomes.Outcome.NOT_RUN:
         return outcomes.Shed(reason)
     return outcomes.Received(
@@ -236,7 +244,7 @@
         received.body,
         outcome,
         reason,
-        _text(head, REQUEST_ID_HEADER),
+        _text(head, header_names.REQUEST_ID),
     )
 
 
@@ -245,7 +253,7 @@
 
 
 def _reported_load(head: messages.ResponseHead) -> int | None:
-    text = head.find(LOAD_HEADER)
+    text = head.find(header_names.LOAD)
     if text is None or not text.isdigit():
         return None
     return int(text)
--- a/src/mulberryquay/entry/balancer.py
+++ b/src/mulberryquay/entry/balancer.py
@@ -194,7 +194,9 @@
             candidates = with_room
         if not candidates:
             return None
-        nearest = min(target.tier for target in candidates)
+        if len(candidates) == 1:
+            return candidates[0]
+        nearest = min([target.tier for target in candidates])
         return self._policy.choose(
             [target for target in candidates if target.tier == nearest],
             now,
--- a/src/mulberryquay/entry/caller.py
+++ b/src/mulberryquay/entry/caller.py
@@ -3,23 +3,24 @@
 from __future__ import annotations
 
 import logging
+import math
 import struct
 import typing
 
 from gevent import socket
 
-from mulberryquay.coordination import errors
+from mulberryquay.coordination import errors, units
 from mulberryquay.entry import answers, exchange, messages, outcomes, state
 
-#: An idle connection is kept this long between requests.
-IDLE_TIMEOUT_S: typing.Final = 75.0
+#: A connection may wait this long for the whole head of its next request.
+IDLE_TIMEOUT_MS: typing.Final = 75_000.0
 
-#: A request's head must arrive this soon after its first byte, and each
-#: further part of its body after the one before.
-READ_TIMEOUT_S: typing.Final = 15.0
+#: Each further part of a request must arrive this soon, and the caller must
+#: take some of the answer this often.
+STALL_TIMEOUT_S: typing.Final = 30.0
 
 _LINGER_TIMEOUT_S: typing.Final = 1.0
-_LINGER_BYTES: typing.Final = 8 * 1024 * 1024
+_LINGER_BYTES: typing.Final = 8 * units.MIB
 
 _LOG: typing.Final = logging.getLogger(__name__)
 _RESET: typing.Final = struct.pack('ii', 1, 0)
@@ -47,6 +48,8 @@
         self._reader = messages.RequestReader(connection)
         #: Whether no request is being served.
         self.is_idle = True
+        #: When the connection has been quiet for too long.
+        self.deadline = math.inf
 
     def run(self) -> None:
         """Serves requests in order; closes the connection at the end."""
@@ -60,13 +63,18 @@
         finally:
             self._close(is_finished=is_finished)
 
+    def expire(self) -> None:
+        """Ends a connection that was quiet for too long."""
+        self._socket.shutdown(socket.SHUT_RD)
+
     def close_if_idle(self) -> None:
         """Ends a connection on which no request has begun."""
         if self.is_idle and self._reader.is_clean:
             self._socket.shutdown(socket.SHUT_RD)
 
     def _serve_next(self) -> bool:
-        self._socket.settimeout(IDLE_TIMEOUT_S)
+        self.deadline = self._shared.clock.now() + IDLE_TIMEOUT_MS
+        self._socket.settimeout(None)
         try:
             head = self._reader.read_head()
         except messages.MessageError as error:
@@ -74,7 +82,8 @@
             return False
         if head is None:
             return False
-        self._socket.settimeout(READ_TIMEOUT_S)
+        self.deadline = math.inf
+        self._socket.settimeout(STALL_TIMEOUT_S)
         self.is_idle = False
         self._shared.in_flight += 1
         try:
--- a/src/mulberryquay/entry/connections.py
+++ b/src/mulberryquay/entry/connections.py
@@ -43,10 +43,18 @@
         """Wraps a connected gevent socket."""
         self.socket = connection
         self.reader = messages.ResponseReader(connection)
-        self.idle_since = clock.Milliseconds(0)
+        self.idle_since = 0.0
         self._poll = select.poll()
         self._poll.register(connection.fileno(), select.POLLIN)
 
+    def end_wait(self) -> None:
+        """Makes a task that reads or writes here see a closed connection."""
+        try:
+            self.socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # The target closed it first, which ends the wait as well.
+            return
+
     def is_usable(self) -> bool:
         """Whether nothing arrived and the target has not closed."""
         if not self.reader.is_clean:
@@ -93,6 +101,8 @@
     def give_back(self, link: Link) -> None:
         """Keeps a connection that stands between two answers."""
         link.idle_since = self._clock.now()
+        if link.socket.timeout is not None:
+            link.socket.settimeout(None)
         self._idle.append(link)
 
     def discard(self, link: Link) -> None:
@@ -121,6 +131,7 @@
             self._open_count -= 1
             raise
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection.settimeout(None)
         return Link(connection)
 
     def _wait_for_pace(self) -> None:
--- a/src/mulberryquay/entry/daemon.py
+++ b/src/mulberryquay/entry/daemon.py
@@ -9,7 +9,7 @@
 from gevent import server
 
 from mulberryquay import settings, sockets, web
-from mulberryquay.coordination import clock, units
+from mulberryquay.coordination import clock, units, watchdog
 from mulberryquay.entry import accounts, caller, control_link, state
 from mulberryquay.kernel import plugins
 
@@ -145,6 +145,10 @@
             domain=values['domain'],
         )
         self._state.reporter = self._link
+        self._quiet_callers = watchdog.Watchdog(
+            self._state.clock,
+            interval=units.SECOND_MS,
+        )
         self._callers: set[caller.CallerTask] = set()
 
     @property
@@ -173,6 +177,8 @@
         web.add_health(app, self._is_ready, self._state.metrics, self._refresh)
         app.route('/accounts/<request_id>', 'GET', self._show_account)
         self._admin = web.serve(self._admin_listener, app)
+        self._state.watchdog.start()
+        self._quiet_callers.start()
         self._link.start()
         self._server = server.StreamServer(self._listener, self._serve)
         self._server.start()
@@ -202,6 +208,8 @@
                 task.close_if_idle()
             time.sleep(_STOP_POLL_MS)
         self._link.stop()
+        self._state.watchdog.stop()
+        self._quiet_callers.stop()
         self._admin.stop(timeout=1)
 
     def _serve(self, connection: typing.Any, _address: typing.Any) -> None:
@@ -218,10 +226,12 @@
 
     def _run_task(self, task: caller.CallerTask) -> None:
         self._callers.add(task)
+        self._quiet_callers.watch(task)
         try:
             task.run()
         finally:
             self._callers.discard(task)
+            self._quiet_callers.release(task)
 
     def _address_of(self, setting: str, port: int) -> str:
         host = settings.parse_address(self._values[setting])[0]
--- a/src/mulberryquay/entry/exchange.py
+++ b/src/mulberryquay/entry/exchange.py
@@ -11,6 +11,7 @@
     attempt,
     balancer,
     forwarder,
+    header_names,
     messages,
     outcomes,
     request_body,
@@ -18,9 +19,6 @@
     state,
 )
 
-#: A caller that takes no bytes for this long is taken as gone.
-_CALLER_TIMEOUT_S: typing.Final = 60.0
-
 
 @typing.final
 class Exchange:
@@ -84,7 +82,6 @@
     def _relay(self, received: outcomes.Received) -> bool:
         """Passes an answer on; True if the connection stays usable."""
         self._status = received.head.status
-        self._socket.settimeout(_CALLER_TIMEOUT_S)
         forwarding = typing.cast(forwarder.Forwarder, self._forwarder)
         try:
             keeps_alive = answers.relay(
@@ -125,20 +122,15 @@
                 rest,
                 deadline,
             ),
-            self._head.find(forwarder.NO_RETRY_HEADER) is None,
-            forwarder.fingerprint_of(self._head, body),
+            self._head.find(header_names.NO_RETRY) is None,
         )
 
     def _outgoing_headers(self, depth: int) -> messages.Headers:
         head = self._head
         headers = [
-            pair
-            for pair in messages.forwardable(head.headers)
-            if pair[0] not in answers.OWN_HEADERS
-        ]
-        headers += [
-            (attempt.REQUEST_ID_HEADER, self._request_id.encode()),
-            (admission.DEPTH_HEADER, b'%d' % depth),
+            *head.kept,
+            (header_names.REQUEST_ID, self._request_id.encode()),
+            (header_names.DEPTH, b'%d' % depth),
         ]
         match head.framing:
             case messages.Framing.CHUNKED:
@@ -161,8 +153,7 @@
         caller = self._caller(is_usable=self._body.is_read)
         if self._forwarder is not None:
             # The level nearest to the failure has spent its retries.
-            refusal.headers.append((forwarder.NO_RETRY_HEADER, b'1'))
-        self._socket.settimeout(_CALLER_TIMEOUT_S)
+            refusal.headers.append((header_names.NO_RETRY, b'1'))
         self._socket.sendall(answers.encode_refusal(caller, refusal))
         return caller.keeps_alive
 
@@ -197,20 +188,19 @@
         )
         route = self._route
         account = self._account
-        tries = self._forwarder.tries if self._forwarder else ()
         shared.accounts.add(
             accounts.RequestAccount(
                 self._request_id,
-                round(shared.clock.wall(), 3),
-                self._head.method.decode('latin-1'),
-                self._head.path.partition(b'?')[0].decode('latin-1'),
+                shared.clock.wall(),
+                self._head.method,
+                self._head.path,
                 account.name if account else '',
                 route.name if route else '',
                 route.service_class.name if route else '',
                 outcome.value,
                 reason.value,
                 self._status,
-                round(shared.clock.now() - self._started, 3),
-                tuple(tries),
+                shared.clock.now() - self._started,
+                self._forwarder.tries if self._forwarder else [],
             ),
         )
--- a/src/mulberryquay/entry/forwarder.py
+++ b/src/mulberryquay/entry/forwarder.py
@@ -10,18 +10,13 @@
     accounts,
     attempt,
     balancer,
+    header_names,
     messages,
     outcomes,
     state,
     targets,
 )
 
-#: Marks a resend and all calls below it: they must not be resent again.
-NO_RETRY_HEADER: typing.Final = b'mulberryquay-no-retry'
-
-#: Tells a target how long its answer is of use, in milliseconds.
-TIMEOUT_HEADER: typing.Final = b'mulberryquay-timeout-ms'
-
 #: Answers that another target may well not give.
 _UNAVAILABLE: typing.Final = frozenset((502, 503, 504))
 
@@ -33,8 +28,6 @@
     outgoing: attempt.Outgoing
     #: Whether the caller allows resends.
     may_retry: bool
-    #: Identifies the request among repeats, for the crash guard.
-    fingerprint: bytes
 
 
 @typing.final
@@ -105,6 +98,7 @@
             target,
             self._call.outgoing,
             self._shared.clock,
+            self._shared.watchdog,
         )
         ended: outcomes.Attempt = outcomes.NotSent(outcomes.Reason.NONE)
         try:
@@ -117,9 +111,9 @@
 
     def _try_headers(self, now: float) -> messages.Headers:
         remaining = max(0, int(self._call.demand.deadline - now))
-        headers = [(TIMEOUT_HEADER, b'%d' % remaining)]
+        headers = [(header_names.TIMEOUT, b'%d' % remaining)]
         if self.tries or not self._call.may_retry:
-            headers.append((NO_RETRY_HEADER, b'1'))
+            headers.append((header_names.NO_RETRY, b'1'))
         return headers
 
     def _record(
@@ -129,6 +123,9 @@
         duration: float,
     ) -> None:
         result, reason = _describe(ended)
+        relayed_as = ''
+        if isinstance(ended, outcomes.Received):
+            relayed_as = ended.relayed_as
         self._shared.metrics.count(
             'mulberryquay_tries_total',
             result,
@@ -141,8 +138,8 @@
                 target.row.incarnation,
                 result,
                 reason.value,
-                round(duration, 3),
-                getattr(ended, 'relayed_as', ''),
+                duration,
+                relayed_as,
             ),
         )
         if isinstance(ended, outcomes.Lost):
@@ -169,16 +166,14 @@
         outgoing = self._call.outgoing
         is_idempotent = self._call.demand.service_class.idempotent
         match ended:
+            case outcomes.Received(head) if head.status not in _UNAVAILABLE:
+                return False
             case outcomes.Received(head):
                 is_resendable = is_idempotent and outgoing.rest is None
                 is_final = bool(ended.relayed_as) or (
-                    head.find(NO_RETRY_HEADER) is not None
-                )
-                return (
-                    is_resendable
-                    and not is_final
-                    and head.status in _UNAVAILABLE
+                    head.find(header_names.NO_RETRY) is not None
                 )
+                return is_resendable and not is_final
             case outcomes.NotSent(outcomes.Reason.DEADLINE):
                 return False
             case outcomes.NotSent():
@@ -216,7 +211,10 @@
     def _release_answer(self, ended: outcomes.Attempt) -> None:
         if isinstance(ended, outcomes.Received):
             self.may_have_run = True
-            self.abandon(ended)
+            if ended.body is None:
+                self.abandon(ended)
+            else:
+                self.finish(ended)
 
     def _release(self) -> None:
         target = self._target
@@ -226,7 +224,7 @@
 
     def _check_not_blocked(self) -> None:
         guard = self._shared.guard
-        if not guard.is_idle and guard.is_blocked(self._call.fingerprint):
+        if not guard.is_idle and guard.is_blocked(self._fingerprint()):
             raise outcomes.not_run(
                 outcomes.Reason.BREAKS_TARGETS,
                 'this request broke the targets that ran it; it is refused '
@@ -234,12 +232,15 @@
                 retry_after_s=60,
             )
 
+    def _fingerprint(self) -> bytes:
+        return fingerprint_of(self._call.outgoing)
+
     def _report_broken(
         self,
         target: targets.TargetState,
         duration: float,
     ) -> None:
-        fingerprint = self._call.fingerprint
+        fingerprint = self._fingerprint()
         name = target.row.name
         self._shared.guard.record(fingerprint, name, ran_for=duration)
         if self._shared.reporter is not None:
@@ -250,18 +251,18 @@
             )
 
     def _clear_breakages(self) -> None:
-        fingerprint = self._call.fingerprint
+        fingerprint = self._fingerprint()
         is_cleared = self._shared.guard.clear(fingerprint)
         if is_cleared and self._shared.reporter is not None:
             self._shared.reporter.report_cleared(fingerprint)
 
 
-def fingerprint_of(head: messages.RequestHead, body: bytes) -> bytes:
+def fingerprint_of(outgoing: attempt.Outgoing) -> bytes:
     """Returns a digest of what makes a request the same request."""
     digest = xxhash.xxh3_128()
-    digest.update(head.method)
-    digest.update(head.path)
-    digest.update(body)
+    digest.update(outgoing.method)
+    digest.update(outgoing.path)
+    digest.update(outgoing.body)
     return digest.digest()
 
 
--- a/src/mulberryquay/entry/messages.py
+++ b/src/mulberryquay/entry/messages.py
@@ -14,33 +14,19 @@
 import httptools
 
 from mulberryquay.coordination import errors
+from mulberryquay.entry import header_names
 
 READ_BYTES: typing.Final = 65536
 
 #: The largest head (start line and headers) that is read, in bytes.
 MAX_HEAD_BYTES: typing.Final = 32768
 
-CRLF: typing.Final = b'\r\n'
 LAST_CHUNK: typing.Final = b'0\r\n\r\n'
 
 Headers = list[tuple[bytes, bytes]]
 
-#: Headers of one connection only (RFC 9110, section 7.6.1).
-HOP_BY_HOP: typing.Final = frozenset(
-    (
-        b'connection',
-        b'keep-alive',
-        b'proxy-connection',
-        b'te',
-        b'trailer',
-        b'transfer-encoding',
-        b'upgrade',
-        b'content-length',
-        b'expect',
-    ),
-)
-
 _NO_BODY_STATUSES: typing.Final = frozenset((204, 304))
+_PLAIN_TOKENS: typing.Final = frozenset((b'close', b'keep-alive'))
 _FIRST_FINAL_STATUS: typing.Final = 200
 _VERSIONS: typing.Final = frozenset(('1.0', '1.1'))
 _SWITCHING_PROTOCOLS: typing.Final = 101
@@ -97,7 +83,10 @@
 
     method: bytes
     path: bytes
-    headers: Headers
+    #: Headers that are passed on.
+    kept: Headers
+    #: Headers that this system reads; some of them are kept too.
+    noted: Headers
     framing: Framing
     #: Body length in bytes; 0 unless the framing is LENGTH.
     length: int
@@ -105,22 +94,23 @@
     is_http_one_zero: bool
 
     def find(self, name: bytes) -> bytes | None:
-        """Returns the first header of that lower-case name."""
-        return find_header(self.headers, name)
+        """Returns the first noted header of that lower-case name."""
+        return find_header(self.noted, name)
 
 
 class ResponseHead(typing.NamedTuple):
     """Status and headers of a response; header names in lower case."""
 
     status: int
-    headers: Headers
+    kept: Headers
+    noted: Headers
     framing: Framing
     length: int
     keeps_alive: bool
 
     def find(self, name: bytes) -> bytes | None:
-        """Returns the first header of that lower-case name."""
-        return find_header(self.headers, name)
+        """Returns the first noted header of that lower-case name."""
+        return find_header(self.noted, name)
 
 
 def find_header(headers: Headers, name: bytes) -> bytes | None:
@@ -141,7 +131,8 @@
     def __init__(self, connection: typing.Any) -> None:
         self._socket = connection
         self._events: collections.deque[typing.Any] = collections.deque()
-        self._headers: Headers = []
+        self._kept: Headers = []
+        self._noted: Headers = []
         self._head_bytes = 0
         self._failure: MessageError | None = None
         self._in_message = False
@@ -155,12 +146,17 @@
 
     def on_message_begin(self) -> None:
         """Called by the parser."""
-        self._headers = []
+        self._kept = []
+        self._noted = []
         self._in_message = True
 
     def on_header(self, name: bytes, header: bytes) -> None:
         """Called by the parser."""
-        self._headers.append((name.lower(), header))
+        name = name.lower()
+        if name in header_names.NOTED:
+            self._noted.append((name, header))
+        if name not in header_names.NOT_PASSED_ON:
+            self._kept.append((name, header))
 
     def on_body(self, body: bytes) -> None:
         """Called by the parser."""
@@ -221,11 +217,30 @@
         self._events.append(head)
         self._in_head = False
         # Trailers must not join the headers of the head (RFC 9110, 6.5.1).
-        self._headers = []
+        self._kept = []
+        self._noted = []
+
+    def _passed_on(self) -> Headers:
+        """Returns the kept headers less those that Connection names."""
+        if not self._noted:
+            return self._kept
+        tokens = find_header(self._noted, b'connection')
+        if tokens is None or tokens.lower() in _PLAIN_TOKENS:
+            return self._kept
+        named = {
+            token.strip()
+            for name, header in self._noted
+            if name == b'connection'
+            for token in header.lower().split(b',')
+        }
+        return [pair for pair in self._kept if pair[0] not in named]
 
     def _check_head_size(self, start_line: int) -> None:
+        if self._head_bytes <= MAX_HEAD_BYTES:
+            return
         size = start_line + sum(
-            len(name) + len(header) for name, header in self._headers
+            len(name) + len(header)
+            for name, header in (*self._kept, *self._noted)
         )
         if size > MAX_HEAD_BYTES:
             raise HeadTooLargeError(
@@ -263,11 +278,12 @@
             raise UpgradeNotSupportedError(
                 'protocol upgrades and CONNECT are not supported',
             )
-        framing, length = _body_framing(self._headers)
+        framing, length = _body_framing(self._noted)
         head = RequestHead(
             self._parser.get_method(),
             self._url,
-            self._headers,
+            self._passed_on(),
+            self._noted,
             framing,
             length,
             self._parser.should_keep_alive(),
@@ -302,7 +318,7 @@
         """Called by the parser."""
         self._check_head_size(0)
         status = self._parser.get_status_code()
-        framing, length = _body_framing(self._headers)
+        framing, length = _body_framing(self._noted)
         if status in _NO_BODY_STATUSES or status < _FIRST_FINAL_STATUS:
             framing = Framing.NONE
         elif framing is Framing.NONE and length < 0:
@@ -310,7 +326,8 @@
         self._push_head(
             ResponseHead(
                 status,
-                self._headers,
+                self._passed_on(),
+                self._noted,
                 framing,
                 max(length, 0),
                 self._parser.should_keep_alive(),
@@ -348,25 +365,24 @@
     return MessageError(f'malformed HTTP message: {cause}')
 
 
-def _body_framing(headers: Headers) -> tuple[Framing, int]:
+def _body_framing(noted: Headers) -> tuple[Framing, int]:
     """Returns the framing and the length, -1 if no length was given.
 
     Refuses what two parsers might read in two ways (RFC 9112, section 6.3).
     """
-    lengths = [text for name, text in headers if name == b'content-length']
-    codings = [text for name, text in headers if name == b'transfer-encoding']
-    if not lengths and not codings:
+    if not noted:
         return Framing.NONE, -1
-    if lengths and codings:
-        raise MessageError(
-            'got both Content-Length and Transfer-Encoding, expected one',
-        )
+    lengths = []
+    codings = []
+    for name, header in noted:
+        if name == b'content-length':
+            lengths.append(header)
+        elif name == b'transfer-encoding':
+            codings.append(header)
     if codings:
-        if [coding.strip().lower() for coding in codings] != [b'chunked']:
-            raise UnsupportedEncodingError(
-                f'got Transfer-Encoding {codings!r}, expected chunked',
-            )
-        return Framing.CHUNKED, -1
+        return _check_coding(codings, lengths)
+    if not lengths:
+        return Framing.NONE, -1
     if len(lengths) > 1 or not lengths[0].isdigit():
         raise MessageError(
             f'got Content-Length {lengths!r}, expected one whole number',
@@ -374,32 +390,34 @@
     return Framing.LENGTH, int(lengths[0])
 
 
-def connection_tokens(headers: Headers) -> frozenset[bytes]:
-    """Returns the lower-case header names that Connection lists."""
-    return frozenset(
-        token.strip().lower()
-        for name, text in headers
-        if name == b'connection'
-        for token in text.split(b',')
-    )
-
-
-def forwardable(headers: Headers) -> Headers:
-    """Returns the headers that belong to more than one connection."""
-    named = connection_tokens(headers)
-    return [
-        pair
-        for pair in headers
-        if pair[0] not in HOP_BY_HOP and pair[0] not in named
-    ]
+def _check_coding(
+    codings: list[bytes],
+    lengths: list[bytes],
+) -> tuple[Framing, int]:
+    if lengths:
+        raise MessageError(
+            'got both Content-Length and Transfer-Encoding, expected one',
+        )
+    if [coding.strip().lower() for coding in codings] != [b'chunked']:
+        raise UnsupportedEncodingError(
+            f'got Transfer-Encoding {codings!r}, expected chunked',
+        )
+    return Framing.CHUNKED, -1
 
 
 def encode_head(start_line: bytes, headers: Headers) -> bytes:
     """Returns a head ready to be sent."""
-    lines = [name + b': ' + header for name, header in headers]
-    return CRLF.join((start_line, *lines, b'', b''))
+    lines = [b'%b: %b\r\n' % pair for pair in headers]
+    return b'%b\r\n%b\r\n' % (start_line, b''.join(lines))
 
 
 def encode_chunk(part: bytes) -> bytes:
     """Returns one chunk of a chunked body."""
     return b'%x\r\n%b\r\n' % (len(part), part)
+
+
+def send_all(connection: typing.Any, body: bytes) -> None:
+    """Sends all bytes; cheaper than ``sendall`` for small ones."""
+    sent = connection.send(body)
+    if sent < len(body):
+        connection.sendall(memoryview(body)[sent:])
--- a/src/mulberryquay/entry/policies/counting.py
+++ b/src/mulberryquay/entry/policies/counting.py
@@ -38,6 +38,8 @@
 
     def choose(self, candidates: Candidates, now: float) -> targets.TargetState:
         """Returns the least loaded of ``candidates``."""
+        if len(candidates) == 1:
+            return candidates[0]
         loads = [target.load(now) for target in candidates]
         least = min(loads)
         tied = [
--- a/src/mulberryquay/entry/routing.py
+++ b/src/mulberryquay/entry/routing.py
@@ -9,6 +9,10 @@
 from mulberryquay.entry import outcomes
 
 
+#: Paths whose routes are remembered; all are forgotten when it is full.
+_MAX_FOUND: typing.Final = 4096
+
+
 class ServiceClass(typing.NamedTuple):
     """What may be done with the requests of a route."""
 
@@ -76,6 +80,7 @@
             route.path_prefix: route
             for route in self._make_routes(specs[kinds.ROUTE])
         }
+        self._found: dict[bytes, Route] = {}
         self._domains_out = frozenset(
             name
             for name, spec in specs[kinds.FAILURE_DOMAIN].items()
@@ -87,12 +92,21 @@
         """The failure domains that operators have taken out."""
         return self._domains_out
 
-    def find_route(self, path: str) -> Route:
+    def find_route(self, path: bytes) -> Route:
         """Returns the route with the longest prefix of whole segments.
 
         Raises RefusedError with the reason ``no-route``.
         """
-        prefix = path.partition('?')[0]
+        route = self._found.get(path)
+        if route is None:
+            route = self._search(path)
+            if len(self._found) >= _MAX_FOUND:
+                self._found.clear()
+            self._found[path] = route
+        return route
+
+    def _search(self, path: bytes) -> Route:
+        prefix = path.partition(b'?')[0].decode('latin-1')
         while prefix:
             route = self._routes.get(prefix)
             if route is not None:
--- a/src/mulberryquay/entry/state.py
+++ b/src/mulberryquay/entry/state.py
@@ -12,6 +12,7 @@
     crash_guard,
     retry_budget,
     shares,
+    watchdog,
 )
 from mulberryquay.entry import accounts, balancer, relays, routing
 
@@ -126,6 +127,7 @@
             domain=domain,
             peers=self.relays,
         )
+        self.watchdog = watchdog.Watchdog(self.clock)
         self.guard = crash_guard.CrashGuard(self.clock)
         self.accounts = accounts.AccountBook()
         self.account_in_flight: dict[str, int] = {}
--- a/src/mulberryquay/entry/targets.py
+++ b/src/mulberryquay/entry/targets.py
@@ -99,10 +99,10 @@
 
     def load(self, now: float) -> float:
         """Estimates the calls per slot, own ones and aged reports."""
-        others = 0.0
-        if self._reported:
+        others = self._reported
+        if others:
             age = now - self._reported_at
-            others = self._reported * math.exp(-age / REPORT_DECAY_MS)
+            others *= math.exp(-age / REPORT_DECAY_MS)
         return (self.in_flight + others) / self.row.slots
 
     def record_answer(self, latency: float, *, reported: int | None) -> None:
--- a/src/mulberryquay/standin/target.py
+++ b/src/mulberryquay/standin/target.py
@@ -10,7 +10,7 @@
 from gevent import lock, server, socket
 
 from mulberryquay.coordination import clock, errors
-from mulberryquay.entry import attempt, messages
+from mulberryquay.entry import header_names, messages
 
 
 _SHED_STATUS: typing.Final = 503
@@ -117,7 +117,7 @@
     def _run(self, received: Received) -> Answer:
         if self._sheds and self.in_flight > self._slots:
             return Answer(
-                _SHED_STATUS, b'busy\n', [(attempt.NOT_RUN_HEADER, b'1')]
+                _SHED_STATUS, b'busy\n', [(header_names.NOT_RUN, b'1')]
             )
         with self._free:
             head = received.head
@@ -167,7 +167,7 @@
 def _encode(answer: Answer, load: int) -> bytes:
     headers = [
         (b'content-length', b'%d' % len(answer.body)),
-        (attempt.LOAD_HEADER, b'%d' % load),
+        (header_names.LOAD, b'%d' % load),
         *answer.headers,
     ]
     status_line = b'HTTP/1.1 %d Answer' % answer.status
--- a/testing/entry/test_admission.py
+++ b/testing/entry/test_admission.py
@@ -69,9 +69,9 @@
         control.declare('rolls', route={'path_prefix': '/stock/rolls'})
         control.wait_in_force()
         find = entry.state.table.find_route
-        CASE.assertEqual(find('/stock').name, 'stock')
-        CASE.assertEqual(find('/stock/x/y?z=/stock/rolls').name, 'stock')
-        CASE.assertEqual(find('/stock/rolls/7').name, 'rolls')
+        CASE.assertEqual(find(b'/stock').name, 'stock')
+        CASE.assertEqual(find(b'/stock/x/y?z=/stock/rolls').name, 'stock')
+        CASE.assertEqual(find(b'/stock/rolls/7').name, 'rolls')
         for path in ('/stocks', '/', '*'):
             CASE.assertEqual(
                 fixtures.ask(entry, path).outcome,
@@ -84,7 +84,7 @@
     seen = {}
 
     def look(request: target.Received) -> target.Answer:
-        seen.update(dict(request.head.headers))
+        seen.update(dict(request.head.kept + request.head.noted))
         forged = [(b'mulberryquay-outcome', b'not-run')]
         return target.Answer(headers=forged)
 
--- a/testing/fixtures.py
+++ b/testing/fixtures.py
@@ -260,7 +260,10 @@
         if part is None:
             break
         parts.append(part)
-    headers = {name.decode(): header.decode() for name, header in head.headers}
+    headers = {
+        name.decode(): header.decode()
+        for name, header in (*head.noted, *head.kept)
+    }
     return Response(head.status, headers, b''.join(parts))
 
 
