Probe failed targets within a budget; bound resends in call trees

Change: a prober with a rate for each target (one entry probes it, by rendezvous rank) and bytes a second for each entry; 502, 503 and 504 are passed on with the no-retry mark.

--- /dev/null
+++ b/src/mulberryquay/coordination/token_bucket.py
@@ -0,0 +1,37 @@
+"""A rate limit: tokens that come back at a steady rate."""
+
+from __future__ import annotations
+
+import typing
+
+from mulberryquay.coordination import clock
+
+
+@typing.final
+class TokenBucket:
+    """Never grants more than ``burst`` and ``rate`` times the time passed."""
+
+    def __init__(
+        self,
+        time: clock.Clock,
+        *,
+        rate: float,
+        burst: float,
+    ) -> None:
+        """``rate`` is in tokens a second; the bucket starts full."""
+        self._clock = time
+        self._rate = rate
+        self._burst = burst
+        self._tokens = burst
+        self._filled_at = time.now()
+
+    def take(self, amount: float = 1) -> bool:
+        """Takes tokens; False, taking none, when there are too few."""
+        now = self._clock.now()
+        elapsed = (now - self._filled_at) / clock.MS_PER_SECOND
+        self._filled_at = now
+        self._tokens = min(self._burst, self._tokens + elapsed * self._rate)
+        if self._tokens < amount:
+            return False
+        self._tokens -= amount
+        return True
--- a/src/mulberryquay/coordination/units.py
+++ b/src/mulberryquay/coordination/units.py
@@ -6,6 +6,7 @@
 
 #: Bytes.
 MIB: typing.Final = 1 << 20
+GIB: typing.Final = 1 << 30
 #: The largest body that a service may be set to take, in bytes.
 MAX_BODY_BYTES: typing.Final = 64 * MIB
 
--- a/src/mulberryquay/entry/answers.py
+++ b/src/mulberryquay/entry/answers.py
@@ -135,6 +135,10 @@
         case messages.Framing.NONE:
             _copy_length(caller, answer, headers)
     headers.append((header_names.REQUEST_ID, caller.request_id.encode()))
+    if answer.status in outcomes.UNAVAILABLE:
+        # This level did what its class and budget allow; a level above that
+        # tried again would multiply the tries.
+        headers.append((header_names.NO_RETRY, b'1'))
     if not caller.keeps_alive:
         headers.append(_CLOSE)
     return messages.encode_head(_status_line(answer.status), headers)
--- a/src/mulberryquay/entry/daemon.py
+++ b/src/mulberryquay/entry/daemon.py
@@ -10,7 +10,7 @@
 
 from mulberryquay import settings, sockets, web
 from mulberryquay.coordination import clock, units, watchdog
-from mulberryquay.entry import accounts, caller, control_link, state
+from mulberryquay.entry import accounts, caller, control_link, prober, state
 from mulberryquay.kernel import plugins
 
 SERVE_STALE: typing.Final = 'serve'
@@ -76,6 +76,25 @@
         'Idempotency-Key that are not idempotent are refused',
         form='address',
     ),
+    settings.Setting(
+        'probe_path',
+        '/healthz',
+        'path that probes of failed targets ask for',
+        required=True,
+    ),
+    settings.Setting(
+        'probes_per_target_s',
+        1,
+        'probes a second that all entries together may send a failed '
+        'target; 0 sends none',
+        maximum=1000,
+    ),
+    settings.Setting(
+        'probe_bytes_s',
+        10 * prober.PROBE_BYTES,
+        'bytes a second that this entry may spend on probes',
+        maximum=units.GIB,
+    ),
     settings.Setting(
         'policy',
         DEFAULT_POLICY,
@@ -157,6 +176,12 @@
             self._state.clock,
             interval=units.SECOND_MS,
         )
+        self._prober = prober.Prober(
+            self._state,
+            path=values['probe_path'],
+            per_target_rate=values['probes_per_target_s'],
+            bytes_rate=values['probe_bytes_s'],
+        )
         self._callers: set[caller.CallerTask] = set()
 
     @property
@@ -189,6 +214,7 @@
         self._quiet_callers.start()
         self._link.start()
         self._state.claims.start()
+        self._prober.start()
         self._server = server.StreamServer(self._listener, self._serve)
         self._server.start()
         self._peer_server = server.StreamServer(
@@ -218,6 +244,7 @@
             time.sleep(_STOP_POLL_MS)
         self._link.stop()
         self._state.claims.stop()
+        self._prober.stop()
         self._state.watchdog.stop()
         self._quiet_callers.stop()
         self._admin.stop(timeout=1)
--- a/src/mulberryquay/entry/forwarder.py
+++ b/src/mulberryquay/entry/forwarder.py
@@ -17,9 +17,6 @@
     targets,
 )
 
-#: Answers that another target may well not give.
-_UNAVAILABLE: typing.Final = frozenset((502, 503, 504))
-
 
 class Call(typing.NamedTuple):
     """A request that has passed admission."""
@@ -166,7 +163,9 @@
         outgoing = self._call.outgoing
         is_idempotent = self._call.demand.service_class.idempotent
         match ended:
-            case outcomes.Received(head) if head.status not in _UNAVAILABLE:
+            case outcomes.Received(head) if (
+                head.status not in outcomes.UNAVAILABLE
+            ):
                 return False
             case outcomes.Received(head):
                 is_resendable = is_idempotent and outgoing.rest is None
@@ -271,7 +270,7 @@
         case outcomes.Received(head):
             if ended.outcome is not outcomes.Outcome.ANSWERED:
                 return 'received', ended.reason
-            if head.status in _UNAVAILABLE:
+            if head.status in outcomes.UNAVAILABLE:
                 return 'received', outcomes.Reason.TARGET_UNAVAILABLE
             return 'received', outcomes.Reason.NONE
         case outcomes.NotSent(reason):
--- a/src/mulberryquay/entry/outcomes.py
+++ b/src/mulberryquay/entry/outcomes.py
@@ -13,6 +13,10 @@
     from mulberryquay.entry import connections
 
 
+#: Statuses of answers that another target may well not give.
+UNAVAILABLE: typing.Final = frozenset((502, 503, 504))
+
+
 class Outcome(enum.Enum):
     """What an answer says of the request; sent as a header."""
 
--- /dev/null
+++ b/src/mulberryquay/entry/prober.py
@@ -0,0 +1,121 @@
+"""Asks suspended targets whether they are back, within a budget.
+
+Load is measured without extra messages: answers carry it. Only a target that
+failed is probed, by the one entry that rendezvous ranks first for it, at a
+rate for each target and within bytes a second for each entry.
+"""
+
+from __future__ import annotations
+
+import typing
+
+import gevent
+
+from mulberryquay.coordination import errors, token_bucket
+from mulberryquay.entry import connections, messages, state, targets
+
+#: What a probe and its answer are taken to weigh, headers of TCP included.
+PROBE_BYTES: typing.Final = 600
+
+_INTERVAL_MS: typing.Final = 100.0
+_TIMEOUT_S: typing.Final = 1.0
+_FIRST_BAD_STATUS: typing.Final = 500
+
+
+@typing.final
+class Prober:
+    """One task that probes; each probe runs in a task of its own."""
+
+    def __init__(
+        self,
+        shared: state.EntryState,
+        *,
+        path: str,
+        per_target_rate: float,
+        bytes_rate: float,
+    ) -> None:
+        """Rates are in probes a second and target, and bytes a second."""
+        self._shared = shared
+        self._request = messages.encode_head(
+            f'GET {path} HTTP/1.1'.encode(),
+            [(b'host', b'mulberryquay-probe')],
+        )
+        self._per_target_rate = per_target_rate
+        self._bytes = token_bucket.TokenBucket(
+            shared.clock,
+            rate=bytes_rate,
+            burst=max(bytes_rate, PROBE_BYTES),
+        )
+        self._by_target: dict[str, token_bucket.TokenBucket] = {}
+        self._task: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Begins to probe."""
+        if self._per_target_rate > 0:
+            self._task = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Stops to probe."""
+        if self._task is not None:
+            self._task.kill()
+
+    def probe_due(self) -> list[gevent.Greenlet]:
+        """Begins the probes that are due and within the budget."""
+        known = self._shared.balancer.all_targets
+        for gone in set(self._by_target) - set(known):
+            self._by_target.pop(gone)
+        return [
+            gevent.spawn(self._probe, target)
+            for target in known.values()
+            if target.has_failed and self._may_probe(target)
+        ]
+
+    def _run(self) -> None:
+        while True:
+            self._shared.clock.sleep(_INTERVAL_MS)
+            self.probe_due()
+
+    def _may_probe(self, target: targets.TargetState) -> bool:
+        name = target.row.name
+        if not target.limit or not self._shared.view.share(name, 1):
+            return False
+        bucket = self._by_target.get(name)
+        if bucket is None:
+            bucket = token_bucket.TokenBucket(
+                self._shared.clock,
+                rate=self._per_target_rate,
+                burst=1,
+            )
+            self._by_target[name] = bucket
+        return bucket.take() and self._bytes.take(PROBE_BYTES)
+
+    def _probe(self, target: targets.TargetState) -> None:
+        is_near = target.row.region == self._shared.region
+        self._shared.metrics.count(
+            'mulberryquay_probe_bytes_total',
+            'same-region' if is_near else 'cross-region',
+            amount=PROBE_BYTES,
+        )
+        started = self._shared.clock.now()
+        try:
+            status = self._ask(target)
+        except (OSError, errors.MulberryquayError):
+            status = _FIRST_BAD_STATUS
+        if status >= _FIRST_BAD_STATUS:
+            target.record_failure()
+            return
+        latency = self._shared.clock.now() - started
+        target.record_probe(latency)
+        self._shared.balancer.queue_for(target.row.service).serve_waiting()
+
+    def _ask(self, target: targets.TargetState) -> int:
+        link = target.pool.take(limit=target.link_limit)
+        try:
+            return self._exchange(link)
+        finally:
+            target.pool.discard(link)
+
+    def _exchange(self, link: connections.Link) -> int:
+        link.socket.settimeout(_TIMEOUT_S)
+        messages.send_all(link.socket, self._request)
+        return link.reader.read_head().status
--- a/src/mulberryquay/entry/state.py
+++ b/src/mulberryquay/entry/state.py
@@ -47,6 +47,11 @@
         'Body bytes sent to and received from targets of other regions.',
         labels=('direction',),
     ),
+    metrics.Declared(
+        'mulberryquay_probe_bytes_total',
+        'Bytes of probes to targets, by scope.',
+        labels=('scope',),
+    ),
     metrics.Declared(
         'mulberryquay_control_bytes_total',
         'Bytes exchanged with control hosts.',
--- a/src/mulberryquay/entry/targets.py
+++ b/src/mulberryquay/entry/targets.py
@@ -92,6 +92,11 @@
         """The fast average of the answers' latency, 0 before the first."""
         return self._fast_ms
 
+    @property
+    def has_failed(self) -> bool:
+        """Whether the newest call or probe failed."""
+        return self._failures > 0
+
     @property
     def has_room(self) -> bool:
         """Whether this entry may send the target another call."""
@@ -130,6 +135,12 @@
             self._reported = max(0.0, load - self.in_flight)
             self._reported_at = reported_at
 
+    def record_probe(self, latency: float) -> None:
+        """Takes a probe's answer: the target may be used again."""
+        self._failures = 0
+        self.suspended_until = 0
+        self._average(latency)
+
     def record_failure(self) -> None:
         """Suspends the target for a growing while."""
         pause = _FIRST_SUSPENSION_MS * 2**self._failures
--- /dev/null
+++ b/testing/entry/test_limits.py
@@ -0,0 +1,190 @@
+"""Tests of what entries may spend on measuring and on resends."""
+
+from __future__ import annotations
+
+import contextlib
+import time
+import typing
+import unittest
+from unittest import mock
+
+import gevent
+
+from mulberryquay.coordination import clock, token_bucket
+from mulberryquay.entry import daemon, prober
+from mulberryquay.standin import target
+from testing import fixtures
+
+CASE: typing.Final = unittest.TestCase()
+
+
+def test_bucket_never_grants_more_than_its_rate() -> None:
+    """Over any time, asked at any moment."""
+    moment = clock.ManualClock()
+    bucket = token_bucket.TokenBucket(moment, rate=5, burst=2)
+    granted = 0
+    for step in range(1000):
+        moment.advance(step % 7)
+        granted += bucket.take()
+        elapsed_s = moment.now() / 1000
+        CASE.assertLessEqual(granted, 2 + 5 * elapsed_s)
+    CASE.assertGreater(granted, 14)
+
+
+def test_probes_stay_in_their_budget_while_targets_flap() -> None:
+    """Three entries know the target as failed; one of them probes it."""
+    rate = 20
+
+    def flap(request: target.Received) -> target.Answer:
+        CASE.assertEqual(request.head.path, b'/healthz')
+        return target.Answer(500)
+
+    with contextlib.ExitStack() as stack:
+        control = stack.enter_context(fixtures.control())
+        control.declare()
+        stock = stack.enter_context(fixtures.target_of(control, 'a', flap))
+        began = time.monotonic()
+        entries = [
+            stack.enter_context(
+                fixtures.entry(
+                    control,
+                    f'e{number}',
+                    probes_per_target_s=rate,
+                ),
+            )
+            for number in range(3)
+        ]
+        for entry in entries:
+            fixtures.wait_for_targets(entry, 'a')
+            entry.state.balancer.all_targets['a'].record_failure()
+        fixtures.wait_until(lambda: stock.runs['GET /healthz'] > 12)
+        elapsed = time.monotonic() - began
+        probes = stock.runs['GET /healthz']
+        CASE.assertLessEqual(probes, 1 + rate * elapsed)
+        counted = [_probe_bytes(entry) for entry in entries]
+        CASE.assertGreaterEqual(sum(counted), probes * prober.PROBE_BYTES)
+        CASE.assertEqual(sum(1 for spent in counted if spent), 1)
+
+
+def _probe_bytes(entry: daemon.EntryDaemon) -> float:
+    read = entry.state.metrics.read
+    CASE.assertEqual(
+        read('mulberryquay_probe_bytes_total', 'cross-region'),
+        0,
+    )
+    return read('mulberryquay_probe_bytes_total', 'same-region')
+
+
+def test_probe_brings_a_target_back() -> None:
+    """A good answer ends the suspension before any request is risked."""
+    with (
+        fixtures.control() as control,
+        fixtures.entry(control, probes_per_target_s=20) as entry,
+        fixtures.target_of(control, 'a'),
+    ):
+        control.declare()
+        fixtures.wait_for_targets(entry, 'a')
+        known = entry.state.balancer.all_targets['a']
+        for _failure in range(8):
+            known.record_failure()
+        fixtures.wait_until(lambda: not known.has_failed)
+        CASE.assertEqual(known.suspended_until, 0)
+
+
+def test_full_outage_is_not_amplified() -> None:
+    """Every target breaks each call; resends stay within a fifth."""
+    calls = 200
+    with contextlib.ExitStack() as stack:
+        control = stack.enter_context(fixtures.control())
+        control.declare(service_class={'idempotent': True, 'max_attempts': 5})
+        broken = stack.enter_context(
+            fixtures.several(
+                fixtures.target_of(control, f't{number}', _unavailable)
+                for number in range(6)
+            ),
+        )
+        entry = stack.enter_context(fixtures.entry(control))
+        fixtures.wait_for_targets(entry, *(f't{n}' for n in range(6)))
+        control.wait_in_force()
+        for number in range(calls):
+            fixtures.ask(entry, f'/stock/{number}')
+        runs = sum(
+            sum(one.runs[f'GET /stock/{number}'] for number in range(calls))
+            for one in broken
+        )
+    CASE.assertGreater(runs, calls)
+    CASE.assertLessEqual(runs, calls * 1.2)
+
+
+def _unavailable(_request: target.Received) -> target.Answer:
+    return target.Answer(503)
+
+
+def test_call_tree_retries_at_one_level_only() -> None:
+    """The leaf is down; each level calls the next through the entry."""
+    depth = 8
+    leaf_runs: list[str] = []
+    with fixtures.control() as control, fixtures.entry(control) as entry:
+        control.declare(service_class={'idempotent': True, 'max_attempts': 3})
+
+        def call_down(request: target.Received) -> target.Answer:
+            level = int(request.head.path.rpartition(b'/')[2])
+            if level == depth:
+                leaf_runs.append('ran')
+                return target.Answer(503)
+            below = fixtures.ask(
+                entry,
+                f'/stock/{level + 1}',
+                headers=_passed_on(request),
+            )
+            marks = []
+            if 'mulberryquay-no-retry' in below.headers:
+                marks.append((b'mulberryquay-no-retry', b'1'))
+            return target.Answer(below.status, headers=marks)
+
+        with fixtures.several(
+            fixtures.target_of(control, f't{number}', call_down, slots=64)
+            for number in range(4)
+        ):
+            fixtures.wait_for_targets(entry, *(f't{n}' for n in range(4)))
+            control.wait_in_force()
+            budget = entry.state.budget_for('stock')
+            with mock.patch.object(budget, 'withdraw', return_value=True):
+                answer = fixtures.ask(entry, '/stock/0')
+    CASE.assertEqual(answer.status, 503)
+    # Without the marks there would be 3 to the power of 9.
+    CASE.assertLessEqual(len(leaf_runs), 3)
+
+
+def _passed_on(request: target.Received) -> dict[str, str]:
+    """Returns the headers that a well-behaved target passes down."""
+    return {
+        name.decode(): header.decode()
+        for name, header in request.head.noted
+        if name.startswith(b'mulberryquay-')
+        and name != b'mulberryquay-request-id'
+    }
+
+
+def test_depth_ends_a_loop_of_calls() -> None:
+    """A target that calls itself is stopped after 30 levels."""
+    with fixtures.control() as control, fixtures.entry(control) as entry:
+        control.declare()
+        runs: list[int] = []
+
+        def loop(request: target.Received) -> target.Answer:
+            runs.append(1)
+            below = fixtures.ask(
+                entry,
+                '/stock/x',
+                headers=_passed_on(request),
+            )
+            return target.Answer(below.status)
+
+        with fixtures.target_of(control, 'a', loop, slots=64):
+            fixtures.wait_for_targets(entry, 'a')
+            control.wait_in_force()
+            answer = fixtures.ask(entry, '/stock/x')
+            CASE.assertEqual(answer.status, 508)
+            CASE.assertEqual(len(runs), 30)
+            gevent.sleep(0)
--- a/testing/fixtures.py
+++ b/testing/fixtures.py
@@ -14,6 +14,7 @@
 import typing
 
 import gevent
+import hypothesis
 from gevent import socket
 
 from mulberryquay import announcer, settings
@@ -34,6 +35,20 @@
 _INCARNATIONS: typing.Final = itertools.count(1)
 
 
+#: Set by `make soak`: searches are longer and begin at random.
+_SOAK: typing.Final = bool(os.environ.get('MULBERRYQUAY_SOAK'))
+_EXAMPLES_FACTOR: typing.Final = 50 if _SOAK else 1
+
+
+def search(examples: int = 100) -> hypothesis.settings:
+    """Returns settings under which CI's verdict is always the same."""
+    return hypothesis.settings(
+        derandomize=not _SOAK,
+        deadline=None,
+        max_examples=examples * _EXAMPLES_FACTOR,
+    )
+
+
 class Response(typing.NamedTuple):
     """A whole answer as a caller sees it."""
 
