--- a/src/mulberryquay/entry/forwarder.py
+++ b/src/mulberryquay/entry/forwarder.py
@@ -231,6 +231,16 @@
                 retry_after_s=60,
             )
 
+    def _reporter(self) -> state.Reporter | None:
+        """Returns what tells control hosts of crashes, if it may.
+
+        One with home regions stays there, even as a digest; its crashes are
+        counted by each entry alone.
+        """
+        if self._call.demand.regions is not None:
+            return None
+        return self._shared.reporter
+
     def _fingerprint(self) -> bytes:
         return fingerprint_of(self._call.outgoing)
 
@@ -242,8 +252,9 @@
         fingerprint = self._fingerprint()
         name = target.row.name
         self._shared.guard.record(fingerprint, name, ran_for=duration)
-        if self._shared.reporter is not None:
-            self._shared.reporter.report_broken(
+        reporter = self._reporter()
+        if reporter is not None:
+            reporter.report_broken(
                 fingerprint,
                 name,
                 ran_for=duration,
@@ -252,8 +263,9 @@
     def _clear_breakages(self) -> None:
         fingerprint = self._fingerprint()
         is_cleared = self._shared.guard.clear(fingerprint)
-        if is_cleared and self._shared.reporter is not None:
-            self._shared.reporter.report_cleared(fingerprint)
+        reporter = self._reporter()
+        if is_cleared and reporter is not None:
+            reporter.report_cleared(fingerprint)
 
 
 def fingerprint_of(outgoing: attempt.Outgoing) -> bytes:
--- /dev/null
+++ b/testing/entry/test_control_link.py
@@ -0,0 +1,70 @@
+"""Tests of what an entry takes from control hosts."""
+
+from __future__ import annotations
+
+import contextlib
+import typing
+import unittest
+
+import gevent
+
+from mulberryquay.standin import target
+from testing import fixtures
+
+CASE: typing.Final = unittest.TestCase()
+
+
+def test_configuration_never_reverts() -> None:
+    """A control host that lost its disk comes back at the same address."""
+    with contextlib.ExitStack() as stack:
+        with fixtures.control() as first:
+            first.declare()
+            feed_port = first.daemon.feed_port
+            entry = stack.enter_context(fixtures.entry(first))
+            stack.enter_context(fixtures.target_of(first, 'stock-a'))
+            fixtures.wait_for_targets(entry, 'stock-a')
+            first.wait_in_force()
+        fixtures.wait_until(lambda: not entry.state.is_fresh)
+        with fixtures.control(feed_port=feed_port) as emptied:
+            seen = emptied.daemon.entries.entries
+            fixtures.wait_until(lambda: 'entry-1' in seen)
+            gevent.sleep(0.5)
+            CASE.assertFalse(entry.state.is_fresh)
+            route = entry.state.table.find_route(b'/stock/x')
+            CASE.assertEqual(route.name, 'stock')
+            refused = fixtures.ask(entry, '/stock/x')
+            CASE.assertEqual(refused.outcome, 'not-run/stale-configuration')
+
+
+def test_entry_takes_the_next_control_host() -> None:
+    """The first of its list cannot be reached."""
+    with fixtures.control() as control:
+        addresses = f'127.0.0.1:1,127.0.0.1:{control.daemon.feed_port}'
+        with fixtures.entry(control, control=addresses) as entry:
+            CASE.assertTrue(entry.state.is_fresh)
+
+
+def test_leaving_target_finishes_its_calls_and_gets_no_others() -> None:
+    """It said so while it ran one."""
+
+    def slow(_request: target.Received) -> target.Answer:
+        gevent.sleep(0.3)
+        return target.Answer(body=b'done')
+
+    with fixtures.control() as control, fixtures.entry(control) as entry:
+        control.declare()
+        with fixtures.target_of(control, 'stock-a', slow) as stock:
+            fixtures.wait_for_targets(entry, 'stock-a')
+            control.wait_in_force()
+            running = gevent.spawn(fixtures.ask, entry, '/stock/1')
+            fixtures.wait_until(lambda: stock.in_flight)
+            control.daemon.targets.leave(
+                'stock-a',
+                incarnation=control.daemon.targets.get('stock-a').incarnation,
+            )
+            known = entry.state.balancer.all_targets
+            fixtures.wait_until(lambda: not known['stock-a'].limit)
+            refused = fixtures.ask(entry, '/stock/2')
+            CASE.assertEqual(refused.outcome, 'not-run/no-target')
+            CASE.assertEqual(running.get().body, b'done')
+            CASE.assertNotIn('GET /stock/2', stock.runs)
