Measure a domain that leaves and returns; return its targets cold

Change: benchmarks domain; targets of a domain that is taken out become cold; an account's limit is divided among the entries. A test kills an entry with kill -9 while its order runs: the resend is told unknown.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -78,6 +78,7 @@
         *,
         slots: int = 6,
         work_ms: float = 0,
+        domain: str = 'north-1',
     ) -> Process:
         """Starts ``count`` targets of a service in one process."""
         return self._start(
@@ -88,6 +89,7 @@
             str(count),
             str(slots),
             str(work_ms),
+            domain,
         )
 
     def start_bare_forwarder(self, target_port: int) -> Process:
--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -7,7 +7,7 @@
 import sys
 import typing
 
-MEASUREMENTS: typing.Final = ('data_path', 'slopes', 'policies')
+MEASUREMENTS: typing.Final = ('data_path', 'domain', 'slopes', 'policies')
 
 
 def main(chosen: typing.Sequence[str]) -> None:
--- a/benchmarks/standins.py
+++ b/benchmarks/standins.py
@@ -1,7 +1,11 @@
-"""A process of stand-in targets: API, SERVICE, COUNT, SLOTS, WORK_MS."""
+"""A process of stand-in targets.
+
+Arguments: API, SERVICE, COUNT, SLOTS, WORK_MS, DOMAIN.
+"""
 
 from __future__ import annotations
 
+import collections
 import functools
 import sys
 import time
@@ -16,22 +20,23 @@
 
 def main(arguments: list[str]) -> None:
     """Announces the targets and serves until the process is ended."""
-    api, service, count, slots, work_ms = arguments
+    api, service, count, slots, work_ms, domain = arguments
     work_s = float(work_ms) / clock.MS_PER_SECOND
 
     ports = []
     for number in range(int(count)):
         stand_in = target.StandInTarget(
-            functools.partial(_work, work_s), slots=int(slots)
+            functools.partial(_work, work_s, collections.Counter()),
+            slots=int(slots),
         )
         stand_in.start()
         announcing = announcer.Announcer(
             {
-                'name': f'{service}-{number}',
+                'name': f'{service}-{domain}-{number}',
                 'service': service,
                 'address': stand_in.address,
                 'region': 'north',
-                'domain': 'north-1',
+                'domain': domain,
                 'slots': int(slots),
                 'connections': 220,
                 'incarnation': time.time_ns(),
@@ -44,7 +49,14 @@
     gevent.wait()
 
 
-def _work(duration_s: float, _request: target.Received) -> target.Answer:
+def _work(
+    duration_s: float,
+    begun: collections.Counter[str],
+    request: target.Received,
+) -> target.Answer:
+    if request.head.path == b'/begun':
+        return target.Answer(body=b'%d' % begun['calls'])
+    begun['calls'] += 1
     if duration_s:
         gevent.sleep(duration_s)
     return target.Answer(body=b'hello')
--- a/src/mulberryquay/control/directory.py
+++ b/src/mulberryquay/control/directory.py
@@ -207,6 +207,12 @@
         if known.growth.record_shed():
             self._update_allowance(known)
 
+    def reset_domain(self, domain: str) -> None:
+        """Makes the targets of a domain cold, for when it comes back."""
+        for known in self._targets.values():
+            if known.row.domain == domain and known.growth.reset_cold():
+                self._update_allowance(known)
+
     def hint(self, name: str, known: Hint) -> None:
         """Notes what an entry knows, for targets yet to be relearned."""
         if self.is_relearning:
--- a/src/mulberryquay/control/feed.py
+++ b/src/mulberryquay/control/feed.py
@@ -9,7 +9,7 @@
 from gevent import queue, server
 
 from mulberryquay import protocol
-from mulberryquay.control import directory, membership
+from mulberryquay.control import directory, kinds, membership
 from mulberryquay.coordination import (
     clock,
     crash_guard,
@@ -275,8 +275,16 @@
             self._store.changes.wait(sent, timeout=_WATCH_TIMEOUT_MS)
             for change in self._store.changes.since(sent):
                 self._broadcast(protocol.ConfigDelta(list(change)))
+                self._chill_domain(change)
                 sent = change.revision
 
+    def _chill_domain(self, change: store.Resource) -> None:
+        """Makes the targets of a domain that was taken out cold."""
+        if change.kind != kinds.FAILURE_DOMAIN or change.spec is None:
+            return
+        if change.spec['state'] == kinds.STATE_OUT:
+            self._directory.reset_domain(change.name)
+
     def _send_target_changes(self) -> None:
         sent = self._directory.changes.revision
         while True:
--- a/src/mulberryquay/entry/exchange.py
+++ b/src/mulberryquay/entry/exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import typing
 
 from mulberryquay.entry import (
@@ -211,15 +212,24 @@
             return
         in_flight = self._shared.account_in_flight
         running = in_flight.get(account.name, 0)
-        if running >= account.max_in_flight:
+        if running >= self._account_limit(account):
             raise outcomes.not_run(
                 outcomes.Reason.ACCOUNT_LIMIT,
                 f'client account {account.name!r} has {running} requests in '
-                'flight here, which is its limit',
+                'flight here, which is its limit at this entry',
             )
         in_flight[account.name] = running + 1
         self._account = account
 
+    def _account_limit(self, account: routing.ClientAccount) -> int:
+        """Returns this entry's part of a limit, 1 at least.
+
+        The platform's balancer spreads the requests of an account over the
+        entries, so each gets an equal part, rounded up.
+        """
+        entries = self._shared.view.member_count
+        return math.ceil(account.max_in_flight / entries)
+
     def _leave_account(self) -> None:
         if self._account is not None:
             self._shared.account_in_flight[self._account.name] -= 1
--- a/testing/entry/test_admission.py
+++ b/testing/entry/test_admission.py
@@ -5,6 +5,8 @@
 import typing
 import unittest
 
+import gevent
+
 from mulberryquay.standin import target
 from testing import fixtures
 
@@ -151,6 +153,36 @@
             CASE.assertFalse(central.runs)
 
 
+def test_account_limit_is_divided_among_entries() -> None:
+    """Two entries allow an equal part each."""
+    with (
+        fixtures.control() as control,
+        fixtures.entry(control, 'e1') as first,
+        fixtures.entry(control, 'e2') as second,
+    ):
+        control.declare()
+        control.put('client-accounts', 'noisy', max_in_flight=4)
+
+        def slow(_request: target.Received) -> target.Answer:
+            gevent.sleep(0.2)
+            return target.Answer()
+
+        with fixtures.target_of(control, 'a', slow, slots=64):
+            for entry in (first, second):
+                fixtures.wait_for_targets(entry, 'a')
+            control.wait_in_force()
+            fixtures.wait_until(lambda: first.state.view.member_count == 2)
+            headers = {'Mulberryquay-Account': 'noisy'}
+            tasks = [
+                gevent.spawn(fixtures.ask, first, '/stock/x', headers=headers)
+                for _number in range(6)
+            ]
+            gevent.joinall(tasks, raise_error=True)
+    outcomes = [task.value.outcome for task in tasks]
+    CASE.assertEqual(outcomes.count('answered/none'), 2)
+    CASE.assertEqual(outcomes.count('not-run/account-limit'), 4)
+
+
 def test_account_limit_refuses_with_a_time_to_come_back() -> None:
     """A noisy neighbour is held to its own limit."""
     with fixtures.control() as control, fixtures.entry(control) as entry:
--- a/testing/entry/test_balancer.py
+++ b/testing/entry/test_balancer.py
@@ -207,6 +207,9 @@
                 CASE.assertEqual(fixtures.parse_json(answer)['target'], 'in')
             CASE.assertEqual(sum(out.runs.values()), before)
             CASE.assertEqual(running.get().outcome, 'answered/none')
+            # When the domain comes back, its targets start cold.
+            row = control.daemon.targets.get('out')
+            CASE.assertEqual((row.allowance, row.is_warm), (1, False))
 
 
 def test_target_that_turned_cold_again_is_noticed() -> None:
--- a/testing/test_processes.py
+++ b/testing/test_processes.py
@@ -52,6 +52,7 @@
     *,
     listen: int = 0,
     drain_ms: int = 0,
+    ledger: str = '',
 ) -> typing.Iterator[EntryProcess]:
     arguments = (
         'entry',
@@ -63,6 +64,7 @@
         '--peer_listen=127.0.0.1:0',
         f'--control=127.0.0.1:{feed_port}',
         f'--drain_ms={drain_ms}',
+        f'--ledger={ledger}',
     )
     with fixtures.process(*arguments) as (running, line):
         port, admin_port = fixtures.ports_in(line)
@@ -183,6 +185,56 @@
         CASE.assertTrue(_is_answered(entry.port))
 
 
+def test_order_of_a_killed_entry_is_not_run_again() -> None:
+    """kill -9 of the entry while its target runs; the resend is told."""
+    begun: list[bytes] = []
+
+    def slow(request: target.Received) -> target.Answer:
+        begun.append(request.body)
+        gevent.sleep(1)
+        return target.Answer(201)
+
+    order = fixtures.request_bytes(
+        '/order/x',
+        method='POST',
+        headers={'Idempotency-Key': 'k1'},
+        body=b'one bar',
+    )
+    with (
+        fixtures.folder() as folder,
+        fixtures.folder() as claims,
+        contextlib.ExitStack() as stack,
+    ):
+        _running, line = stack.enter_context(_control(folder))
+        api_port, feed_port = fixtures.ports_in(line)
+        stack.enter_context(_stock(api_port, slow))
+        client = api_client.ApiClient(f'127.0.0.1:{api_port}')
+        _put(client, 'routes', 'order', path_prefix='/order', service='stock')
+        ledger = stack.enter_context(fixtures.ledger(claims))
+        address = f'127.0.0.1:{ledger.port}'
+        first = stack.enter_context(_entry(feed_port, ledger=address))
+        second = stack.enter_context(
+            _entry(feed_port, 'entry-2', ledger=address),
+        )
+        fixtures.wait_until(lambda: _is_answered(first.port))
+        fixtures.wait_until(lambda: _is_answered(second.port))
+        begun.clear()
+        asking = gevent.spawn(fixtures.send, first.port, order)
+        fixtures.wait_until(lambda: begun)
+        in_use = fixtures.send(second.port, order)
+        CASE.assertEqual(in_use.outcome, 'not-run/key-in-use')
+        first.running.send_signal(signal.SIGKILL)
+        with CASE.assertRaises((OSError, messages.CutShortError)):
+            asking.get()
+        fixtures.wait_until(
+            lambda: (
+                fixtures.send(second.port, order).outcome
+                == 'unknown/earlier-run'
+            ),
+        )
+        CASE.assertEqual(begun, [b'one bar'])
+
+
 def test_planned_stop_finishes_what_is_in_flight() -> None:
     """Also a long stream that began before the stop."""
 
