--- a/benchmarks/domain.py
+++ b/benchmarks/domain.py
@@ -11,7 +11,7 @@
 from hdrh import histogram
 
 from benchmarks import callers, fleet
-from mulberryquay.entry import messages
+from mulberryquay.entry import http_heads, messages
 
 _CALLERS: typing.Final = 16
 _PHASE_S: typing.Final = 4.0
@@ -71,7 +71,7 @@
             reader = messages.ResponseReader(connection)
             try:
                 self._ask_on(connection, reader, request)
-            except (OSError, messages.CutShortError, messages.MessageError):
+            except (OSError, http_heads.CutShortError, http_heads.MessageError):
                 self.lost += 1
             connection.close()
 
--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -7,7 +7,7 @@
 import typing
 
 from benchmarks import service_model
-from mulberryquay.entry import balancer
+from mulberryquay.entry import balancer, service_queue
 from mulberryquay.kernel import plugins
 
 _SEEDS: typing.Final = (1, 2, 3)
@@ -94,7 +94,7 @@
 
 def _median_run(
     scenario: service_model.Scenario,
-    factory: typing.Callable[[random.Random], balancer.Policy],
+    factory: typing.Callable[[random.Random], service_queue.Policy],
     *,
     overcommit: float = balancer.OVERCOMMIT,
 ) -> service_model.Result:
--- a/benchmarks/service_model.py
+++ b/benchmarks/service_model.py
@@ -18,7 +18,7 @@
 
 from mulberryquay import protocol
 from mulberryquay.coordination import clock
-from mulberryquay.entry import balancer, targets
+from mulberryquay.entry import balancer, service_queue, targets
 
 _MAX_US: typing.Final = 60_000_000
 _DIGITS: typing.Final = 3
@@ -82,7 +82,7 @@
     def __init__(
         self,
         scenario: Scenario,
-        new_policy: typing.Callable[[random.Random], balancer.Policy],
+        new_policy: typing.Callable[[random.Random], service_queue.Policy],
         *,
         overcommit: float = balancer.OVERCOMMIT,
         seed: int = 1,
--- a/src/mulberryquay/commands/daemons.py
+++ b/src/mulberryquay/commands/daemons.py
@@ -57,6 +57,16 @@
     )
 
 
+class Daemon(typing.Protocol):
+    """What all daemons have in common."""
+
+    def start(self) -> None:
+        """Begins to serve."""
+
+    def stop(self) -> None:
+        """Stops without cutting off a request."""
+
+
 def run_control(
     values: settings.Values,
     _arguments: list[str],
@@ -65,12 +75,8 @@
     """Runs a control host until a signal."""
     logs.configure(level=values['log_level'], role='control')
     daemon = control_daemon.ControlDaemon(values, kernel)
-    daemon.start()
-    command.say(f'api port {daemon.api_port}, feed port {daemon.feed_port}')
-    freeze_start_objects()
-    command.wait_for_stop()
-    daemon.stop()
-    return 0
+    ports = f'api port {daemon.api_port}, feed port {daemon.feed_port}'
+    return _run_until_signal(daemon, ports)
 
 
 def run_entry(
@@ -81,12 +87,8 @@
     """Runs an entry until a signal, then stops it gracefully."""
     logs.configure(level=values['log_level'], role='entry')
     daemon = entry_daemon.EntryDaemon(values, kernel)
-    daemon.start()
-    command.say(f'port {daemon.port}, admin port {daemon.admin_port}')
-    freeze_start_objects()
-    command.wait_for_stop()
-    daemon.stop()
-    return 0
+    ports = f'port {daemon.port}, admin port {daemon.admin_port}'
+    return _run_until_signal(daemon, ports)
 
 
 def run_ledger(
@@ -97,8 +99,13 @@
     """Runs a ledger until a signal."""
     logs.configure(level=values['log_level'], role='ledger')
     daemon = ledger_daemon.LedgerDaemon(values)
+    ports = f'port {daemon.port}, admin port {daemon.admin_port}'
+    return _run_until_signal(daemon, ports)
+
+
+def _run_until_signal(daemon: Daemon, ports: str) -> int:
     daemon.start()
-    command.say(f'port {daemon.port}, admin port {daemon.admin_port}')
+    command.say(ports)
     freeze_start_objects()
     command.wait_for_stop()
     daemon.stop()
--- a/src/mulberryquay/entry/admission.py
+++ b/src/mulberryquay/entry/admission.py
@@ -4,7 +4,13 @@
 
 import typing
 
-from mulberryquay.entry import header_names, messages, outcomes, routing, state
+from mulberryquay.entry import (
+    header_names,
+    http_heads,
+    outcomes,
+    routing,
+    state,
+)
 
 #: Calls that stem from one request may be nested this deep.
 MAX_DEPTH: typing.Final = 30
@@ -26,7 +32,7 @@
     timeout_ms: int
 
 
-def admit(shared: state.EntryState, head: messages.RequestHead) -> Admitted:
+def admit(shared: state.EntryState, head: http_heads.RequestHead) -> Admitted:
     """Returns what the configuration says of a request.
 
     Raises RefusedError, always as not-run.
@@ -77,7 +83,7 @@
 
 def _find_account(
     shared: state.EntryState,
-    head: messages.RequestHead,
+    head: http_heads.RequestHead,
 ) -> routing.ClientAccount | None:
     name = head.find(header_names.ACCOUNT)
     if name is None:
@@ -100,7 +106,7 @@
 
 
 def _read_number(
-    head: messages.RequestHead,
+    head: http_heads.RequestHead,
     name: bytes,
     default: int,
     maximum: int,
--- a/src/mulberryquay/entry/answers.py
+++ b/src/mulberryquay/entry/answers.py
@@ -9,7 +9,13 @@
 
 from mulberryquay import web
 from mulberryquay.coordination import errors
-from mulberryquay.entry import header_names, keyed, messages, outcomes
+from mulberryquay.entry import (
+    header_names,
+    keyed,
+    http_heads,
+    messages,
+    outcomes,
+)
 
 _CLOSE: typing.Final = (b'connection', b'close')
 _ENCODED: typing.Final[dict[enum.Enum, bytes]] = {
@@ -32,7 +38,7 @@
 class Caller(typing.NamedTuple):
     """What the answer has to know of the caller's request."""
 
-    head: messages.RequestHead
+    head: http_heads.RequestHead
     request_id: str
     #: Whether the connection may carry another request.
     keeps_alive: bool
@@ -50,15 +56,15 @@
     """
     framing = _framing_for(caller.head, received.head)
     keeps_alive = caller.keeps_alive
-    if framing is messages.Framing.UNTIL_CLOSE:
+    if framing is http_heads.Framing.UNTIL_CLOSE:
         keeps_alive = False
         caller = caller._replace(keeps_alive=False)
     first = _encode_head(caller, received, framing)
     if received.body is not None:
-        messages.send_all(connection, first + received.body)
+        http_heads.send_all(connection, first + received.body)
         return keeps_alive
-    messages.send_all(connection, first)
-    if framing is not messages.Framing.NONE:
+    http_heads.send_all(connection, first)
+    if framing is not http_heads.Framing.NONE:
         _relay_body(connection, received, framing)
     return keeps_alive
 
@@ -84,7 +90,7 @@
         headers.append(_CLOSE)
     if caller is not None:
         headers.append((header_names.REQUEST_ID, caller.request_id.encode()))
-    answer = messages.encode_head(_status_line(refusal.status), headers)
+    answer = http_heads.encode_head(_status_line(refusal.status), headers)
     if caller is not None and caller.head.method == b'HEAD':
         return answer
     return answer + body
@@ -104,35 +110,35 @@
         headers.append(_CLOSE)
     if kept.status not in messages.NO_BODY_STATUSES:
         headers.append((b'content-length', b'%d' % len(kept.body)))
-    head = messages.encode_head(_status_line(kept.status), headers)
+    head = http_heads.encode_head(_status_line(kept.status), headers)
     return head + kept.body
 
 
 def _framing_for(
-    request: messages.RequestHead,
-    answer: messages.ResponseHead,
-) -> messages.Framing:
+    request: http_heads.RequestHead,
+    answer: http_heads.ResponseHead,
+) -> http_heads.Framing:
     if request.method == b'HEAD':
-        return messages.Framing.NONE
-    is_chunked = answer.framing is messages.Framing.CHUNKED
+        return http_heads.Framing.NONE
+    is_chunked = answer.framing is http_heads.Framing.CHUNKED
     if is_chunked and request.is_http_one_zero:
-        return messages.Framing.UNTIL_CLOSE
+        return http_heads.Framing.UNTIL_CLOSE
     return answer.framing
 
 
 def _encode_head(
     caller: Caller,
     received: outcomes.Received,
-    framing: messages.Framing,
+    framing: http_heads.Framing,
 ) -> bytes:
     answer = received.head
     headers = [*answer.kept, *_own_headers(received.outcome, received.reason)]
     match framing:
-        case messages.Framing.CHUNKED:
+        case http_heads.Framing.CHUNKED:
             headers.append((b'transfer-encoding', b'chunked'))
-        case messages.Framing.LENGTH:
+        case http_heads.Framing.LENGTH:
             headers.append((b'content-length', b'%d' % answer.length))
-        case messages.Framing.NONE:
+        case http_heads.Framing.NONE:
             _copy_length(caller, answer, headers)
     headers.append((header_names.REQUEST_ID, caller.request_id.encode()))
     if answer.status in outcomes.UNAVAILABLE:
@@ -141,13 +147,13 @@
         headers.append((header_names.NO_RETRY, b'1'))
     if not caller.keeps_alive:
         headers.append(_CLOSE)
-    return messages.encode_head(_status_line(answer.status), headers)
+    return http_heads.encode_head(_status_line(answer.status), headers)
 
 
 def _copy_length(
     caller: Caller,
-    answer: messages.ResponseHead,
-    headers: messages.Headers,
+    answer: http_heads.ResponseHead,
+    headers: http_heads.Headers,
 ) -> None:
     """Keeps the length that the answer to a HEAD request tells."""
     length = answer.find(b'content-length')
@@ -158,7 +164,7 @@
 def _own_headers(
     outcome: outcomes.Outcome,
     reason: outcomes.Reason,
-) -> messages.Headers:
+) -> http_heads.Headers:
     return [
         (header_names.OUTCOME, _ENCODED[outcome]),
         (header_names.REASON, _ENCODED[reason]),
@@ -168,20 +174,22 @@
 def _relay_body(
     connection: typing.Any,
     received: outcomes.Received,
-    framing: messages.Framing,
+    framing: http_heads.Framing,
 ) -> None:
-    is_chunked = framing is messages.Framing.CHUNKED
+    is_chunked = framing is http_heads.Framing.CHUNKED
     for part in _body_parts(received):
-        connection.sendall(messages.encode_chunk(part) if is_chunked else part)
+        connection.sendall(
+            http_heads.encode_chunk(part) if is_chunked else part
+        )
     if is_chunked:
-        connection.sendall(messages.LAST_CHUNK)
+        connection.sendall(http_heads.LAST_CHUNK)
 
 
 def _body_parts(received: outcomes.Received) -> typing.Iterator[bytes]:
     """Yields the body of an answer; raises if the target cut it short."""
     reader = received.link.reader
     read = reader.read_part
-    if received.head.framing is messages.Framing.UNTIL_CLOSE:
+    if received.head.framing is http_heads.Framing.UNTIL_CLOSE:
         read = reader.read_until_close
     while True:
         try:
--- a/src/mulberryquay/entry/attempt.py
+++ b/src/mulberryquay/entry/attempt.py
@@ -10,7 +10,7 @@
 from mulberryquay.entry import (
     connections,
     header_names,
-    messages,
+    http_heads,
     outcomes,
     targets,
 )
@@ -28,8 +28,8 @@
 
     method: bytes
     path: bytes
-    headers: messages.Headers
-    framing: messages.Framing
+    headers: http_heads.Headers
+    framing: http_heads.Framing
     #: The body so far; all of it unless ``rest`` is given.
     body: bytes
     #: Yields the parts of the body that were not read yet.
@@ -60,7 +60,7 @@
         self._pump: gevent.Greenlet | None = None
         self._rest_failure: errors.MulberryquayError | None = None
 
-    def run(self, headers: messages.Headers) -> outcomes.Attempt:
+    def run(self, headers: http_heads.Headers) -> outcomes.Attempt:
         """Tries the request with ``headers`` added to its own."""
         if self._clock.now() >= self.deadline:
             return outcomes.NotSent(outcomes.Reason.DEADLINE)
@@ -110,7 +110,7 @@
     def _exchange(
         self,
         link: connections.Link,
-        headers: messages.Headers,
+        headers: http_heads.Headers,
     ) -> outcomes.Attempt:
         started = self._clock.now()
         request = self._encode(headers)
@@ -122,9 +122,9 @@
             return outcomes.NotSent(outcomes.Reason.CONNECT_FAILED)
         try:
             received = self._converse(link, request[sent:])
-        except messages.MessageError:
+        except http_heads.MessageError:
             return self._lose(outcomes.Reason.MALFORMED_ANSWER, started)
-        except (OSError, messages.CutShortError):
+        except (OSError, http_heads.CutShortError):
             return self._lose(outcomes.Reason.CONNECTION_LOST, started)
         return self._judge(received, self._clock.now() - started)
 
@@ -143,15 +143,15 @@
         link.socket.settimeout(_PART_TIMEOUT_S)
         return outcomes.Received(head, link, None)
 
-    def _is_small(self, head: messages.ResponseHead) -> bool:
+    def _is_small(self, head: http_heads.ResponseHead) -> bool:
         if self._outgoing.method == b'HEAD':
             return False
-        is_sized = head.framing is messages.Framing.LENGTH
+        is_sized = head.framing is http_heads.Framing.LENGTH
         return is_sized and head.length <= WHOLE_ANSWER_BYTES
 
     def _read_whole(
         self,
-        head: messages.ResponseHead,
+        head: http_heads.ResponseHead,
         link: connections.Link,
     ) -> outcomes.Received:
         body = b''
@@ -175,7 +175,7 @@
         self._target.record_answer(latency, reported=_reported_load(head))
         return received
 
-    def _is_shed(self, head: messages.ResponseHead) -> bool:
+    def _is_shed(self, head: http_heads.ResponseHead) -> bool:
         if head.status in self._target.row.shed_statuses:
             return True
         return head.find(header_names.NOT_RUN) is not None
@@ -194,15 +194,15 @@
         self._target.record_failure()
         return outcomes.Lost(reason)
 
-    def _encode(self, headers: messages.Headers) -> bytes:
+    def _encode(self, headers: http_heads.Headers) -> bytes:
         outgoing = self._outgoing
         start_line = b'%b %b HTTP/1.1' % (outgoing.method, outgoing.path)
-        head = messages.encode_head(start_line, outgoing.headers + headers)
+        head = http_heads.encode_head(start_line, outgoing.headers + headers)
         body = outgoing.body
-        if outgoing.framing is messages.Framing.CHUNKED:
-            body = messages.encode_chunk(body) if body else b''
+        if outgoing.framing is http_heads.Framing.CHUNKED:
+            body = http_heads.encode_chunk(body) if body else b''
             if outgoing.rest is None:
-                body += messages.LAST_CHUNK
+                body += http_heads.LAST_CHUNK
         return head + body
 
     def _send_rest(self, link: connections.Link) -> bool:
@@ -210,8 +210,8 @@
         try:
             for part in self._outgoing.rest or ():
                 self._send_part(link, part)
-            if self._outgoing.framing is messages.Framing.CHUNKED:
-                link.socket.sendall(messages.LAST_CHUNK)
+            if self._outgoing.framing is http_heads.Framing.CHUNKED:
+                link.socket.sendall(http_heads.LAST_CHUNK)
         except OSError:
             # The answer, if any, is read by the task that waits for it.
             return False
@@ -222,8 +222,8 @@
         return True
 
     def _send_part(self, link: connections.Link, part: bytes) -> None:
-        if self._outgoing.framing is messages.Framing.CHUNKED:
-            part = messages.encode_chunk(part)
+        if self._outgoing.framing is http_heads.Framing.CHUNKED:
+            part = http_heads.encode_chunk(part)
         link.socket.sendall(part)
 
     def _stop_pump(self) -> None:
@@ -248,11 +248,11 @@
     )
 
 
-def _text(head: messages.ResponseHead, name: bytes) -> str:
+def _text(head: http_heads.ResponseHead, name: bytes) -> str:
     return (head.find(name) or b'').decode('latin-1')
 
 
-def _reported_load(head: messages.ResponseHead) -> int | None:
+def _reported_load(head: http_heads.ResponseHead) -> int | None:
     text = head.find(header_names.LOAD)
     if text is None or not text.isdigit():
         return None
--- a/src/mulberryquay/entry/caller.py
+++ b/src/mulberryquay/entry/caller.py
@@ -10,7 +10,14 @@
 from gevent import socket
 
 from mulberryquay.coordination import errors, units
-from mulberryquay.entry import answers, exchange, messages, outcomes, state
+from mulberryquay.entry import (
+    answers,
+    exchange,
+    http_heads,
+    messages,
+    outcomes,
+    state,
+)
 
 #: A connection may wait this long for the whole head of its next request.
 IDLE_TIMEOUT_MS: typing.Final = 75_000.0
@@ -77,7 +84,7 @@
         self._socket.settimeout(None)
         try:
             head = self._reader.read_head()
-        except messages.MessageError as error:
+        except http_heads.MessageError as error:
             self._refuse_message(error)
             return False
         if head is None:
@@ -98,10 +105,10 @@
             self._shared.in_flight -= 1
             self.is_idle = True
 
-    def _refuse_message(self, error: messages.MessageError) -> None:
+    def _refuse_message(self, error: http_heads.MessageError) -> None:
         """Answers what cannot be read as a request, then closes."""
         reason = outcomes.Reason.MALFORMED_REQUEST
-        if isinstance(error, messages.HeadTooLargeError):
+        if isinstance(error, http_heads.HeadTooLargeError):
             reason = outcomes.Reason.HEAD_TOO_LARGE
         self._shared.metrics.count(
             'mulberryquay_requests_total',
--- a/src/mulberryquay/entry/exchange.py
+++ b/src/mulberryquay/entry/exchange.py
@@ -10,14 +10,15 @@
     admission,
     answers,
     attempt,
-    balancer,
     forwarder,
     header_names,
     keyed,
+    http_heads,
     messages,
     outcomes,
     request_body,
     routing,
+    service_queue,
     state,
 )
 
@@ -31,7 +32,7 @@
         shared: state.EntryState,
         connection: typing.Any,
         reader: messages.RequestReader,
-        head: messages.RequestHead,
+        head: http_heads.RequestHead,
         *,
         is_relayed: bool,
     ) -> None:
@@ -126,7 +127,7 @@
     def _send_kept(self, kept: keyed.KeptAnswer) -> bool:
         self._status = kept.status
         caller = self._caller(is_usable=True)
-        messages.send_all(self._socket, answers.encode_kept(caller, kept))
+        http_heads.send_all(self._socket, answers.encode_kept(caller, kept))
         return caller.keeps_alive
 
     def _relay(self, received: outcomes.Received) -> bool:
@@ -156,7 +157,7 @@
             rest = self._body.read_rest(service)
         deadline = self._started + admitted.timeout_ms
         return forwarder.Call(
-            balancer.Demand(
+            service_queue.Demand(
                 service,
                 admitted.route.service_class,
                 admitted.regions,
@@ -175,7 +176,7 @@
             self._head.find(header_names.NO_RETRY) is None,
         )
 
-    def _outgoing_headers(self, depth: int) -> messages.Headers:
+    def _outgoing_headers(self, depth: int) -> http_heads.Headers:
         head = self._head
         headers = [
             *head.kept,
@@ -183,9 +184,9 @@
             (header_names.DEPTH, b'%d' % depth),
         ]
         match head.framing:
-            case messages.Framing.CHUNKED:
+            case http_heads.Framing.CHUNKED:
                 headers.append((b'transfer-encoding', b'chunked'))
-            case messages.Framing.LENGTH:
+            case http_heads.Framing.LENGTH:
                 headers.append((b'content-length', b'%d' % head.length))
         return headers
 
--- a/src/mulberryquay/entry/forwarder.py
+++ b/src/mulberryquay/entry/forwarder.py
@@ -9,10 +9,10 @@
 from mulberryquay.entry import (
     accounts,
     attempt,
-    balancer,
     header_names,
-    messages,
+    http_heads,
     outcomes,
+    service_queue,
     state,
     targets,
 )
@@ -21,7 +21,7 @@
 class Call(typing.NamedTuple):
     """A request that has passed admission."""
 
-    demand: balancer.Demand
+    demand: service_queue.Demand
     outgoing: attempt.Outgoing
     #: Whether the caller allows resends.
     may_retry: bool
@@ -106,7 +106,7 @@
         self._record(target, ended, self._shared.clock.now() - started)
         return ended
 
-    def _try_headers(self, now: float) -> messages.Headers:
+    def _try_headers(self, now: float) -> http_heads.Headers:
         remaining = max(0, int(self._call.demand.deadline - now))
         headers = [(header_names.TIMEOUT, b'%d' % remaining)]
         if self.tries or not self._call.may_retry:
--- /dev/null
+++ b/src/mulberryquay/entry/http_heads.py
@@ -0,0 +1,160 @@
+"""Heads of HTTP/1.1 messages, their errors, and how bodies are framed."""
+
+from __future__ import annotations
+
+import enum
+import typing
+
+from mulberryquay.coordination import errors
+
+LAST_CHUNK: typing.Final = b'0\r\n\r\n'
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class MessageError(errors.InvalidInputError):
+    """The peer's message breaks HTTP/1.1 or a limit."""
+
+    code = 'malformed-message'
+
+
+@typing.final
+class HeadTooLargeError(MessageError):
+    """The head is larger than `MAX_HEAD_BYTES`."""
+
+    code = 'head-too-large'
+    http_status = 431
+
+
+@typing.final
+class UnsupportedEncodingError(MessageError):
+    """The body has a transfer encoding other than chunked."""
+
+    code = 'unsupported-transfer-encoding'
+    http_status = 501
+
+
+@typing.final
+class UpgradeNotSupportedError(MessageError):
+    """The caller asked for a tunnel or another protocol."""
+
+    code = 'upgrade-not-supported'
+    http_status = 501
+
+
+@typing.final
+class CutShortError(errors.MulberryquayError):
+    """The peer closed the connection in the middle of a message."""
+
+    code = 'cut-short'
+
+
+class Framing(enum.Enum):
+    """How the length of a body is told."""
+
+    NONE = 'none'
+    LENGTH = 'length'
+    CHUNKED = 'chunked'
+    UNTIL_CLOSE = 'until-close'
+
+
+class RequestHead(typing.NamedTuple):
+    """Start line and headers of a request; header names in lower case."""
+
+    method: bytes
+    path: bytes
+    #: Headers that are passed on.
+    kept: Headers
+    #: Headers that this system reads; some of them are kept too.
+    noted: Headers
+    framing: Framing
+    #: Body length in bytes; 0 unless the framing is LENGTH.
+    length: int
+    keeps_alive: bool
+    is_http_one_zero: bool
+
+    def find(self, name: bytes) -> bytes | None:
+        """Returns the first noted header of that lower-case name."""
+        return find_header(self.noted, name)
+
+
+class ResponseHead(typing.NamedTuple):
+    """Status and headers of a response; header names in lower case."""
+
+    status: int
+    kept: Headers
+    noted: Headers
+    framing: Framing
+    length: int
+    keeps_alive: bool
+
+    def find(self, name: bytes) -> bytes | None:
+        """Returns the first noted header of that lower-case name."""
+        return find_header(self.noted, name)
+
+
+def find_header(headers: Headers, name: bytes) -> bytes | None:
+    """Returns the first header of a lower-case name."""
+    for header_name, header in headers:
+        if header_name == name:
+            return header
+    return None
+
+
+def body_framing(noted: Headers) -> tuple[Framing, int]:
+    """Returns the framing and the length, -1 if no length was given.
+
+    Raises MessageError for what two parsers might read in two ways (RFC 9112,
+    section 6.3).
+    """
+    if not noted:
+        return Framing.NONE, -1
+    lengths = []
+    codings = []
+    for name, header in noted:
+        if name == b'content-length':
+            lengths.append(header)
+        elif name == b'transfer-encoding':
+            codings.append(header)
+    if codings:
+        return _check_coding(codings, lengths)
+    if not lengths:
+        return Framing.NONE, -1
+    if len(lengths) > 1 or not lengths[0].isdigit():
+        raise MessageError(
+            f'got Content-Length {lengths!r}, expected one whole number',
+        )
+    return Framing.LENGTH, int(lengths[0])
+
+
+def _check_coding(
+    codings: list[bytes],
+    lengths: list[bytes],
+) -> tuple[Framing, int]:
+    if lengths:
+        raise MessageError(
+            'got both Content-Length and Transfer-Encoding, expected one',
+        )
+    if [coding.strip().lower() for coding in codings] != [b'chunked']:
+        raise UnsupportedEncodingError(
+            f'got Transfer-Encoding {codings!r}, expected chunked',
+        )
+    return Framing.CHUNKED, -1
+
+
+def encode_head(start_line: bytes, headers: Headers) -> bytes:
+    """Returns a head ready to be sent."""
+    lines = [b'%b: %b\r\n' % pair for pair in headers]
+    return b'%b\r\n%b\r\n' % (start_line, b''.join(lines))
+
+
+def encode_chunk(part: bytes) -> bytes:
+    """Returns one chunk of a chunked body."""
+    return b'%x\r\n%b\r\n' % (len(part), part)
+
+
+def send_all(connection: typing.Any, body: bytes) -> None:
+    """Sends all bytes; cheaper than ``sendall`` for small ones."""
+    sent = connection.send(body)
+    if sent < len(body):
+        connection.sendall(memoryview(body)[sent:])
--- a/src/mulberryquay/entry/messages.py
+++ b/src/mulberryquay/entry/messages.py
@@ -1,4 +1,4 @@
-"""Reads and writes HTTP/1.1 messages on gevent sockets.
+"""Reads HTTP/1.1 messages from gevent sockets.
 
 The parser is the `httptools` library (llhttp in strict mode). This module
 adds the limits, the framing rules that guard against request smuggling, and
@@ -8,23 +8,17 @@
 from __future__ import annotations
 
 import collections
-import enum
 import typing
 
 import httptools
 
-from mulberryquay.coordination import errors
-from mulberryquay.entry import header_names
+from mulberryquay.entry import header_names, http_heads
 
 READ_BYTES: typing.Final = 65536
 
 #: The largest head (start line and headers) that is read, in bytes.
 MAX_HEAD_BYTES: typing.Final = 32768
 
-LAST_CHUNK: typing.Final = b'0\r\n\r\n'
-
-Headers = list[tuple[bytes, bytes]]
-
 #: Statuses of answers that never have a body.
 NO_BODY_STATUSES: typing.Final = frozenset((204, 304))
 _PLAIN_TOKENS: typing.Final = frozenset((b'close', b'keep-alive'))
@@ -33,95 +27,6 @@
 _SWITCHING_PROTOCOLS: typing.Final = 101
 
 
-class MessageError(errors.InvalidInputError):
-    """The peer's message breaks HTTP/1.1 or a limit."""
-
-    code = 'malformed-message'
-
-
-@typing.final
-class HeadTooLargeError(MessageError):
-    """The head is larger than `MAX_HEAD_BYTES`."""
-
-    code = 'head-too-large'
-    http_status = 431
-
-
-@typing.final
-class UnsupportedEncodingError(MessageError):
-    """The body has a transfer encoding other than chunked."""
-
-    code = 'unsupported-transfer-encoding'
-    http_status = 501
-
-
-@typing.final
-class UpgradeNotSupportedError(MessageError):
-    """The caller asked for a tunnel or another protocol."""
-
-    code = 'upgrade-not-supported'
-    http_status = 501
-
-
-@typing.final
-class CutShortError(errors.MulberryquayError):
-    """The peer closed the connection in the middle of a message."""
-
-    code = 'cut-short'
-
-
-class Framing(enum.Enum):
-    """How the length of a body is told."""
-
-    NONE = 'none'
-    LENGTH = 'length'
-    CHUNKED = 'chunked'
-    UNTIL_CLOSE = 'until-close'
-
-
-class RequestHead(typing.NamedTuple):
-    """Start line and headers of a request; header names in lower case."""
-
-    method: bytes
-    path: bytes
-    #: Headers that are passed on.
-    kept: Headers
-    #: Headers that this system reads; some of them are kept too.
-    noted: Headers
-    framing: Framing
-    #: Body length in bytes; 0 unless the framing is LENGTH.
-    length: int
-    keeps_alive: bool
-    is_http_one_zero: bool
-
-    def find(self, name: bytes) -> bytes | None:
-        """Returns the first noted header of that lower-case name."""
-        return find_header(self.noted, name)
-
-
-class ResponseHead(typing.NamedTuple):
-    """Status and headers of a response; header names in lower case."""
-
-    status: int
-    kept: Headers
-    noted: Headers
-    framing: Framing
-    length: int
-    keeps_alive: bool
-
-    def find(self, name: bytes) -> bytes | None:
-        """Returns the first noted header of that lower-case name."""
-        return find_header(self.noted, name)
-
-
-def find_header(headers: Headers, name: bytes) -> bytes | None:
-    """Returns the first header of a lower-case name."""
-    for header_name, header in headers:
-        if header_name == name:
-            return header
-    return None
-
-
 class _Reader:
     """Feeds a parser from a socket and queues its events in order.
 
@@ -132,10 +37,10 @@
     def __init__(self, connection: typing.Any) -> None:
         self._socket = connection
         self._events: collections.deque[typing.Any] = collections.deque()
-        self._kept: Headers = []
-        self._noted: Headers = []
+        self._kept: http_heads.Headers = []
+        self._noted: http_heads.Headers = []
         self._head_bytes = 0
-        self._failure: MessageError | None = None
+        self._failure: http_heads.MessageError | None = None
         self._in_message = False
         self._in_head = True
         self._parser: typing.Any = None
@@ -173,7 +78,7 @@
     def read_part(self) -> bytes | None:
         """Returns the next part of the body, None at its end.
 
-        Raises MessageError, CutShortError and OSError.
+        Raises http_heads.MessageError, http_heads.CutShortError and OSError.
         """
         part: bytes | None = self._next_event()
         return part
@@ -181,7 +86,7 @@
     def _next_event(self) -> typing.Any:
         while not self._events:
             if not self._receive():
-                raise CutShortError('the peer closed in mid-message')
+                raise http_heads.CutShortError('the peer closed in mid-message')
         return self._events.popleft()
 
     def _receive(self) -> bool:
@@ -196,11 +101,15 @@
         try:
             self._parser.feed_data(chunk)
         except httptools.HttpParserUpgrade:
-            self._failure = MessageError('got an upgrade, expected none')
+            self._failure = http_heads.MessageError(
+                'got an upgrade, expected none'
+            )
         except httptools.HttpParserCallbackError as error:
             self._failure = _as_message_error(error.__context__)
         except httptools.HttpParserError as error:
-            self._failure = MessageError(f'malformed HTTP message: {error}')
+            self._failure = http_heads.MessageError(
+                f'malformed HTTP message: {error}'
+            )
         if self._failure and not self._events:
             raise self._failure
         return True
@@ -210,22 +119,24 @@
             return
         self._head_bytes += received
         if self._head_bytes > MAX_HEAD_BYTES + READ_BYTES:
-            raise HeadTooLargeError(
+            raise http_heads.HeadTooLargeError(
                 f'expected a head of at most {MAX_HEAD_BYTES} bytes',
             )
 
-    def _push_head(self, head: RequestHead | ResponseHead) -> None:
+    def _push_head(
+        self, head: http_heads.RequestHead | http_heads.ResponseHead
+    ) -> None:
         self._events.append(head)
         self._in_head = False
         # Trailers must not join the headers of the head (RFC 9110, 6.5.1).
         self._kept = []
         self._noted = []
 
-    def _passed_on(self) -> Headers:
+    def _passed_on(self) -> http_heads.Headers:
         """Returns the kept headers less those that Connection names."""
         if not self._noted:
             return self._kept
-        tokens = find_header(self._noted, b'connection')
+        tokens = http_heads.find_header(self._noted, b'connection')
         if tokens is None or tokens.lower() in _PLAIN_TOKENS:
             return self._kept
         named = {
@@ -244,7 +155,7 @@
             for name, header in (*self._kept, *self._noted)
         )
         if size > MAX_HEAD_BYTES:
-            raise HeadTooLargeError(
+            raise http_heads.HeadTooLargeError(
                 f'got a head of {size} bytes, expected at most '
                 f'{MAX_HEAD_BYTES}',
             )
@@ -274,13 +185,15 @@
         self._check_head_size(len(self._url))
         version = self._parser.get_http_version()
         if version not in _VERSIONS:
-            raise MessageError(f'got HTTP/{version}, expected 1.0 or 1.1')
+            raise http_heads.MessageError(
+                f'got HTTP/{version}, expected 1.0 or 1.1'
+            )
         if self._parser.should_upgrade():
-            raise UpgradeNotSupportedError(
+            raise http_heads.UpgradeNotSupportedError(
                 'protocol upgrades and CONNECT are not supported',
             )
-        framing, length = _body_framing(self._noted)
-        head = RequestHead(
+        framing, length = http_heads.body_framing(self._noted)
+        head = http_heads.RequestHead(
             self._parser.get_method(),
             self._url,
             self._passed_on(),
@@ -292,17 +205,19 @@
         )
         self._push_head(head)
 
-    def read_head(self) -> RequestHead | None:
+    def read_head(self) -> http_heads.RequestHead | None:
         """Returns the next request, None if the caller closed cleanly.
 
-        Raises MessageError, CutShortError and OSError.
+        Raises http_heads.MessageError, http_heads.CutShortError and OSError.
         """
         while not self._events:
             if not self._receive():
                 if self._in_message:
-                    raise CutShortError('the caller closed in mid-request')
+                    raise http_heads.CutShortError(
+                        'the caller closed in mid-request'
+                    )
                 return None
-        head: RequestHead = self._events.popleft()
+        head: http_heads.RequestHead = self._events.popleft()
         return head
 
 
@@ -319,13 +234,13 @@
         """Called by the parser."""
         self._check_head_size(0)
         status = self._parser.get_status_code()
-        framing, length = _body_framing(self._noted)
+        framing, length = http_heads.body_framing(self._noted)
         if status in NO_BODY_STATUSES or status < _FIRST_FINAL_STATUS:
-            framing = Framing.NONE
-        elif framing is Framing.NONE and length < 0:
-            framing = Framing.UNTIL_CLOSE
+            framing = http_heads.Framing.NONE
+        elif framing is http_heads.Framing.NONE and length < 0:
+            framing = http_heads.Framing.UNTIL_CLOSE
         self._push_head(
-            ResponseHead(
+            http_heads.ResponseHead(
                 status,
                 self._passed_on(),
                 self._noted,
@@ -335,23 +250,25 @@
             ),
         )
 
-    def read_head(self) -> ResponseHead:
+    def read_head(self) -> http_heads.ResponseHead:
         """Returns the final response head; skips interim responses.
 
-        Raises MessageError, CutShortError and OSError.
+        Raises http_heads.MessageError, http_heads.CutShortError and OSError.
         """
         while True:
-            head: ResponseHead = self._next_event()
+            head: http_heads.ResponseHead = self._next_event()
             if head.status >= _FIRST_FINAL_STATUS:
                 return head
             if head.status == _SWITCHING_PROTOCOLS:
-                raise MessageError('got 101, which was not asked for')
+                raise http_heads.MessageError(
+                    'got 101, which was not asked for'
+                )
             self._next_event()
 
     def read_until_close(self) -> bytes | None:
         """Returns the next part of a body that ends with the connection.
 
-        Raises MessageError and OSError, also when the peer reset.
+        Raises http_heads.MessageError and OSError, also when the peer reset.
         """
         while not self._events:
             if not self._receive():
@@ -360,65 +277,7 @@
         return part
 
 
-def _as_message_error(cause: BaseException | None) -> MessageError:
-    if isinstance(cause, MessageError):
+def _as_message_error(cause: BaseException | None) -> http_heads.MessageError:
+    if isinstance(cause, http_heads.MessageError):
         return cause
-    return MessageError(f'malformed HTTP message: {cause}')
-
-
-def _body_framing(noted: Headers) -> tuple[Framing, int]:
-    """Returns the framing and the length, -1 if no length was given.
-
-    Refuses what two parsers might read in two ways (RFC 9112, section 6.3).
-    """
-    if not noted:
-        return Framing.NONE, -1
-    lengths = []
-    codings = []
-    for name, header in noted:
-        if name == b'content-length':
-            lengths.append(header)
-        elif name == b'transfer-encoding':
-            codings.append(header)
-    if codings:
-        return _check_coding(codings, lengths)
-    if not lengths:
-        return Framing.NONE, -1
-    if len(lengths) > 1 or not lengths[0].isdigit():
-        raise MessageError(
-            f'got Content-Length {lengths!r}, expected one whole number',
-        )
-    return Framing.LENGTH, int(lengths[0])
-
-
-def _check_coding(
-    codings: list[bytes],
-    lengths: list[bytes],
-) -> tuple[Framing, int]:
-    if lengths:
-        raise MessageError(
-            'got both Content-Length and Transfer-Encoding, expected one',
-        )
-    if [coding.strip().lower() for coding in codings] != [b'chunked']:
-        raise UnsupportedEncodingError(
-            f'got Transfer-Encoding {codings!r}, expected chunked',
-        )
-    return Framing.CHUNKED, -1
-
-
-def encode_head(start_line: bytes, headers: Headers) -> bytes:
-    """Returns a head ready to be sent."""
-    lines = [b'%b: %b\r\n' % pair for pair in headers]
-    return b'%b\r\n%b\r\n' % (start_line, b''.join(lines))
-
-
-def encode_chunk(part: bytes) -> bytes:
-    """Returns one chunk of a chunked body."""
-    return b'%x\r\n%b\r\n' % (len(part), part)
-
-
-def send_all(connection: typing.Any, body: bytes) -> None:
-    """Sends all bytes; cheaper than ``sendall`` for small ones."""
-    sent = connection.send(body)
-    if sent < len(body):
-        connection.sendall(memoryview(body)[sent:])
+    return http_heads.MessageError(f'malformed HTTP message: {cause}')
--- a/src/mulberryquay/entry/outcomes.py
+++ b/src/mulberryquay/entry/outcomes.py
@@ -7,7 +7,7 @@
 import typing
 
 from mulberryquay.coordination import errors
-from mulberryquay.entry import messages
+from mulberryquay.entry import http_heads
 
 if typing.TYPE_CHECKING:
     from mulberryquay.entry import connections
@@ -117,7 +117,7 @@
         message: str,
         *,
         status: int = 0,
-        headers: messages.Headers | None = None,
+        headers: http_heads.Headers | None = None,
         retry_after_s: int = 1,
     ) -> None:
         """A ``status`` of 0 takes the one that belongs to the reason."""
@@ -164,7 +164,7 @@
     entry relayed has the outcome and reason that it gave.
     """
 
-    head: messages.ResponseHead
+    head: http_heads.ResponseHead
     link: connections.Link
     body: bytes | None
     outcome: Outcome = Outcome.ANSWERED
--- a/src/mulberryquay/entry/prober.py
+++ b/src/mulberryquay/entry/prober.py
@@ -12,7 +12,7 @@
 import gevent
 
 from mulberryquay.coordination import errors, token_bucket
-from mulberryquay.entry import connections, messages, state, targets
+from mulberryquay.entry import connections, http_heads, state, targets
 
 #: What a probe and its answer are taken to weigh, headers of TCP included.
 PROBE_BYTES: typing.Final = 600
@@ -36,7 +36,7 @@
     ) -> None:
         """Rates are in probes a second and target, and bytes a second."""
         self._shared = shared
-        self._request = messages.encode_head(
+        self._request = http_heads.encode_head(
             f'GET {path} HTTP/1.1'.encode(),
             [(b'host', b'mulberryquay-probe')],
         )
@@ -117,5 +117,5 @@
 
     def _exchange(self, link: connections.Link) -> int:
         link.socket.settimeout(_TIMEOUT_S)
-        messages.send_all(link.socket, self._request)
+        http_heads.send_all(link.socket, self._request)
         return link.reader.read_head().status
--- a/src/mulberryquay/entry/request_body.py
+++ b/src/mulberryquay/entry/request_body.py
@@ -4,7 +4,13 @@
 
 import typing
 
-from mulberryquay.entry import admission, messages, outcomes, routing
+from mulberryquay.entry import (
+    admission,
+    http_heads,
+    messages,
+    outcomes,
+    routing,
+)
 
 #: The part of a body that is read before a target is chosen. Only requests
 #: that fit can be sent to a second target.
@@ -21,14 +27,14 @@
         self,
         connection: typing.Any,
         reader: messages.RequestReader,
-        head: messages.RequestHead,
+        head: http_heads.RequestHead,
     ) -> None:
         """Takes over ``reader`` behind the head."""
         self._socket = connection
         self._reader = reader
         self._expects_continue = head.find(b'expect') is not None
         self._size = 0
-        self._is_read = head.framing is messages.Framing.NONE
+        self._is_read = head.framing is http_heads.Framing.NONE
         if self._is_read:
             reader.read_part()
 
@@ -74,7 +80,7 @@
     def _read_part(self) -> bytes | None:
         try:
             part = self._reader.read_part()
-        except messages.MessageError as error:
+        except http_heads.MessageError as error:
             raise outcomes.not_run(
                 outcomes.Reason.MALFORMED_REQUEST,
                 str(error),
@@ -85,7 +91,7 @@
                 outcomes.Reason.REQUEST_TIMEOUT,
                 'the rest of the request did not arrive in time',
             ) from error
-        except (messages.CutShortError, OSError) as error:
+        except (http_heads.CutShortError, OSError) as error:
             raise outcomes.not_run(
                 outcomes.Reason.REQUEST_CUT_SHORT,
                 'the caller closed before the end of its request',
--- a/src/mulberryquay/entry/state.py
+++ b/src/mulberryquay/entry/state.py
@@ -14,7 +14,14 @@
     shares,
     watchdog,
 )
-from mulberryquay.entry import accounts, balancer, claim_client, relays, routing
+from mulberryquay.entry import (
+    accounts,
+    balancer,
+    claim_client,
+    relays,
+    routing,
+    service_queue,
+)
 
 #: Resends allowed for each fresh call of a service.
 RETRY_RATIO: typing.Final = 0.1
@@ -106,7 +113,7 @@
         name: str,
         region: str,
         domain: str,
-        new_policy: typing.Callable[[], balancer.Policy],
+        new_policy: typing.Callable[[], service_queue.Policy],
         time: clock.Clock | None = None,
         serves_stale: bool = False,
         ledger: tuple[str, int] | None = None,
--- a/src/mulberryquay/standin/target.py
+++ b/src/mulberryquay/standin/target.py
@@ -10,7 +10,7 @@
 from gevent import lock, server, socket
 
 from mulberryquay.coordination import clock, errors
-from mulberryquay.entry import header_names, messages
+from mulberryquay.entry import header_names, http_heads, messages
 
 
 _SHED_STATUS: typing.Final = 503
@@ -29,7 +29,7 @@
 class Received(typing.NamedTuple):
     """A request as the stand-in saw it."""
 
-    head: messages.RequestHead
+    head: http_heads.RequestHead
     body: bytes
 
 
@@ -99,7 +99,7 @@
     def _answer(
         self,
         connection: typing.Any,
-        head: messages.RequestHead,
+        head: http_heads.RequestHead,
         body: bytes,
     ) -> bool:
         self.in_flight += 1
@@ -171,4 +171,4 @@
         *answer.headers,
     ]
     status_line = b'HTTP/1.1 %d Answer' % answer.status
-    return messages.encode_head(status_line, headers) + answer.body
+    return http_heads.encode_head(status_line, headers) + answer.body
--- a/testing/fixtures.py
+++ b/testing/fixtures.py
@@ -22,7 +22,7 @@
 from mulberryquay.control import daemon as control_daemon
 from mulberryquay.coordination import clock
 from mulberryquay.entry import daemon as entry_daemon
-from mulberryquay.entry import messages
+from mulberryquay.entry import http_heads, messages
 from mulberryquay.kernel import plugins
 from mulberryquay.ledger import daemon as ledger_daemon
 from mulberryquay.standin import target
@@ -272,7 +272,7 @@
 def send(port: int, raw: bytes, *, method: bytes = b'GET') -> Response:
     """Sends raw bytes on a new connection and reads one answer.
 
-    Raises messages.CutShortError and OSError as the caller would see them.
+    Raises http_heads.CutShortError and OSError as the caller would see them.
     """
     connection = socket.create_connection(('127.0.0.1', port))
     connection.settimeout(PATIENCE_S)
@@ -292,7 +292,7 @@
     head = reader.read_head()
     parts = []
     read = reader.read_part
-    if head.framing is messages.Framing.UNTIL_CLOSE:
+    if head.framing is http_heads.Framing.UNTIL_CLOSE:
         read = reader.read_until_close
     while method != b'HEAD':
         part = read()
--- a/testing/test_processes.py
+++ b/testing/test_processes.py
@@ -14,7 +14,7 @@
 
 from mulberryquay import announcer
 from mulberryquay.commands import api_client
-from mulberryquay.entry import messages
+from mulberryquay.entry import http_heads, messages
 from mulberryquay.standin import target
 from testing import fixtures
 
@@ -224,7 +224,7 @@
         in_use = fixtures.send(second.port, order)
         CASE.assertEqual(in_use.outcome, 'not-run/key-in-use')
         first.running.send_signal(signal.SIGKILL)
-        with CASE.assertRaises((OSError, messages.CutShortError)):
+        with CASE.assertRaises((OSError, http_heads.CutShortError)):
             asking.get()
         fixtures.wait_until(
             lambda: (
@@ -282,7 +282,7 @@
             try:
                 connection.sendall(fixtures.request_bytes('/stock/x'))
                 response = fixtures.receive(reader)
-            except (OSError, messages.CutShortError) as error:
+            except (OSError, http_heads.CutShortError) as error:
                 load.lost.append(repr(error))
                 break
             load.outcomes.append(response.outcome)
