Give targets their allowance back after a restart of control; size the ledger

Cause: a target that announced itself to a restarted control host before an entry did was taken as cold, though the entries knew it as warm; the capacity page had no slope for the ledger. Change: what entries know raises the allowance of such a target while targets are relearned; benchmarks slopes measures claims. Figures: allowance after a restart with the target first: 1 before, 2 of 2 (warm) after.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -38,6 +38,8 @@
 )
 _DAY_S: typing.Final = 86_400
 _US: typing.Final = 1_000_000
+#: Share of calls that are taken to carry a key.
+_KEYED_SHARE: typing.Final = 0.01
 _KIB: typing.Final = 1024
 _CORES_PER_HOST: typing.Final = 8
 _SMALLEST_CONNECTIONS: typing.Final = 220
@@ -120,6 +122,19 @@
         'in_force_ms': _round(
             _line(points, 'in_force_ms_by_entries', per_replica),
         ),
+        'claim_us': _round(
+            _last(points, 'ledger_cpu_per_claim_by_tasks'),
+        ),
+        'claims_per_s': round(_last(points, 'ledger_claims_per_s_by_tasks')),
+        'claims_alone': round(
+            points['ledger_claims_per_s_by_tasks'][0][1],
+        ),
+        'ledgers': math.ceil(
+            _KEYED_SHARE
+            * _CALLS_PER_S
+            * _last(points, 'ledger_cpu_per_claim_by_tasks')
+            / (_USE * _US),
+        ),
         'entries_today': 18,
         'in_force_today_ms': _round(
             _line(points, 'in_force_ms_by_entries', 18),
@@ -131,8 +146,9 @@
         'today_calls': round(18 * calls_per_process),
         'links': processes,
         'links_per_target': _SMALLEST_CONNECTIONS,
-        'subset': max(1, _SMALLEST_CONNECTIONS * _TARGETS // processes),
-        'churn_s': _round(churn_s * _KIB),
+        'links_verdict': (
+            'fits' if processes <= _SMALLEST_CONNECTIONS else 'does not fit'
+        ),
         'members_kib': _round(members_bytes / _KIB),
         'members_rate': round(members_bytes * churn_s * 2),
         'spread_messages': _round(_CHANGES_PER_DAY / _DAY_S * processes),
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -96,6 +96,19 @@
         """Starts the forwarder that decides nothing."""
         return self._start('-m', 'benchmarks.bare_forwarder', str(target_port))
 
+    def start_ledger(self) -> Process:
+        """Starts a ledger on an empty folder."""
+        folder = self._stack.enter_context(tempfile.TemporaryDirectory())
+        return self._start(
+            '-m',
+            'mulberryquay',
+            'ledger',
+            f'--data_folder={folder}',
+            '--listen=127.0.0.1:0',
+            '--admin_listen=127.0.0.1:0',
+            '--log_level=error',
+        )
+
     def declare(self, service: str) -> None:
         """Declares a service at ``/<service>`` that may be retried."""
         self.put('service-classes', 'read', idempotent=True)
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -16,6 +16,9 @@
 import urllib3
 
 from benchmarks import callers, data_path, fake_entries, fleet
+from mulberryquay.coordination import clock
+from mulberryquay.entry import claim_client
+from mulberryquay.ledger import protocol
 
 MEASUREMENTS: typing.Final = pathlib.Path(__file__).parent / 'measurements.json'
 
@@ -26,6 +29,8 @@
 _RESOURCE_COUNTS: typing.Final = (50, 250, 700)
 _ENTRY_TARGETS: typing.Final = (100, 1000, 2600)
 _BUSY_CONNECTIONS: typing.Final = (1, 6, 24)
+_CLAIM_TASKS: typing.Final = (1, 16, 128)
+_CLAIMS: typing.Final = 2000
 _RENEW_S: typing.Final = 2.0
 _CHANGES: typing.Final = 20
 
@@ -57,6 +62,10 @@
     entry_cpu_per_change_by_resources: Points
     #: Busy connections; entry CPU in us per call.
     entry_cpu_per_call_by_connections: Points
+    #: Tasks that claim at once; ledger CPU in us per claim and its end.
+    ledger_cpu_per_claim_by_tasks: Points
+    #: Tasks that claim at once; claims and ends per second.
+    ledger_claims_per_s_by_tasks: Points
 
 
 def run() -> Slopes:
@@ -64,6 +73,7 @@
     by_targets = [_measure_targets(count) for count in _TARGET_COUNTS]
     by_entries = [_measure_entries(count) for count in _ENTRY_COUNTS]
     in_entry = [_measure_entry(count) for count in _ENTRY_TARGETS]
+    by_tasks = [_measure_claims(count) for count in _CLAIM_TASKS]
     slopes = Slopes(
         [cpu for cpu, _ in by_targets],
         [memory for _, memory in by_targets],
@@ -76,6 +86,8 @@
         [cpu for _, cpu in in_entry],
         [_measure_changes(count) for count in _RESOURCE_COUNTS],
         _measure_calls(),
+        [cpu for cpu, _ in by_tasks],
+        [rate for _, rate in by_tasks],
     )
     MEASUREMENTS.write_text(json.dumps(slopes._asdict(), indent=1) + '\n')
     return slopes
@@ -247,6 +259,44 @@
     return points
 
 
+def _measure_claims(
+    count: int,
+) -> tuple[tuple[float, float], tuple[float, float]]:
+    """Returns CPU per claim and claims a second for so many tasks."""
+    with fleet.start() as system:
+        ledger = system.start_ledger()
+        client = claim_client.ClaimClient(
+            'bench',
+            ('127.0.0.1', ledger.ports[0]),
+            clock.Clock(),
+        )
+        client.start()
+        fleet.wait_until(lambda: client.is_connected)
+        before = ledger.cpu_seconds()
+        began = time.monotonic()
+        tasks = [
+            gevent.spawn(_claim, client, f'{number}', _CLAIMS // count)
+            for number in range(count)
+        ]
+        gevent.joinall(tasks, raise_error=True)
+        duration = time.monotonic() - began
+        claims = _CLAIMS // count * count
+        cpu = (ledger.cpu_seconds() - before) / claims * _US
+        client.stop()
+    return (count, cpu), (count, claims / duration)
+
+
+def _claim(
+    client: claim_client.ClaimClient,
+    prefix: str,
+    count: int,
+) -> None:
+    for number in range(count):
+        granted, _ = client.claim(f'{prefix}-{number}', b'd' * 16, timeout=1000)
+        kept = [200, [[b'content-type', b'text/plain']], b'x' * 200]
+        client.settle(granted, protocol.ClaimState.KEPT, kept)
+
+
 def _target(number: int) -> dict[str, typing.Any]:
     return {
         'name': f't{number}',
--- a/src/mulberryquay/control/directory.py
+++ b/src/mulberryquay/control/directory.py
@@ -214,9 +214,21 @@
                 self._update_allowance(known)
 
     def hint(self, name: str, known: Hint) -> None:
-        """Notes what an entry knows, for targets yet to be relearned."""
-        if self.is_relearning:
-            self._hints[name] = known
+        """Takes what an entry knows, while targets are relearned.
+
+        A target that announced itself before the entry came back gets its
+        allowance back, too.
+        """
+        if not self.is_relearning:
+            return
+        self._hints[name] = known
+        target = self._targets.get(name)
+        if target is None or target.row.incarnation != known.incarnation:
+            return
+        is_more = known.granted > target.growth.current
+        if is_more or (known.is_warm and not target.growth.is_warm):
+            target.growth.restore(known.granted, is_warm=known.is_warm)
+            self._update_allowance(target)
 
     def _find(self, name: str) -> _Entry:
         try:
--- a/testing/control/test_api.py
+++ b/testing/control/test_api.py
@@ -9,6 +9,8 @@
 import gevent
 
 from mulberryquay.commands import api_client
+from mulberryquay.control import directory
+from mulberryquay.coordination import clock
 from testing import fixtures
 
 CASE: typing.Final = unittest.TestCase()
@@ -209,3 +211,23 @@
             reasons,
             ['announced', 'allowance', 'restarted', 'leaving', 'left'],
         )
+
+
+def test_restarted_control_gives_targets_their_allowance_back() -> None:
+    """Whether the target or the entry comes back first."""
+    for is_target_first in (True, False):
+        time = clock.ManualClock()
+        listed = directory.Directory(time)
+        hint = directory.Hint(incarnation=5, granted=2, is_warm=True)
+        if is_target_first:
+            listed.announce(_GOOD_TARGET)
+        listed.hint('t', hint)
+        if not is_target_first:
+            listed.announce(_GOOD_TARGET)
+        row = listed.get('t')
+        CASE.assertEqual((row.allowance, row.is_warm), (2, True))
+        restarted = listed.announce({**_GOOD_TARGET, 'incarnation': 6})
+        CASE.assertEqual((restarted.allowance, restarted.is_warm), (1, False))
+        time.advance(directory.TARGET_LEASE_MS)
+        listed.hint('t', hint._replace(incarnation=6))
+        CASE.assertEqual(listed.get('t').allowance, 1)
