Remove what nothing uses and one repeated loop

Cause: a read of the whole change found a refusal reason that no code gives (it stood in docs/METRICS.md), an unused alias, and the loop that announces targets for a measurement twice.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -116,9 +116,7 @@
 ) -> tuple[tuple[float, float], tuple[float, float]]:
     """Returns CPU by renewals per second and memory by targets."""
     with fleet.start() as system:
-        pool = urllib3.PoolManager(maxsize=8)
-        for number in range(count):
-            _post(pool, system, 'POST', '/v1/announcements', _target(number))
+        pool = _announce_all(system, count)
         before = system.control.cpu_seconds()
         renewed = 0
         deadline = time.monotonic() + _WINDOW_S
@@ -133,6 +131,14 @@
     return (renewed / _WINDOW_S, cpu), (count, memory)
 
 
+def _announce_all(system: fleet.Fleet, count: int) -> urllib3.PoolManager:
+    """Announces so many targets; returns the connections it used."""
+    pool = urllib3.PoolManager(maxsize=8)
+    for number in range(count):
+        _post(pool, system, 'POST', '/v1/announcements', _target(number))
+    return pool
+
+
 def _measure_entries(count: int) -> tuple[int, _EntryCosts]:
     """Returns the costs of so many entries."""
     with fleet.start() as system:
@@ -197,9 +203,7 @@
 ) -> tuple[tuple[float, float], tuple[float, float]]:
     """Returns an idle entry's memory and CPU by targets."""
     with fleet.start() as system:
-        pool = urllib3.PoolManager(maxsize=8)
-        for number in range(count):
-            _post(pool, system, 'POST', '/v1/announcements', _target(number))
+        _announce_all(system, count)
         entry = system.start_entry('entry-1')
         system.wait_for_entries(1)
         gevent.sleep(1)
--- a/src/mulberryquay/entry/outcomes.py
+++ b/src/mulberryquay/entry/outcomes.py
@@ -46,7 +46,6 @@
     QUEUE_TIMEOUT = 'queue-timeout'
     TOO_DEEP = 'too-deep'
     STALE_CONFIGURATION = 'stale-configuration'
-    STOPPING = 'stopping'
     BREAKS_TARGETS = 'breaks-targets'
     CONNECT_FAILED = 'connect-failed'
     CONNECTION_BUDGET = 'connection-budget'
@@ -94,7 +93,6 @@
         Reason.OVERLOADED,
         Reason.QUEUE_TIMEOUT,
         Reason.STALE_CONFIGURATION,
-        Reason.STOPPING,
         Reason.BREAKS_TARGETS,
         Reason.CONNECT_FAILED,
         Reason.CONNECTION_BUDGET,
--- a/src/mulberryquay/entry/service_queue.py
+++ b/src/mulberryquay/entry/service_queue.py
@@ -4,7 +4,6 @@
 
 import heapq
 import itertools
-import random
 import typing
 
 import gevent
@@ -48,9 +47,6 @@
         """Returns one of ``candidates``, which is never empty."""
 
 
-PolicyFactory = typing.Callable[[random.Random], Policy]
-
-
 @typing.final
 class _Waiter:
     """A request that waits for a target."""
