Test answers that a target resets

Cause: the table of failures only had targets that close; a reset reaches the entry as another error, at once, and may drop what was sent before it. Change: the stand-in can reset; three rows more, in no answer, in the head and in a small body, for both sorts of service class. Conclusion: a reset and a close have the same outcomes.

--- a/src/mulberryquay/standin/target.py
+++ b/src/mulberryquay/standin/target.py
@@ -4,6 +4,7 @@
 
 import collections
 import json
+import struct
 import typing
 
 import gevent
@@ -13,17 +14,24 @@
 from mulberryquay.entry import header_names, http_heads, messages
 
 
+#: Linger for 0 s: closing sends a reset.
+_RESET: typing.Final = struct.pack('ii', 1, 0)
 _SHED_STATUS: typing.Final = 503
 _BACKLOG: typing.Final = 256
 
 
 class Answer(typing.NamedTuple):
-    """What a handler returns; ``raw`` replaces the whole answer."""
+    """What a handler returns.
+
+    ``raw`` replaces the whole answer, after which the connection is closed,
+    or reset if ``resets`` is set.
+    """
 
     status: int = 200
     body: bytes = b''
     headers: typing.Sequence[tuple[bytes, bytes]] = ()
     raw: bytes | None = None
+    resets: bool = False
 
 
 class Received(typing.NamedTuple):
@@ -110,6 +118,12 @@
             self.in_flight -= 1
         if answer.raw is not None:
             connection.sendall(answer.raw)
+            if answer.resets:
+                connection.setsockopt(
+                    socket.SOL_SOCKET,
+                    socket.SO_LINGER,
+                    _RESET,
+                )
             return False
         connection.sendall(_encode(answer, self.in_flight + 1))
         return True
--- a/testing/entry/test_outcomes.py
+++ b/testing/entry/test_outcomes.py
@@ -29,6 +29,7 @@
     idempotent: str
     #: Expected for a class that must run at most once.
     at_most_once: str
+    resets: bool = False
 
 
 _LOST: typing.Final = 'unknown/connection-lost'
@@ -37,6 +38,21 @@
 
 FAILURES: typing.Final = (
     Failure('closes without an answer', b'', _OK, _LOST),
+    Failure('resets without an answer', b'', _OK, _LOST, resets=True),
+    Failure(
+        'resets in the head',
+        b'HTTP/1.1 200 OK\r\nCont',
+        _OK,
+        _LOST,
+        resets=True,
+    ),
+    Failure(
+        'resets in a small body',
+        b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort',
+        _OK,
+        _LOST,
+        resets=True,
+    ),
     Failure('closes in the head', b'HTTP/1.1 200 OK\r\nCont', _OK, _LOST),
     Failure(
         'closes in a small body',
@@ -86,8 +102,8 @@
 )
 
 
-def _raw_handler(raw: bytes) -> target.Handler:
-    return lambda _request: target.Answer(raw=raw)
+def _raw_handler(raw: bytes, *, resets: bool = False) -> target.Handler:
+    return lambda _request: target.Answer(raw=raw, resets=resets)
 
 
 def _declare(control: fixtures.Control) -> None:
@@ -112,7 +128,7 @@
 ) -> None:
     for _fresh_call in range(20):
         entry.state.budget_for(service).deposit()
-    bad_handler = _raw_handler(failure.raw)
+    bad_handler = _raw_handler(failure.raw, resets=failure.resets)
     with (
         # The bad one is nearer, so it is the first to be tried.
         fixtures.target_of(
