Make one piece serve where the handshake, lists and units stood twice

Cause: a read of the whole change found the Hello check in both stream servers, the two entry-list messages built in two places each, the test for a target that takes new work in two places, and three bare 1000s beside the named constant.

--- a/src/mulberryquay/commands/clients.py
+++ b/src/mulberryquay/commands/clients.py
@@ -10,7 +10,7 @@
 from mulberryquay import settings
 from mulberryquay.commands import api_client, command
 from mulberryquay.control import kinds
-from mulberryquay.coordination import errors, units
+from mulberryquay.coordination import clock, errors, units
 from mulberryquay.kernel import plugins
 
 API: typing.Final = settings.Setting(
@@ -279,7 +279,7 @@
 ) -> int:
     if not (revision and wait_ms):
         return 0
-    deadline = time.monotonic() + wait_ms / 1000
+    deadline = time.monotonic() + wait_ms / clock.MS_PER_SECOND
     while True:
         answer = client.call('GET', f'/v1/revisions/{revision}')
         if answer['in_force']:
--- a/src/mulberryquay/control/feed.py
+++ b/src/mulberryquay/control/feed.py
@@ -113,14 +113,12 @@
         self.bytes_received += stream.bytes_received
         self.bytes_sent += stream.bytes_sent
 
-    def _welcome(self, hello: typing.Any, outbound: queue.Queue) -> str:
-        if not isinstance(hello, protocol.Hello):
-            raise wire.ProtocolError('got another message, expected Hello')
-        if hello.protocol_version != protocol.PROTOCOL_VERSION:
-            raise wire.ProtocolError(
-                f'got protocol version {hello.protocol_version}, expected '
-                f'{protocol.PROTOCOL_VERSION}; use matching releases',
-            )
+    def _welcome(self, message: typing.Any, outbound: queue.Queue) -> str:
+        hello = wire.check_hello(
+            message,
+            protocol.Hello,
+            version=protocol.PROTOCOL_VERSION,
+        )
         for name, incarnation, granted, is_warm in hello.known_targets:
             hint = directory.Hint(incarnation, granted, is_warm)
             self._directory.hint(name, hint)
@@ -158,15 +156,12 @@
         )
         committed = self._membership.committed
         outbound.put_nowait(
-            protocol.EntriesCommitted(
-                committed.epoch,
-                list(committed.members),
-            ),
+            _committed_message(committed),
         )
         pending = self._membership.pending
         if pending is not None:
             outbound.put_nowait(
-                protocol.EntriesProposed(pending.epoch, list(pending.members)),
+                _proposed_message(pending),
             )
         outbound.put_nowait(self._peers_message())
 
@@ -252,17 +247,14 @@
         if pending is not None and pending != self._sent_pending:
             self._sent_pending = pending
             self._broadcast(
-                protocol.EntriesProposed(pending.epoch, list(pending.members)),
+                _proposed_message(pending),
             )
             self._broadcast(self._peers_message())
         committed = self._membership.committed
         if committed != self._sent_committed:
             self._sent_committed = committed
             self._broadcast(
-                protocol.EntriesCommitted(
-                    committed.epoch,
-                    list(committed.members),
-                ),
+                _committed_message(committed),
             )
 
     def _peers_message(self) -> protocol.PeersChanged:
@@ -330,3 +322,11 @@
         else:
             changed.append(list(change.target))
     return protocol.TargetsChanged(changed, removed, is_complete=False)
+
+
+def _proposed_message(entries: shares.EntryList) -> protocol.EntriesProposed:
+    return protocol.EntriesProposed(entries.epoch, list(entries.members))
+
+
+def _committed_message(entries: shares.EntryList) -> protocol.EntriesCommitted:
+    return protocol.EntriesCommitted(entries.epoch, list(entries.members))
--- a/src/mulberryquay/coordination/history.py
+++ b/src/mulberryquay/coordination/history.py
@@ -7,7 +7,7 @@
 
 from gevent import event
 
-from mulberryquay.coordination import errors
+from mulberryquay.coordination import clock, errors
 
 Change = typing.TypeVar('Change')
 
@@ -71,4 +71,4 @@
         """Waits for a change after ``revision``; False on timeout (ms)."""
         if self._revision > revision:
             return True
-        return bool(self._changed.wait(timeout / 1000))
+        return bool(self._changed.wait(timeout / clock.MS_PER_SECOND))
--- a/src/mulberryquay/coordination/wire.py
+++ b/src/mulberryquay/coordination/wire.py
@@ -7,7 +7,7 @@
 import msgpack
 from gevent import lock, socket
 
-from mulberryquay.coordination import errors, units
+from mulberryquay.coordination import clock, errors, units
 
 _READ_BYTES: typing.Final = 65536
 _MAX_MESSAGE_BYTES: typing.Final = units.MAX_BODY_BYTES
@@ -51,6 +51,31 @@
             ) from error
 
 
+Greeting = typing.TypeVar('Greeting')
+
+
+def check_hello(
+    message: typing.Any,
+    expected: type[Greeting],
+    *,
+    version: int,
+) -> Greeting:
+    """Returns the first message of a peer.
+
+    ``expected`` has a field ``protocol_version``. Raises ProtocolError for
+    another message or version.
+    """
+    if not isinstance(message, expected):
+        raise ProtocolError('got another message, expected Hello')
+    got = getattr(message, 'protocol_version', None)
+    if got != version:
+        raise ProtocolError(
+            f'got protocol version {got}, expected {version}; use matching '
+            'releases',
+        )
+    return message
+
+
 @typing.final
 class Stream:
     """A message stream over one connected socket.
@@ -95,7 +120,9 @@
 
     def set_timeout(self, duration: float | None) -> None:
         """Bounds each later call to ``duration`` ms; None does not."""
-        self._socket.settimeout(duration and duration / 1000)
+        self._socket.settimeout(
+            duration and duration / clock.MS_PER_SECOND,
+        )
 
     def close(self) -> None:
         """Closes the socket; later calls raise StreamClosedError."""
--- a/src/mulberryquay/entry/balancer.py
+++ b/src/mulberryquay/entry/balancer.py
@@ -156,7 +156,7 @@
 
     def _limit(self, target: targets.TargetState) -> int:
         row = target.row
-        if row.is_leaving or row.domain in self._domains_out:
+        if not self._is_open(row):
             return 0
         if row.is_warm:
             whole = row.slots * OVERCOMMIT / self._view.member_count
@@ -168,8 +168,11 @@
     def _is_shared_out(self, target: targets.TargetState) -> bool:
         """Whether the target is cold and only other entries may use it."""
         row = target.row
-        is_open = not row.is_leaving and row.domain not in self._domains_out
-        return is_open and not row.is_warm and not target.limit
+        return self._is_open(row) and not row.is_warm and not target.limit
+
+    def _is_open(self, row: protocol.TargetRow) -> bool:
+        """Whether any entry may send the target new work."""
+        return not row.is_leaving and row.domain not in self._domains_out
 
     def _link_limit(self, target: targets.TargetState) -> int:
         whole = target.row.connections // self._view.member_count
--- a/src/mulberryquay/ledger/server.py
+++ b/src/mulberryquay/ledger/server.py
@@ -53,14 +53,11 @@
             self._end(claimant, stream)
 
     def _welcome(self, stream: wire.Stream) -> str:
-        hello = stream.receive()
-        if not isinstance(hello, protocol.Hello):
-            raise wire.ProtocolError('got another message, expected Hello')
-        if hello.protocol_version != protocol.PROTOCOL_VERSION:
-            raise wire.ProtocolError(
-                f'got protocol version {hello.protocol_version}, expected '
-                f'{protocol.PROTOCOL_VERSION}; use matching releases',
-            )
+        hello = wire.check_hello(
+            stream.receive(),
+            protocol.Hello,
+            version=protocol.PROTOCOL_VERSION,
+        )
         claimant = f'{hello.entry}/{hello.boot}'
         self._claimants[claimant] = stream
         return claimant
--- a/testing/test_processes.py
+++ b/testing/test_processes.py
@@ -45,6 +45,10 @@
     )
 
 
+def _client(port: int) -> api_client.ApiClient:
+    return api_client.ApiClient(f'127.0.0.1:{port}')
+
+
 @contextlib.contextmanager
 def _entry(
     feed_port: int,
@@ -68,7 +72,7 @@
     )
     with fixtures.process(*arguments) as (running, line):
         port, admin_port = fixtures.ports_in(line)
-        client = api_client.ApiClient(f'127.0.0.1:{admin_port}')
+        client = _client(admin_port)
         fixtures.wait_until(lambda: _is_ready(client))
         yield EntryProcess(running, port, admin_port)
 
@@ -95,7 +99,7 @@
     handler: target.Handler,
 ) -> typing.Iterator[target.StandInTarget]:
     """Declares a service at ``/stock`` and runs its one target."""
-    client = api_client.ApiClient(f'127.0.0.1:{api_port}')
+    client = _client(api_port)
     _put(client, 'service-classes', 'read', idempotent=True)
     _put(client, 'services', 'stock')
     _put(
@@ -139,9 +143,7 @@
     with fixtures.folder() as folder:
         accepted: dict[str, int] = {}
         with _control(folder) as (running, line):
-            client = api_client.ApiClient(
-                f'127.0.0.1:{fixtures.ports_in(line)[0]}',
-            )
+            client = _client(fixtures.ports_in(line)[0])
 
             def write() -> None:
                 for number in range(10_000):
@@ -156,9 +158,7 @@
             running.send_signal(signal.SIGKILL)
             writer.join()
         with _control(folder) as (_running, line):
-            client = api_client.ApiClient(
-                f'127.0.0.1:{fixtures.ports_in(line)[0]}',
-            )
+            client = _client(fixtures.ports_in(line)[0])
             listed = client.call('GET', '/v1/services')
         kept = {item['name']: item['revision'] for item in listed['items']}
         CASE.assertEqual(kept, {**kept, **accepted})
@@ -178,7 +178,7 @@
         running.send_signal(signal.SIGKILL)
         running.wait()
         stack.enter_context(_control(folder, api_port, feed_port))
-        client = api_client.ApiClient(f'127.0.0.1:{api_port}')
+        client = _client(api_port)
         fixtures.wait_until(lambda: client.call('GET', '/v1/entries')['items'])
         fixtures.wait_until(lambda: _is_answered(entry.port))
         fixtures.wait_until(lambda: client.call('GET', '/v1/targets')['items'])
@@ -208,7 +208,7 @@
         _running, line = stack.enter_context(_control(folder))
         api_port, feed_port = fixtures.ports_in(line)
         stack.enter_context(_stock(api_port, slow))
-        client = api_client.ApiClient(f'127.0.0.1:{api_port}')
+        client = _client(api_port)
         _put(client, 'routes', 'order', path_prefix='/order', service='stock')
         ledger = stack.enter_context(fixtures.ledger(claims))
         address = f'127.0.0.1:{ledger.port}'
