--- a/src/mulberryquay/entry/daemon.py
+++ b/src/mulberryquay/entry/daemon.py
@@ -11,7 +11,7 @@
 from mulberryquay import settings, sockets, web
 from mulberryquay.coordination import clock, units, watchdog
 from mulberryquay.entry import accounts, caller, control_link, prober, state
-from mulberryquay.kernel import plugins
+from mulberryquay.kernel import plugins, registry
 
 SERVE_STALE: typing.Final = 'serve'
 REFUSE_STALE: typing.Final = 'refuse'
@@ -98,15 +98,11 @@
     settings.Setting(
         'policy',
         DEFAULT_POLICY,
-        'how to choose among targets that have room',
-        choices=(
-            'random',
-            'power-of-two',
-            'round-robin',
-            'least-loaded',
-            'join-idle-queue',
-            'hot-cold',
-        ),
+        'how to choose among targets that have room; built in are random, '
+        'power-of-two, round-robin, least-loaded, join-idle-queue and '
+        'hot-cold, and plug-ins add others',
+        form='name',
+        required=True,
     ),
     settings.Setting(
         'stale_config',
@@ -146,7 +142,7 @@
         time: clock.Clock | None = None,
     ) -> None:
         """Opens the ports; raises InvalidSettingError."""
-        factory = kernel.policies.get(values['policy'])
+        factory = _find_policy(kernel, values['policy'])
         rng = random.Random()
         self._values = values
         self._state = state.EntryState(
@@ -294,3 +290,10 @@
 
 def _address_or_none(address: str) -> tuple[str, int] | None:
     return settings.parse_address(address) if address else None
+
+
+def _find_policy(kernel: plugins.Kernel, name: str) -> typing.Any:
+    try:
+        return kernel.policies.get(name)
+    except registry.UnknownPartError as error:
+        raise settings.InvalidSettingError(f'--policy: {error}') from error
--- a/testing/fixtures.py
+++ b/testing/fixtures.py
@@ -164,6 +164,7 @@
     *,
     region: str = 'north',
     domain: str = 'north-1',
+    arguments: typing.Sequence[str] = (),
     **changes: typing.Any,
 ) -> typing.Iterator[entry_daemon.EntryDaemon]:
     """Yields a running entry whose configuration is fresh."""
@@ -180,6 +181,7 @@
             '--drain_ms=0',
             '--probes_per_target_s=0',
             '--stop_timeout_ms=2000',
+            *arguments,
         ],
         environment={},
     )
--- a/testing/test_processes.py
+++ b/testing/test_processes.py
@@ -372,6 +372,7 @@
     for arguments in (
         ('entry', '--name=Bad Name', '--region=r', '--domain=d'),
         ('entry', '--name=e', '--region=r', '--domain=d', '--drain_ms=-1'),
+        ('entry', '--name=e', '--region=r', '--domain=d', '--policy=nil'),
         ('entry', '--nonsense=1'),
         ('control', '--api_listen=localhost:80'),
         ('apply',),
