--- a/benchmarks/fake_entries.py
+++ b/benchmarks/fake_entries.py
@@ -8,9 +8,9 @@
 
 from mulberryquay import protocol
 from mulberryquay.coordination import wire
-from mulberryquay.entry import control_link
+from mulberryquay.entry import control_stream
 
-_BEAT_S: typing.Final = control_link.BEAT_INTERVAL_MS / 1000
+_BEAT_S: typing.Final = control_stream.BEAT_INTERVAL_MS / 1000
 
 
 @typing.final
@@ -57,8 +57,8 @@
             match message:
                 case protocol.ConfigSlice(revision, _, True):
                     self._confirm(revision, self._epoch)
-                case protocol.ConfigDelta(resource):
-                    self._confirm(resource[-1], self._epoch)
+                case protocol.ConfigDelta(resources):
+                    self._confirm(resources[-1][-1], self._epoch)
                 case protocol.EntriesProposed(epoch, _):
                     self._confirm(self.revision, epoch)
 
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -50,6 +50,7 @@
             '--log_level=error',
             '--api_listen=127.0.0.1:0',
             '--feed_listen=127.0.0.1:0',
+            '--host_listen=127.0.0.1:0',
         )
         self.api = f'127.0.0.1:{self.control.ports[0]}'
         self.client = api_client.ApiClient(self.api)
--- a/src/mulberryquay/commands/reference.py
+++ b/src/mulberryquay/commands/reference.py
@@ -124,6 +124,10 @@
             return 'true or false', f'`{str(default_flag).lower()}`'
         case schema.Names(default_names):
             return 'list of names', f'`{list(default_names)}`'
+        case schema.Number(least, most, default_rate):
+            return f'number from {least} to {most}', f'`{default_rate}`'
+        case schema.Weights():
+            return 'object of names with a weight each', '`{}`'
 
 
 if __name__ == '__main__':
--- a/src/mulberryquay/commands/showcase.py
+++ b/src/mulberryquay/commands/showcase.py
@@ -8,8 +8,8 @@
 from mulberryquay import announcer, logs, settings
 from mulberryquay.commands import command, daemons
 from mulberryquay.control import daemon as control_daemon
-from mulberryquay.control import kinds
-from mulberryquay.coordination import units
+from mulberryquay.control import host_protocol, kinds
+from mulberryquay.coordination import schema, units
 from mulberryquay.entry import daemon as entry_daemon
 from mulberryquay.kernel import plugins
 from mulberryquay.standin import target
@@ -40,6 +40,28 @@
 _DRAIN_MS: typing.Final = 200
 _STOP_TIMEOUT_MS: typing.Final = 10_000
 
+_RESOURCES: typing.Final[tuple[tuple[str, str, schema.Spec], ...]] = (
+    *(
+        (
+            kinds.FAILURE_DOMAIN,
+            domain,
+            {'region': _REGION, 'state': kinds.STATE_IN},
+        )
+        for domain in _DOMAINS
+    ),
+    (kinds.SERVICE, 'stock', {'timeout_ms': 10_000}),
+    (kinds.SERVICE_CLASS, 'lookup', {'idempotent': True}),
+    (
+        kinds.ROUTE,
+        'stock',
+        {
+            'path_prefix': '/stock',
+            'service': 'stock',
+            'service_class': 'lookup',
+        },
+    ),
+)
+
 
 def mulberryquay_register(kernel: plugins.Kernel) -> None:
     """Registers ``demo``."""
@@ -84,50 +106,26 @@
 ) -> control_daemon.ControlDaemon:
     control = control_daemon.ControlDaemon(
         {
+            **settings.defaults(control_daemon.SETTINGS),
             'data_folder': folder,
             'api_listen': values['api_listen'],
             'feed_listen': '127.0.0.1:0',
+            'host_listen': '127.0.0.1:0',
             'target_lease_ms': 3000,
         },
         kernel,
     )
-    put = control.store.put
-    for domain in _DOMAINS:
-        spec = {'region': _REGION, 'state': kinds.STATE_IN}
-        put(kinds.FAILURE_DOMAIN, domain, version=1, spec=spec)
-    put(
-        kinds.SERVICE,
-        'stock',
-        version=1,
-        spec={
-            'timeout_ms': 10_000,
-            'max_body_bytes': units.MAX_BODY_BYTES,
-            'max_queue': 256,
-        },
-    )
-    put(
-        kinds.SERVICE_CLASS,
-        'lookup',
-        version=1,
-        spec={
-            'idempotent': True,
-            'deferrable': False,
-            'value': 50,
-            'max_attempts': 3,
-        },
-    )
-    put(
-        kinds.ROUTE,
-        'stock',
-        version=1,
-        spec={
-            'path_prefix': '/stock',
-            'service': 'stock',
-            'service_class': 'lookup',
-            'home_regions': [],
-        },
-    )
     control.start()
+    for kind, name, spec in _RESOURCES:
+        fields = kernel.resource_kinds.get(kind)
+        control.cluster.orders.execute(
+            host_protocol.PutResource(
+                kind,
+                name,
+                1,
+                schema.check_spec(spec, fields, what=kind),
+            ),
+        )
     return control
 
 
@@ -138,6 +136,7 @@
 ) -> entry_daemon.EntryDaemon:
     entry = entry_daemon.EntryDaemon(
         {
+            **settings.defaults(entry_daemon.SETTINGS),
             'name': 'entry-1',
             'region': _REGION,
             'domain': _DOMAINS[0],
@@ -145,12 +144,7 @@
             'admin_listen': '127.0.0.1:0',
             'peer_listen': '127.0.0.1:0',
             'control': f'127.0.0.1:{feed_port}',
-            'ledger': '',
-            'probe_path': '/healthz',
-            'probes_per_target_s': 1,
             'probe_bytes_s': units.MIB,
-            'policy': entry_daemon.DEFAULT_POLICY,
-            'stale_config': entry_daemon.REFUSE_STALE,
             'drain_ms': _DRAIN_MS,
             'stop_timeout_ms': _STOP_TIMEOUT_MS,
         },
--- a/src/mulberryquay/control/api.py
+++ b/src/mulberryquay/control/api.py
@@ -8,7 +8,14 @@
 import bottle
 
 from mulberryquay import protocol, web
-from mulberryquay.control import directory, kinds, membership
+from mulberryquay.control import (
+    cluster,
+    configuration,
+    directory,
+    host_protocol,
+    kinds,
+    orders,
+)
 from mulberryquay.coordination import errors, history, schema, store, units
 from mulberryquay.kernel import registry
 
@@ -35,6 +42,14 @@
         'declare it; the body has `version` and `spec`; the same version and '
         'content again gets the first answer, other content a 409',
     ),
+    (
+        'PUT /v1/configuration',
+        'replaces all declared resources but failure domains at once; the '
+        'body has `version` and `resources` (kind, name, spec); a version '
+        'that is not higher than the held one is acknowledged and changes '
+        'nothing',
+    ),
+    ('GET /v1/configuration', 'the newest whole configuration; 503 if unsure'),
     ('DELETE /v1/KIND/NAME?version=N', 'delete it with a higher version'),
     ('GET /v1/revisions/N', 'whether every live entry confirmed a revision'),
     ('GET /v1/entries', 'the live entries and what they confirmed'),
@@ -66,20 +81,21 @@
 
     def __init__(
         self,
-        resources: store.Store,
-        targets: directory.Directory,
-        entries: membership.Membership,
+        group: cluster.Cluster,
         kinds_by_name: registry.Registry[schema.Fields],
     ) -> None:
-        """Serves the given state; kinds come from the kernel."""
-        self._store = resources
-        self._directory = targets
-        self._membership = entries
+        """Serves the group's state; kinds come from the kernel."""
+        self._cluster = group
+        self._store = group.state.store
+        self._directory = group.targets
+        self._membership = group.entries
         self._kinds = kinds_by_name
 
     def install(self, app: bottle.Bottle) -> None:
         """Adds the routes to ``app``."""
         app.route('/v1/status', 'GET', self._status)
+        app.route('/v1/configuration', 'GET', self._get_configuration)
+        app.route('/v1/configuration', 'PUT', self._put_configuration)
         app.route('/v1/entries', 'GET', self._list_entries)
         app.route('/v1/revisions/<number:int>', 'GET', self._in_force)
         app.route('/v1/watch', 'GET', self._watch_all)
@@ -105,6 +121,7 @@
                 },
             )
         self._kinds.get(kind)
+        self._wait_for_newest()
         return web.to_json(
             {
                 'revision': self._store.revision,
@@ -119,6 +136,7 @@
         if kind == kinds.TARGET:
             return web.to_json(target_to_json(self._directory.get(name)))
         self._kinds.get(kind)
+        self._wait_for_newest()
         return web.to_json(resource_to_json(self._store.get(kind, name)))
 
     def _put(self, kind: str, name: str) -> str:
@@ -130,19 +148,59 @@
             raise errors.InvalidInputError(
                 f'got {body!r}, expected an object with "version" and "spec"',
             )
-        resource = self._store.put(
+        order = host_protocol.PutResource(
             kind,
             name,
-            version=_check_version(body['version']),
-            spec=schema.check_spec(body['spec'], fields, what=kind),
+            _check_version(body['version']),
+            schema.check_spec(body['spec'], fields, what=kind),
         )
+        resource = store.Resource(*self._cluster.orders.execute(order))
         return web.to_json(resource_to_json(resource))
 
+    def _get_configuration(self) -> str:
+        self._wait_for_newest()
+        held = self._store.configuration
+        if not held.version:
+            raise errors.NotFoundError('no whole configuration was put yet')
+        return web.to_json(
+            {
+                'version': held.version,
+                'resources': json.loads(held.document),
+            },
+        )
+
+    def _wait_for_newest(self) -> None:
+        """Makes the answer show all that was acknowledged before."""
+        self._cluster.replica.read_barrier(timeout=orders.ORDER_MS)
+
+    def _put_configuration(self) -> str:
+        body = web.read_json()
+        if not isinstance(body, dict) or set(body) != {'version', 'resources'}:
+            raise errors.InvalidInputError(
+                'expected an object with "version" and "resources"',
+            )
+        version = _check_version(body['version'])
+        checked = configuration.check(body['resources'], self._kinds)
+        order = host_protocol.PutConfiguration(
+            version,
+            json.dumps(body['resources']).encode(),
+            [list(resource) for resource in checked],
+        )
+        held = self._cluster.orders.execute(order)[0]
+        return web.to_json(
+            {
+                'version': version,
+                'held_version': held,
+                'revision': self._store.revision,
+            },
+        )
+
     def _delete(self, kind: str, name: str) -> str:
         _check_declared(kind)
         self._kinds.get(kind)
         version = _check_version(web.query_integer('version'))
-        resource = self._store.put(kind, name, version=version, spec=None)
+        order = host_protocol.PutResource(kind, name, version, None)
+        resource = store.Resource(*self._cluster.orders.execute(order))
         return web.to_json(resource_to_json(resource))
 
     def _watch_all(self) -> typing.Iterator[str]:
@@ -182,11 +240,12 @@
         return self._announcement_answer(row)
 
     def _leave(self, name: str) -> str:
-        row = self._directory.leave(
-            name,
-            incarnation=web.query_integer('incarnation'),
+        incarnation = web.query_integer('incarnation')
+        self._directory.check_run(name, incarnation)
+        self._cluster.orders.execute(
+            host_protocol.EndTarget(name, incarnation),
         )
-        return self._announcement_answer(row)
+        return self._announcement_answer(self._directory.get(name))
 
     def _announcement_answer(self, row: protocol.TargetRow) -> str:
         return web.to_json(
@@ -199,10 +258,10 @@
                 'items': [
                     {
                         'name': name,
-                        'region': status.region,
-                        'domain': status.domain,
-                        'admin_address': status.admin_address,
-                        'config_revision': status.config_revision,
+                        'region': status.row.region,
+                        'domain': status.row.domain,
+                        'admin_address': status.row.admin_address,
+                        'config_revision': status.row.config_revision,
                     }
                     for name, status in sorted(
                         self._membership.entries.items(),
@@ -235,6 +294,9 @@
                 'entries': sorted(self._membership.entries),
                 'entries_epoch': self._membership.committed.epoch,
                 'entries_pending': pending is not None,
+                'leader': self._cluster.replica.leader_address,
+                'term': self._cluster.replica.term,
+                'voters': sorted(self._cluster.replica.members.values()),
                 'waiting_for': self._membership.waiting_for(
                     self._store.revision,
                 ),
--- /dev/null
+++ b/src/mulberryquay/control/cluster.py
@@ -0,0 +1,298 @@
+"""This control host among the others: replica, news, orders."""
+
+from __future__ import annotations
+
+import logging
+import pathlib
+import random
+import typing
+import uuid
+
+import gevent
+
+from mulberryquay import protocol
+from mulberryquay.control import (
+    directory,
+    entry_reports,
+    feed,
+    host_protocol,
+    membership,
+    orders,
+    replicated_state,
+)
+from mulberryquay.coordination import (
+    broadcast,
+    clock,
+    journal,
+    rpc,
+    shares,
+    wire,
+)
+from mulberryquay.coordination.replication import disk, replica
+
+#: A control host that told nothing for this long is not offered to entries.
+HOST_LEASE_MS: typing.Final = 5000.0
+
+#: How often the lead is looked at.
+_LEAD_MS: typing.Final = 50.0
+
+_LOG: typing.Final = logging.getLogger(__name__)
+
+Message = tuple[typing.Any, ...]
+
+
+class Placement(typing.NamedTuple):
+    """What a control host is told of itself and the others."""
+
+    info: host_protocol.HostInfo
+    #: Addresses of control hosts, perhaps its own among them.
+    contacts: tuple[str, ...]
+    #: Whether these hosts form the group now, with empty disks.
+    is_founding: bool
+    data_folder: pathlib.Path
+
+
+@typing.final
+class Cluster:
+    """One member of the group of control hosts."""
+
+    def __init__(
+        self,
+        placement: Placement,
+        time: clock.Clock,
+        *,
+        lease: float,
+    ) -> None:
+        """Restores the state; raises FolderInUseError and
+        JournalCorruptError.
+
+        ``lease`` is how long a target stays listed without a renewal.
+        """
+        self._info = placement.info
+        self._clock = time
+        self._boot = uuid.uuid4().hex
+        self._hosts: dict[str, tuple[host_protocol.HostInfo, float]] = {}
+        self._replica_network = rpc.Clients(host_protocol.WORDS)
+        self._network = rpc.Clients(host_protocol.WORDS)
+        self.state = replicated_state.ReplicatedState()
+        self.targets = directory.Directory(
+            time,
+            ended=self.state.endings,
+            lease=lease,
+        )
+        self.targets.publish = self.publish
+        self.entries = membership.Membership(time)
+        self.replica = replica.Replica(
+            replica.Place(
+                placement.info.address,
+                placement.contacts,
+                placement.is_founding,
+            ),
+            self.state,
+            disk.Disk(journal.Journal(placement.data_folder)),
+            self._replica_network,
+            time=time,
+            rng=random.Random(),
+        )
+        self.state.bind(self.replica)
+        self.orders = orders.Orders(
+            self.state,
+            self.targets,
+            self.replica,
+            self._network,
+            time,
+        )
+        self.reports = entry_reports.EntryReports(
+            self.entries,
+            self.replica,
+            self._network,
+            time,
+        )
+        self.feed = feed.Feed(
+            self.state.store,
+            self.targets,
+            self.entries,
+            time,
+            self,
+        )
+        self._broadcast = broadcast.Broadcast(self, self._network, time)
+        self._server: rpc.Server | None = None
+        self._published_lists: host_protocol.EntryLists | None = None
+        self._task: gevent.Greenlet | None = None
+
+    @property
+    def is_in_touch(self) -> bool:
+        """Whether this host hears of every change that a majority has."""
+        return self.replica.is_in_touch
+
+    def start(self, listener: typing.Any, feed_listener: typing.Any) -> None:
+        """Begins to serve the other hosts and the entries."""
+        self._server = rpc.Server(listener, host_protocol.WORDS, self._handle)
+        self._server.start()
+        self.replica.start()
+        self._broadcast.start()
+        self.reports.start()
+        self.feed.start(feed_listener)
+        self._task = gevent.spawn(self._watch_lead)
+
+    def stop(self) -> None:
+        """Hands the lead over, if this host has it, and ends all streams."""
+        self.replica.hand_over()
+        if self._task is not None:
+            self._task.kill()
+        self.feed.stop()
+        self.reports.stop()
+        self._broadcast.stop()
+        self.replica.stop()
+        if self._server is not None:
+            self._server.stop()
+        self._network.close()
+        self._replica_network.close()
+
+    def publish(self, message: Message) -> None:
+        """Tells all other control hosts."""
+        self._broadcast.publish(message)
+
+    def _watch_lead(self) -> None:
+        while True:
+            self.follow_leader()
+            self._clock.sleep(_LEAD_MS)
+
+    def follow_leader(self) -> None:
+        """Takes or gives up the decision on entry lists with the lead."""
+        leads = self.replica.is_settled
+        if self.replica.is_leader and not leads:
+            return
+        self.entries.lead(self.replica.term if leads else 0)
+        if leads:
+            self.entries.update()
+            self._publish_lists()
+
+    def wait_for_newest(self) -> None:
+        """Returns once this host has all that was acknowledged before.
+
+        Raises NoQuorumError.
+        """
+        self.replica.read_barrier(timeout=orders.ORDER_MS)
+
+    def list_hosts(self) -> list[list[str]]:
+        """Returns address, region and domain of each live host's feed."""
+        oldest = self._clock.now() - HOST_LEASE_MS
+        known = [self._info]
+        known += [
+            info for info, heard_at in self._hosts.values() if heard_at > oldest
+        ]
+        return sorted(
+            [info.feed_address, info.region, info.domain] for info in known
+        )
+
+    def list_peers(self) -> list[str]:
+        """Returns the addresses of all other members."""
+        return [
+            address
+            for address in self.replica.members.values()
+            if address != self._info.address
+        ]
+
+    def tell_all(self) -> list[Message]:
+        """Returns all that another host cannot learn from the log."""
+        news: list[Message] = list(self.targets.tell_all())
+        if self.entries.is_leading:
+            news.append(self._lists_message())
+        return news
+
+    def make_call(
+        self,
+        news: list[Message],
+        *,
+        is_whole: bool,
+    ) -> host_protocol.Bulletin:
+        """Returns the call that carries news to another host."""
+        return host_protocol.Bulletin(
+            list(self._info),
+            is_whole,
+            [host_protocol.NEWS.fields_of(message) for message in news],
+        )
+
+    def read_boot(self, answer: host_protocol.BulletinTaken) -> str:
+        """Returns what differs after each start of another host."""
+        return answer.boot
+
+    def _handle(self, request: typing.Any) -> Message:
+        match request:
+            case host_protocol.Bulletin():
+                return self._take_bulletin(request)
+            case host_protocol.EntriesReported():
+                return self.reports.take(request)
+            case (
+                host_protocol.PutResource()
+                | host_protocol.PutConfiguration()
+                | host_protocol.SetDomainState()
+                | host_protocol.EndTarget()
+            ):
+                deadline = self._clock.now() + orders.ORDER_MS
+                return host_protocol.OrderDone(
+                    self.orders.decide(request, deadline),
+                )
+        answer: Message = self.replica.handle(request)
+        return answer
+
+    def _take_bulletin(
+        self,
+        bulletin: host_protocol.Bulletin,
+    ) -> host_protocol.BulletinTaken:
+        sender = host_protocol.HostInfo(*bulletin.sender)
+        self._hosts[sender.address] = (sender, self._clock.now())
+        for fields in bulletin.news:
+            try:
+                self._take_news(host_protocol.NEWS.decode(fields))
+            except wire.ProtocolError as error:
+                _LOG.warning(
+                    'news not understood',
+                    extra={'sender': sender.address, 'cause': str(error)},
+                )
+        return host_protocol.BulletinTaken(self._boot)
+
+    def _take_news(self, news: typing.Any) -> None:
+        match news:
+            case host_protocol.TargetLearned(row):
+                self.targets.learn(protocol.TargetRow(*row))
+            case host_protocol.TargetsRenewed(incarnations):
+                self.targets.take_renewals(incarnations)
+            case host_protocol.TargetsReported():
+                self.feed.take_report(news)
+            case host_protocol.EntryLists():
+                self._take_lists(news)
+            case protocol.TargetBroken() | protocol.RequestCleared():
+                self.feed.take_crash_news(news)
+
+    def _take_lists(self, news: host_protocol.EntryLists) -> None:
+        pending = None
+        if news.pending_epoch:
+            pending = shares.EntryList(news.pending_epoch, tuple(news.pending))
+        self.entries.take_lists(
+            membership.Lists(
+                shares.EntryList(news.committed_epoch, tuple(news.committed)),
+                pending,
+                news.peers,
+            ),
+        )
+        self.feed.send_entry_list()
+
+    def _lists_message(self) -> host_protocol.EntryLists:
+        lists = self.entries.lists
+        pending = lists.pending or shares.EntryList(0, ())
+        return host_protocol.EntryLists(
+            lists.committed.epoch,
+            list(lists.committed.members),
+            pending.epoch,
+            list(pending.members),
+            lists.peers,
+        )
+
+    def _publish_lists(self) -> None:
+        message = self._lists_message()
+        if message != self._published_lists:
+            self._published_lists = message
+            self.publish(message)
+            self.feed.send_entry_list()
--- /dev/null
+++ b/src/mulberryquay/control/configuration.py
@@ -0,0 +1,110 @@
+"""Checks a whole configuration before it is accepted."""
+
+from __future__ import annotations
+
+import typing
+
+from mulberryquay.control import kinds
+from mulberryquay.coordination import errors, schema, units
+from mulberryquay.kernel import registry
+
+#: A route's timeout may be this long.
+MAX_TIMEOUT_MS: typing.Final = 10 * units.MINUTE_MS
+
+#: An objective must stay below the route's timeout and this.
+_OBJECTIVE_SLACK_MS: typing.Final = units.MINUTE_MS
+
+_MAX_RESOURCES: typing.Final = 100_000
+
+Resources = list[tuple[str, str, schema.Spec]]
+
+
+@typing.final
+class InvalidConfigurationError(errors.InvalidInputError):
+    """A whole configuration breaks a rule; nothing of it takes effect."""
+
+    code = 'invalid-configuration'
+
+
+def check(
+    resources: typing.Any,
+    fields_by_kind: registry.Registry[schema.Fields],
+) -> Resources:
+    """Returns the resources with all defaults filled in.
+
+    Raises InvalidConfigurationError and InvalidResourceError.
+    """
+    if not isinstance(resources, list) or len(resources) > _MAX_RESOURCES:
+        raise InvalidConfigurationError(
+            f'resources: expected a list of at most {_MAX_RESOURCES}',
+        )
+    checked: Resources = []
+    for resource in resources:
+        kind, name, spec = _read_resource(resource)
+        fields = fields_by_kind.get(kind)
+        what = f'{kind} {name!r}'
+        checked.append((kind, name, schema.check_spec(spec, fields, what=what)))
+    _check_unique(checked)
+    services = {name for kind, name, _ in checked if kind == kinds.SERVICE}
+    for kind, name, spec in checked:
+        if kind == kinds.ROUTE:
+            _check_route(name, spec, services)
+    return checked
+
+
+def _read_resource(resource: typing.Any) -> tuple[str, str, typing.Any]:
+    if not isinstance(resource, dict):
+        raise InvalidConfigurationError(
+            f'got resource {resource!r}, expected kind, name and spec',
+        )
+    kind = resource.get('kind')
+    name = resource.get('name')
+    if kind not in kinds.CONFIGURED or not isinstance(name, str) or not name:
+        raise InvalidConfigurationError(
+            f'got {kind!r} {name!r}, expected a name and one of the kinds '
+            f'{", ".join(sorted(kinds.CONFIGURED))}',
+        )
+    return kind, name, resource.get('spec')
+
+
+def _check_unique(resources: Resources) -> None:
+    keys = [(kind, name) for kind, name, _ in resources]
+    if len(set(keys)) != len(keys):
+        raise InvalidConfigurationError('a resource is declared twice')
+
+
+def _check_route(
+    name: str,
+    spec: schema.Spec,
+    services: typing.Collection[str],
+) -> None:
+    if bool(spec['service']) == bool(spec['split']):
+        raise InvalidConfigurationError(
+            f'route {name!r}: expected either a service or a split',
+        )
+    used = spec['split'] or [spec['service']]
+    unknown = [service for service in used if service not in services]
+    if unknown:
+        raise InvalidConfigurationError(
+            f'route {name!r}: service {unknown[0]!r} is not declared',
+        )
+    if spec['split'] and not any(spec['split'].values()):
+        raise InvalidConfigurationError(
+            f'route {name!r}: all weights of the split are 0',
+        )
+    _check_times(name, spec)
+
+
+def _check_times(name: str, spec: schema.Spec) -> None:
+    timeout = spec['timeout_ms']
+    if timeout > MAX_TIMEOUT_MS:
+        raise InvalidConfigurationError(
+            f'route {name!r}: got timeout_ms {timeout}, expected at most '
+            f'{MAX_TIMEOUT_MS}',
+        )
+    objective = spec['objective_ms']
+    if timeout and objective >= timeout + _OBJECTIVE_SLACK_MS:
+        raise InvalidConfigurationError(
+            f'route {name!r}: got objective_ms {objective}, expected less '
+            f'than a minute above timeout_ms {timeout}',
+        )
--- a/src/mulberryquay/control/daemon.py
+++ b/src/mulberryquay/control/daemon.py
@@ -6,14 +6,15 @@
 import typing
 
 from mulberryquay import metrics, settings, sockets, web
-from mulberryquay.control import api, directory, feed, membership
-from mulberryquay.coordination import (
-    clock,
-    crash_guard,
-    journal,
-    store,
-    units,
+from mulberryquay.control import (
+    api,
+    cluster,
+    directory,
+    host_protocol,
+    membership,
 )
+from mulberryquay.coordination import clock, crash_guard, units
+from mulberryquay.coordination import store as store_module
 from mulberryquay.kernel import plugins
 
 SETTINGS: typing.Final = (
@@ -38,6 +39,40 @@
         form='address',
         required=True,
     ),
+    settings.Setting(
+        'host_listen',
+        '127.0.0.1:7603',
+        f'other control hosts: {settings.LISTEN_HELP}',
+        form='address',
+        required=True,
+    ),
+    settings.Setting(
+        'hosts',
+        '',
+        'host_listen addresses of control hosts, perhaps of this one too; '
+        'none stands for this host alone',
+        form='addresses',
+    ),
+    settings.Setting(
+        'found',
+        True,
+        'whether the named hosts form the group now if the data folder is '
+        'empty; otherwise this host joins them',
+    ),
+    settings.Setting(
+        'region',
+        'region',
+        'region in which this process runs',
+        form='name',
+        required=True,
+    ),
+    settings.Setting(
+        'domain',
+        'domain',
+        'failure domain in which this process runs',
+        form='name',
+        required=True,
+    ),
     settings.Setting(
         'target_lease_ms',
         directory.TARGET_LEASE_MS,
@@ -69,6 +104,26 @@
         'Live entries that have not confirmed the newest revision.',
         is_gauge=True,
     ),
+    metrics.Declared(
+        'mulberryquay_control_leads',
+        '1 while this host leads the control hosts.',
+        is_gauge=True,
+    ),
+    metrics.Declared(
+        'mulberryquay_control_in_touch',
+        '1 while this host is in touch with the majority.',
+        is_gauge=True,
+    ),
+    metrics.Declared(
+        'mulberryquay_control_voters',
+        'Control hosts that vote.',
+        is_gauge=True,
+    ),
+    metrics.Declared(
+        'mulberryquay_control_term',
+        'The newest term of leadership.',
+        is_gauge=True,
+    ),
     metrics.Declared(
         'mulberryquay_control_feed_bytes_total',
         'Bytes on closed entry streams, by direction.',
@@ -95,23 +150,28 @@
         port that is taken.
         """
         time = time or clock.Clock()
-        folder = pathlib.Path(values['data_folder'])
-        self._store = store.Store(journal.Journal(folder))
-        self._directory = directory.Directory(
-            time,
-            lease=values['target_lease_ms'],
-        )
-        self._membership = membership.Membership(time)
-        self._feed = feed.Feed(
-            self._store,
-            self._directory,
-            self._membership,
-            time,
-        )
         self._metrics = metrics.Metrics(METRICS)
         self._api_listener = sockets.listen(values['api_listen'])
         self._feed_listener = sockets.listen(values['feed_listen'])
-        self._kinds = kernel.resource_kinds
+        self._host_listener = sockets.listen(values['host_listen'])
+        address = _address_of(values['host_listen'], self._host_listener)
+        contacts = tuple(filter(None, values['hosts'].split(',')))
+        self._cluster = cluster.Cluster(
+            cluster.Placement(
+                host_protocol.HostInfo(
+                    address,
+                    _address_of(values['feed_listen'], self._feed_listener),
+                    values['region'],
+                    values['domain'],
+                ),
+                contacts or (address,),
+                values['found'],
+                pathlib.Path(values['data_folder']),
+            ),
+            time,
+            lease=values['target_lease_ms'],
+        )
+        self._kernel = kernel
 
     @property
     def api_port(self) -> int:
@@ -124,59 +184,77 @@
         return sockets.port_of(self._feed_listener)
 
     @property
-    def store(self) -> store.Store:
+    def store(self) -> store_module.Store:
         """The durable resources."""
-        return self._store
+        return self._cluster.state.store
 
     @property
     def targets(self) -> directory.Directory:
         """The announced targets."""
-        return self._directory
+        return self._cluster.targets
 
     @property
     def entries(self) -> membership.Membership:
         """The live entries."""
-        return self._membership
+        return self._cluster.entries
 
     @property
     def guard(self) -> crash_guard.CrashGuard:
         """The breakages that all entries reported."""
-        return self._feed.guard
+        return self._cluster.feed.guard
+
+    @property
+    def cluster(self) -> cluster.Cluster:
+        """This host among the other control hosts."""
+        return self._cluster
 
     def start(self) -> None:
         """Begins to serve."""
         app = web.new_app()
-        web.add_health(app, lambda: True, self._metrics, self._refresh)
+        web.add_health(app, self._is_ready, self._metrics, self._refresh)
         api.ResourceApi(
-            self._store,
-            self._directory,
-            self._membership,
-            self._kinds,
+            self._cluster,
+            self._kernel.resource_kinds,
         ).install(app)
-        self._feed.start(self._feed_listener)
+        for install in self._kernel.api_extensions.parts:
+            install(app, self._cluster, self._kernel)
+        self._cluster.start(self._host_listener, self._feed_listener)
         self._server = web.serve(self._api_listener, app)
 
     def stop(self) -> None:
         """Stops serving and releases the data folder."""
         self._server.stop(timeout=1)
-        self._feed.stop()
-        self._store.close()
+        self._cluster.stop()
 
     def cut_feed(self) -> None:
         """Ends all streams to entries for good, as a cut network does."""
-        self._feed.stop()
+        self._cluster.feed.stop()
+
+    def _is_ready(self) -> bool:
+        return self._cluster.is_in_touch
 
     def _refresh(self) -> None:
         gauge = self._metrics.gauge
-        gauge('mulberryquay_control_revision', self._store.revision)
+        gauge('mulberryquay_control_revision', self.store.revision)
         gauge(
             'mulberryquay_control_targets',
-            len(self._directory.list_targets()),
+            len(self.targets.list_targets()),
         )
-        gauge('mulberryquay_control_entries', len(self._membership.entries))
-        waiting = self._membership.waiting_for(self._store.revision)
+        gauge('mulberryquay_control_entries', len(self.entries.entries))
+        log = self._cluster.replica
+        gauge('mulberryquay_control_leads', int(log.is_leader))
+        gauge('mulberryquay_control_in_touch', int(log.is_in_touch))
+        gauge('mulberryquay_control_voters', len(log.members))
+        gauge('mulberryquay_control_term', log.term)
+        waiting = self.entries.waiting_for(self.store.revision)
         gauge('mulberryquay_control_entries_waiting', len(waiting))
-        received = self._feed.bytes_received
+        received = self._cluster.feed.bytes_received
         gauge('mulberryquay_control_feed_bytes_total', received, 'in')
-        sent = self._feed.bytes_sent
+        sent = self._cluster.feed.bytes_sent
         gauge('mulberryquay_control_feed_bytes_total', sent, 'out')
+
+
+def _address_of(setting: str, listener: typing.Any) -> str:
+    """Returns where a listener can be reached, its real port included."""
+    host = settings.parse_address(setting)[0]
+    return f'{host}:{sockets.port_of(listener)}'
--- a/src/mulberryquay/control/directory.py
+++ b/src/mulberryquay/control/directory.py
@@ -6,6 +6,7 @@
 import typing
 
 from mulberryquay import protocol
+from mulberryquay.control import endings, host_protocol
 from mulberryquay.coordination import (
     allowance,
     clock,
@@ -23,14 +24,17 @@
 #: Changes kept for watches of targets to resume from.
 _WATCH_HISTORY: typing.Final = 4096
 
-#: Departed incarnations remembered, so that late messages stay refused.
-_MAX_DEPARTED: typing.Final = 10_000
+#: A smaller change of the time for which a target stays cold is no news.
+_COLD_STEP_MS: typing.Final = 700
 
 _MAX_SLOTS: typing.Final = 10_000
 _MAX_CONNECTIONS: typing.Final = 1_000_000
 _MAX_PORT: typing.Final = 65535
 _MAX_STATUS: typing.Final = 599
 
+#: The ``cold_ms`` of a target that does not know whether it is cold.
+UNTOLD: typing.Final = -1
+
 ANNOUNCEMENT_FIELDS: typing.Final[schema.Fields] = {
     'name': schema.Text(required=True),
     'service': schema.Text(required=True),
@@ -41,6 +45,8 @@
     'connections': schema.Integer(1, _MAX_CONNECTIONS, required=True),
     'incarnation': schema.Integer(1, units.MAX_INT64, required=True),
     'shed_status': schema.Integer(0, _MAX_STATUS, default=0),
+    'sequence': schema.Integer(0, units.MAX_INT64, default=0),
+    'cold_ms': schema.Integer(-1, units.HOUR_MS, default=UNTOLD),
 }
 
 
@@ -87,6 +93,8 @@
         self.row = row
         self.growth = growth
         self.renewed_at = 0.0
+        #: Until when the target said it is cold.
+        self.cold_until = 0.0
 
 
 @typing.final
@@ -97,6 +105,7 @@
         self,
         time: clock.Clock,
         *,
+        ended: endings.Endings,
         lease: float = TARGET_LEASE_MS,
     ) -> None:
         """Starts empty; ``lease`` is in milliseconds."""
@@ -104,7 +113,12 @@
         self._lease = lease
         self._started_at = time.now()
         self._targets: dict[str, _Entry] = {}
-        self._departed: dict[str, int] = {}
+        self._endings = ended
+        ended.on_ended = self._note_ended
+        #: Called with news for the other control hosts.
+        self.publish: typing.Callable[[tuple[typing.Any, ...]], None] = _ignore
+        #: Runs that renewed their leases here and nobody was told of.
+        self._renewed: dict[str, int] = {}
         self._hints: dict[str, Hint] = {}
         self._changes: history.History[TargetChange] = history.History(
             size=_WATCH_HISTORY,
@@ -127,11 +141,13 @@
 
     def list_targets(self) -> list[protocol.TargetRow]:
         """Returns all targets, sorted by name."""
-        return [self._targets[name].row for name in sorted(self._targets)]
+        return [
+            self._row_of(self._targets[name]) for name in sorted(self._targets)
+        ]
 
     def get(self, name: str) -> protocol.TargetRow:
         """Returns a target; raises UnknownTargetError."""
-        return self._find(name).row
+        return self._row_of(self._find(name))
 
     def announce(self, announcement: typing.Any) -> protocol.TargetRow:
         """Takes an announcement, also a repeated one.
@@ -141,15 +157,50 @@
         """
         row = _parse_announcement(announcement)
         known = self._targets.get(row.name)
-        if known is None:
-            self._check_not_departed(row)
-            return self._add(row, 'announced')
-        if row.incarnation < known.row.incarnation:
+        if known is not None and row.incarnation < known.row.incarnation:
             raise _stale(row.name, row.incarnation, known.row.incarnation)
-        if row.incarnation > known.row.incarnation:
-            return self._add(row, 'restarted')
-        known.renewed_at = self._clock.now()
-        return known.row
+        if self._endings.is_ended(row.name, row.incarnation):
+            if known is None or known.row.incarnation != row.incarnation:
+                raise _stale(row.name, row.incarnation, row.incarnation + 1)
+        if self._take(row):
+            self.publish(host_protocol.TargetLearned(list(row)))
+        else:
+            self._renewed[row.name] = row.incarnation
+        return self.get(row.name)
+
+    def learn(self, row: protocol.TargetRow) -> None:
+        """Takes what a target said to another control host."""
+        known = self._targets.get(row.name)
+        if known is None:
+            if self._endings.is_ended(row.name, row.incarnation):
+                return
+        elif row.incarnation < known.row.incarnation:
+            return
+        self._take(row)
+        known = self._targets[row.name]
+        if row.cold_ms == UNTOLD and row.allowance > known.growth.current:
+            known.growth.restore(row.allowance, is_warm=row.is_warm)
+            self._update_allowance(known)
+
+    def tell_all(self) -> list[host_protocol.TargetLearned]:
+        """Returns all targets as news for another control host."""
+        return [
+            host_protocol.TargetLearned(list(row))
+            for row in self.list_targets()
+        ]
+
+    def take_renewals(self, incarnations: dict[str, int]) -> None:
+        """Extends leases that were renewed at another control host."""
+        for name, incarnation in incarnations.items():
+            known = self._targets.get(name)
+            if known is not None and known.row.incarnation == incarnation:
+                known.renewed_at = self._clock.now()
+
+    def publish_renewals(self) -> None:
+        """Tells the other control hosts which leases were renewed here."""
+        if self._renewed:
+            self.publish(host_protocol.TargetsRenewed(self._renewed))
+            self._renewed = {}
 
     def renew(self, name: str, *, incarnation: int) -> protocol.TargetRow:
         """Extends a lease.
@@ -157,11 +208,10 @@
         Raises UnknownTargetError, after which the target announces itself
         again, and StaleIncarnationError.
         """
-        known = self._find(name)
-        if incarnation != known.row.incarnation:
-            raise _stale(name, incarnation, known.row.incarnation)
-        known.renewed_at = self._clock.now()
-        return known.row
+        self.check_run(name, incarnation)
+        self._targets[name].renewed_at = self._clock.now()
+        self._renewed[name] = incarnation
+        return self.get(name)
 
     def leave(self, name: str, *, incarnation: int) -> protocol.TargetRow:
         """Marks a target as leaving: it gets no new work.
@@ -169,13 +219,29 @@
         It stays listed until its lease runs out, so that entries finish
         what it runs. Raises UnknownTargetError and StaleIncarnationError.
         """
+        self.check_run(name, incarnation)
+        self.end(name, incarnation=incarnation)
+        return self.get(name)
+
+    def check_run(self, name: str, incarnation: int) -> None:
+        """Raises UnknownTargetError and StaleIncarnationError."""
         known = self._find(name)
         if incarnation != known.row.incarnation:
             raise _stale(name, incarnation, known.row.incarnation)
-        if not known.row.is_leaving:
-            known.renewed_at = self._clock.now()
-            self._update(known, 'leaving', is_leaving=True)
-        return known.row
+
+    def end(self, name: str, *, incarnation: int) -> int:
+        """Gives a run no new work on any host; returns the run.
+
+        An ``incarnation`` of 0 stands for the run that is known here, or
+        for any that began before now.
+        """
+        if not incarnation:
+            known = self._targets.get(name)
+            incarnation = int(self._clock.wall())
+            if known is not None:
+                incarnation = known.row.incarnation
+        self._endings.end(name, incarnation)
+        return incarnation
 
     def expire(self) -> None:
         """Removes the targets whose leases ran out."""
@@ -188,15 +254,15 @@
         for known in expired:
             row = known.row
             self._targets.pop(row.name)
-            if row.is_leaving:
-                self._remember_departed(row)
             reason = 'left' if row.is_leaving else 'expired'
             self._changes.append(TargetChange(row, reason, is_removed=True))
 
     def record_served(self, name: str, answers: int) -> None:
         """Grows a target's allowance by good answers."""
         known = self._targets.get(name)
-        if known and known.growth.record_served(answers):
+        if known is None or known.row.cold_ms != UNTOLD:
+            return
+        if known.growth.record_served(answers):
             self._update_allowance(known)
 
     def record_shed(self, name: str, *, incarnation: int) -> None:
@@ -204,13 +270,16 @@
         known = self._targets.get(name)
         if known is None or known.row.incarnation != incarnation:
             return
-        if known.growth.record_shed():
+        if known.row.cold_ms == UNTOLD and known.growth.record_shed():
             self._update_allowance(known)
 
     def reset_domain(self, domain: str) -> None:
         """Makes the targets of a domain cold, for when it comes back."""
         for known in self._targets.values():
-            if known.row.domain == domain and known.growth.reset_cold():
+            is_told = known.row.cold_ms != UNTOLD
+            if is_told or known.row.domain != domain:
+                continue
+            if known.growth.reset_cold():
                 self._update_allowance(known)
 
     def hint(self, name: str, known: Hint) -> None:
@@ -238,17 +307,70 @@
                 f'target {name!r} is not known here; announce it again',
             ) from None
 
-    def _add(self, row: protocol.TargetRow, reason: str) -> protocol.TargetRow:
-        growth = allowance.Allowance(slots=row.slots, cold=True)
+    def _take(self, row: protocol.TargetRow) -> bool:
+        """Takes over what a target said; False if it said nothing new."""
+        known = self._targets.get(row.name)
+        if known is None:
+            self._add(row, 'announced')
+            return True
+        if row.incarnation > known.row.incarnation:
+            self._add(row, 'restarted')
+            return True
+        if row.sequence < known.row.sequence:
+            return False
+        known.renewed_at = self._clock.now()
+        cold_until = known.renewed_at + max(0, row.cold_ms)
+        is_changed = abs(cold_until - known.cold_until) > _COLD_STEP_MS
+        if max(cold_until, known.cold_until) <= known.renewed_at:
+            is_changed = False
+        known.cold_until = cold_until
+        is_changed = is_changed or (row.address, row.slots) != (
+            known.row.address,
+            known.row.slots,
+        )
+        known.row = known.row._replace(
+            sequence=row.sequence,
+            cold_ms=row.cold_ms,
+            address=row.address,
+            slots=row.slots,
+        )
+        if is_changed:
+            self._update(known, 'changed')
+        return is_changed
+
+    def _add(self, row: protocol.TargetRow, reason: str) -> None:
+        is_cold = row.cold_ms == UNTOLD
+        growth = allowance.Allowance(slots=row.slots, cold=is_cold)
         hint = self._hints.pop(row.name, None)
-        if hint and hint.incarnation == row.incarnation:
+        if hint and is_cold and hint.incarnation == row.incarnation:
             growth.restore(hint.granted, is_warm=hint.is_warm)
-        row = row._replace(allowance=growth.current, is_warm=growth.is_warm)
-        known = _Entry(row, growth)
+        known = _Entry(
+            row._replace(
+                allowance=growth.current,
+                is_warm=growth.is_warm,
+                is_leaving=self._endings.is_ended(row.name, row.incarnation),
+            ),
+            growth,
+        )
         known.renewed_at = self._clock.now()
+        known.cold_until = known.renewed_at + max(0, row.cold_ms)
         self._targets[row.name] = known
         self._changes.append(TargetChange(known.row, reason, is_removed=False))
-        return known.row
+
+    def _row_of(self, known: _Entry) -> protocol.TargetRow:
+        """Returns a row with the time for which the target stays cold."""
+        if known.row.cold_ms <= 0:
+            return known.row
+        remaining = max(0, known.cold_until - self._clock.now())
+        return known.row._replace(cold_ms=int(remaining))
+
+    def _note_ended(self, name: str, incarnation: int) -> None:
+        known = self._targets.get(name)
+        if known is None or known.row.is_leaving:
+            return
+        if known.row.incarnation <= incarnation:
+            known.renewed_at = self._clock.now()
+            self._update(known, 'leaving', is_leaving=True)
 
     def _update_allowance(self, known: _Entry) -> None:
         self._update(
@@ -267,16 +389,6 @@
         known.row = known.row._replace(**fields)
         self._changes.append(TargetChange(known.row, reason, is_removed=False))
 
-    def _check_not_departed(self, row: protocol.TargetRow) -> None:
-        departed = self._departed.get(row.name, 0)
-        if row.incarnation <= departed:
-            raise _stale(row.name, row.incarnation, departed + 1)
-
-    def _remember_departed(self, row: protocol.TargetRow) -> None:
-        self._departed[row.name] = row.incarnation
-        if len(self._departed) > _MAX_DEPARTED:
-            self._departed.pop(next(iter(self._departed)))
-
 
 def _stale(name: str, got: int, expected: int) -> StaleIncarnationError:
     return StaleIncarnationError(
@@ -315,3 +427,7 @@
             f'announcement.address: got {address!r}, expected an IP number '
             'and a port such as 10.0.0.7:8080',
         )
+
+
+def _ignore(_news: tuple[typing.Any, ...]) -> None:
+    """There is no other control host."""
--- /dev/null
+++ b/src/mulberryquay/control/entry_reports.py
@@ -0,0 +1,134 @@
+"""Tells the leader which entries follow this host and what they confirmed."""
+
+from __future__ import annotations
+
+import logging
+import typing
+
+import gevent
+
+from mulberryquay.control import host_protocol, membership
+from mulberryquay.coordination import clock, rpc, signals
+from mulberryquay.coordination.replication import replica
+
+#: Without changes, the leader hears of live entries this often.
+ALIVE_MS: typing.Final = 1800.0
+
+#: An entry without a beat for this long is not reported as alive.
+_BEAT_MS: typing.Final = 2000.0
+_CALL_MS: typing.Final = 900.0
+_RETRY_MS: typing.Final = 200.0
+
+_LOG: typing.Final = logging.getLogger(__name__)
+
+
+@typing.final
+class _Followed:
+    """One entry that follows this host."""
+
+    def __init__(self) -> None:
+        self.row: membership.EntryRow | None = None
+        self.beat_at = 0.0
+
+
+@typing.final
+class EntryReports:
+    """The entries that follow this host, and one task that reports them."""
+
+    def __init__(
+        self,
+        entries: membership.Membership,
+        log: replica.Replica,
+        network: rpc.Clients,
+        time: clock.Clock,
+    ) -> None:
+        """Reports to the leader of ``log``, which may be this host."""
+        self._membership = entries
+        self._replica = log
+        self._network = network
+        self._clock = time
+        self._followed: dict[str, _Followed] = {}
+        self._left: set[str] = set()
+        self._changed: set[str] = set()
+        self._told = ''
+        self._news = signals.Signal(time)
+        self._task: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Begins to report."""
+        self._task = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Ends the task."""
+        if self._task is not None:
+            self._task.kill()
+
+    def note(self, row: membership.EntryRow) -> None:
+        """Takes what an entry said to this host."""
+        followed = self._followed.setdefault(row.name, _Followed())
+        followed.beat_at = self._clock.now()
+        self._left.discard(row.name)
+        if followed.row != row:
+            followed.row = row
+            self._changed.add(row.name)
+            self._news.notify()
+        self._membership.observe(row)
+
+    def leave(self, name: str) -> None:
+        """Takes the goodbye of an entry."""
+        self._followed.pop(name, None)
+        self._changed.discard(name)
+        self._left.add(name)
+        self._news.notify()
+        self._membership.leave(name)
+
+    def take(
+        self,
+        report: host_protocol.EntriesReported,
+    ) -> host_protocol.EntriesNoted:
+        """Takes another host's report."""
+        for row in report.changed:
+            self._membership.observe(membership.EntryRow(*row))
+        self._membership.refresh(report.alive)
+        for name in report.left:
+            self._membership.leave(name)
+        return host_protocol.EntriesNoted(self._replica.is_leader)
+
+    def _run(self) -> None:
+        while True:
+            address = self._replica.leader_address
+            is_far = bool(address) and not self._replica.is_leader
+            if is_far and not self._report(address):
+                self._told = ''
+                self._clock.sleep(_RETRY_MS)
+                continue
+            if not is_far:
+                self._told = ''
+            if not (self._changed and is_far):
+                self._news.wait(ALIVE_MS if is_far else _RETRY_MS)
+
+    def _report(self, address: str) -> bool:
+        """Tells the leader; False if it does not lead or cannot be reached."""
+        oldest = self._clock.now() - _BEAT_MS
+        alive = {
+            name: followed.row
+            for name, followed in self._followed.items()
+            if followed.beat_at >= oldest and followed.row is not None
+        }
+        changed = self._changed if self._told == address else set(alive)
+        self._changed = set()
+        left = list(self._left)
+        self._left = set()
+        report = host_protocol.EntriesReported(
+            [list(alive[name]) for name in changed if name in alive],
+            list(alive),
+            left,
+        )
+        try:
+            answer = self._network.call(address, report, timeout=_CALL_MS)
+        except rpc.CallFailedError as error:
+            _LOG.debug('leader not told', extra={'cause': str(error)})
+            self._left.update(left)
+            return False
+        self._told = address
+        return bool(answer.is_leader)
--- a/src/mulberryquay/control/feed.py
+++ b/src/mulberryquay/control/feed.py
@@ -9,10 +9,18 @@
 from gevent import queue, server
 
 from mulberryquay import protocol
-from mulberryquay.control import directory, kinds, membership
+from mulberryquay.control import (
+    directory,
+    entry_reports,
+    host_protocol,
+    kinds,
+    membership,
+)
 from mulberryquay.coordination import (
     clock,
     crash_guard,
+    errors,
+    history,
     shares,
     store,
     wire,
@@ -27,6 +35,10 @@
 #: Messages queued for an entry before it has to connect again.
 _MAX_QUEUED: typing.Final = 10_000
 
+#: How often renewed leases are told to the other control hosts; far oftener
+#: than leases run out.
+_RENEWALS_MS: typing.Final = 8000
+
 _EXPIRY_INTERVAL_MS: typing.Final = 250
 _WATCH_TIMEOUT_MS: typing.Final = 10_000
 #: A stream without a message for this long is dead; beats come far oftener.
@@ -35,6 +47,30 @@
 _LOG: typing.Final = logging.getLogger(__name__)
 
 
+class Surroundings(typing.Protocol):
+    """The other control hosts, as the feed needs them."""
+
+    @property
+    def is_in_touch(self) -> bool:
+        """Whether this host hears of every change that a majority has."""
+
+    @property
+    def reports(self) -> entry_reports.EntryReports:
+        """Tells the leader of the entries that follow this host."""
+
+    def wait_for_newest(self) -> None:
+        """Returns once this host has all that was acknowledged before.
+
+        Raises NoQuorumError.
+        """
+
+    def list_hosts(self) -> list[list[str]]:
+        """Returns address, region and domain of each host's feed."""
+
+    def publish(self, message: tuple[typing.Any, ...]) -> None:
+        """Tells all other control hosts."""
+
+
 @typing.final
 class Feed:
     """Accepts the streams of entries; one reader and writer task each."""
@@ -45,17 +81,23 @@
         targets: directory.Directory,
         entries: membership.Membership,
         time: clock.Clock,
+        surroundings: Surroundings,
     ) -> None:
         """Serves the given state; call `start` to accept entries."""
         self._store = resources
         self._directory = targets
         self._membership = entries
+        self._clock = time
+        self._surroundings = surroundings
         self._guard = crash_guard.CrashGuard(time)
         self._queues: dict[str, queue.Queue] = {}
+        self._rows: dict[str, membership.EntryRow] = {}
         self._sent_committed = shares.EntryList(0, ())
         self._sent_pending: shares.EntryList | None = None
+        self._sent_hosts: list[list[str]] = []
         self._tasks: list[gevent.Greenlet] = []
         self._streams: set[wire.Stream] = set()
+        self._renewals_at = time.now() + _RENEWALS_MS
         self.bytes_sent = 0
         self.bytes_received = 0
 
@@ -91,7 +133,7 @@
         try:
             entry = self._welcome(stream.receive(), outbound)
             self._read(entry, stream, outbound)
-        except (wire.StreamClosedError, wire.ProtocolError) as error:
+        except errors.MulberryquayError as error:
             _LOG.info(
                 'entry stream closed',
                 extra={'entry': entry, 'code': error.code},
@@ -108,6 +150,7 @@
     ) -> None:
         if self._queues.get(entry) is outbound:
             self._queues.pop(entry)
+            self._rows.pop(entry, None)
         stream.close()
         self._streams.discard(stream)
         self.bytes_received += stream.bytes_received
@@ -119,34 +162,32 @@
             protocol.Hello,
             version=protocol.PROTOCOL_VERSION,
         )
+        self._surroundings.wait_for_newest()
         for name, incarnation, granted, is_warm in hello.known_targets:
             hint = directory.Hint(incarnation, granted, is_warm)
             self._directory.hint(name, hint)
         self._enqueue_state(outbound)
         self._queues[hello.entry] = outbound
-        status = membership.EntryStatus(
-            region=hello.region,
-            domain=hello.domain,
-            admin=hello.admin_address,
-            peer=hello.peer_address,
+        self._rows[hello.entry] = membership.EntryRow(
+            hello.entry,
+            hello.region,
+            hello.domain,
+            hello.admin_address,
+            hello.peer_address,
+            config_revision=0,
+            entries_epoch=0,
+            is_leaving=False,
         )
-        self._membership.join(hello.entry, status)
+        self._surroundings.reports.note(self._rows[hello.entry])
         _LOG.info('entry joined', extra={'entry': hello.entry})
-        self._send_entry_list()
+        self.send_entry_list()
         return hello.entry
 
     def _enqueue_state(self, outbound: queue.Queue) -> None:
-        revision = self._store.revision
-        resources = [list(row) for row in self._store.list_all()]
-        for start in range(0, max(1, len(resources)), SLICE_SIZE):
-            end = start + SLICE_SIZE
-            outbound.put_nowait(
-                protocol.ConfigSlice(
-                    revision,
-                    resources[start:end],
-                    is_last=end >= len(resources),
-                ),
-            )
+        outbound.put_nowait(
+            protocol.ControlHosts(self._surroundings.list_hosts()),
+        )
+        self._enqueue_config(outbound)
         outbound.put_nowait(
             protocol.TargetsChanged(
                 [list(row) for row in self._directory.list_targets()],
@@ -154,16 +195,24 @@
                 is_complete=not self._directory.is_relearning,
             ),
         )
-        committed = self._membership.committed
-        outbound.put_nowait(
-            _committed_message(committed),
-        )
+        outbound.put_nowait(_committed_message(self._membership.committed))
         pending = self._membership.pending
         if pending is not None:
+            outbound.put_nowait(_proposed_message(pending))
+        outbound.put_nowait(self._peers_message())
+
+    def _enqueue_config(self, outbound: queue.Queue) -> None:
+        revision = self._store.revision
+        resources = [list(row) for row in self._store.list_all()]
+        for start in range(0, max(1, len(resources)), SLICE_SIZE):
+            end = start + SLICE_SIZE
             outbound.put_nowait(
-                _proposed_message(pending),
+                protocol.ConfigSlice(
+                    revision,
+                    resources[start:end],
+                    is_last=end >= len(resources),
+                ),
             )
-        outbound.put_nowait(self._peers_message())
 
     def _read(
         self,
@@ -176,22 +225,21 @@
             match message:
                 case protocol.Beat():
                     self._take_beat(entry, message)
+                    is_in_touch = self._surroundings.is_in_touch
                     outbound.put_nowait(
                         protocol.BeatAnswer(
                             message.sequence,
-                            FRESHNESS_LEASE_MS,
+                            FRESHNESS_LEASE_MS if is_in_touch else 0,
                         ),
                     )
-                case protocol.TargetBroken():
-                    self._take_breakage(message)
-                case protocol.RequestCleared(fingerprint):
-                    self._guard.clear(fingerprint)
+                case protocol.TargetBroken() | protocol.RequestCleared():
+                    self.take_crash_news(message)
+                    self._surroundings.publish(message)
                 case protocol.Leaving():
-                    self._membership.start_leaving(entry)
-                    self._send_entry_list()
+                    self._note(entry, is_leaving=True)
                 case protocol.Goodbye():
-                    self._membership.leave(entry)
-                    self._send_entry_list()
+                    self._surroundings.reports.leave(entry)
+                    self.send_entry_list()
                     return
                 case _:
                     raise wire.ProtocolError(
@@ -199,16 +247,41 @@
                     )
 
     def _take_beat(self, entry: str, beat: protocol.Beat) -> None:
-        for served_name, answers in beat.served.items():
-            self._directory.record_served(served_name, answers)
-        for shed_name, incarnation in beat.shed.items():
-            self._directory.record_shed(shed_name, incarnation=incarnation)
-        self._membership.beat(
+        report = host_protocol.TargetsReported(beat.served, beat.shed)
+        if beat.served or beat.shed:
+            self.take_report(report)
+            self._surroundings.publish(report)
+        self._note(
             entry,
             config_revision=beat.config_revision,
             entries_epoch=beat.entries_epoch,
         )
-        self._send_entry_list()
+
+    def take_report(self, report: host_protocol.TargetsReported) -> None:
+        """Takes what entries observed of targets, here or elsewhere."""
+        for served_name, answers in report.served.items():
+            self._directory.record_served(served_name, answers)
+        for shed_name, incarnation in report.shed.items():
+            self._directory.record_shed(shed_name, incarnation=incarnation)
+
+    def take_crash_news(
+        self,
+        news: protocol.TargetBroken | protocol.RequestCleared,
+    ) -> None:
+        """Takes what an entry reported of a request, here or elsewhere."""
+        match news:
+            case protocol.TargetBroken():
+                self._take_breakage(news)
+            case protocol.RequestCleared(fingerprint):
+                self._guard.clear(fingerprint)
+
+    def _note(self, entry: str, **fields: typing.Any) -> None:
+        row = self._rows.get(entry)
+        if row is None:
+            return
+        self._rows[entry] = row._replace(**fields)
+        self._surroundings.reports.note(self._rows[entry])
+        self.send_entry_list()
 
     def _take_breakage(self, broken: protocol.TargetBroken) -> None:
         is_blocked = self._guard.record(
@@ -242,7 +315,8 @@
                 # connects again and gets the whole state.
                 self._queues.pop(entry, None)
 
-    def _send_entry_list(self) -> None:
+    def send_entry_list(self) -> None:
+        """Passes entry lists on that are new."""
         pending = self._membership.pending
         if pending is not None and pending != self._sent_pending:
             self._sent_pending = pending
@@ -258,22 +332,26 @@
             )
 
     def _peers_message(self) -> protocol.PeersChanged:
-        return protocol.PeersChanged(
-            [
-                [name, status.region, status.peer_address]
-                for name, status in self._membership.entries.items()
-                if not status.is_leaving
-            ],
-        )
+        return protocol.PeersChanged(self._membership.lists.peers)
 
     def _send_config_changes(self) -> None:
         sent = self._store.revision
         while True:
             self._store.changes.wait(sent, timeout=_WATCH_TIMEOUT_MS)
-            for change in self._store.changes.since(sent):
-                self._broadcast(protocol.ConfigDelta(list(change)))
+            try:
+                changes = self._store.changes.since(sent)
+            except history.RevisionCompactedError:
+                # A snapshot of the leader replaced the whole state.
+                for outbound in list(self._queues.values()):
+                    self._enqueue_config(outbound)
+                sent = self._store.revision
+                continue
+            if changes:
+                rows = [list(change) for change in changes]
+                self._broadcast(protocol.ConfigDelta(rows))
+                sent = changes[-1].revision
+            for change in changes:
                 self._chill_domain(change)
-                sent = change.revision
 
     def _chill_domain(self, change: store.Resource) -> None:
         """Makes the targets of a domain that was taken out cold."""
@@ -297,13 +375,27 @@
         while True:
             gevent.sleep(_EXPIRY_INTERVAL_MS / clock.MS_PER_SECOND)
             self._directory.expire()
+            self._renew_if_due()
+            self._send_hosts()
             for entry in self._membership.expire():
                 _LOG.warning('entry lease ran out', extra={'entry': entry})
-            self._send_entry_list()
+            self.send_entry_list()
             if was_relearning and not self._directory.is_relearning:
                 was_relearning = False
                 self._broadcast_all_targets()
 
+    def _renew_if_due(self) -> None:
+        now = self._clock.now()
+        if now >= self._renewals_at:
+            self._renewals_at = now + _RENEWALS_MS
+            self._directory.publish_renewals()
+
+    def _send_hosts(self) -> None:
+        hosts = self._surroundings.list_hosts()
+        if hosts != self._sent_hosts:
+            self._sent_hosts = hosts
+            self._broadcast(protocol.ControlHosts(hosts))
+
     def _broadcast_all_targets(self) -> None:
         rows = [list(row) for row in self._directory.list_targets()]
         self._broadcast(
--- a/src/mulberryquay/control/kinds.py
+++ b/src/mulberryquay/control/kinds.py
@@ -12,6 +12,16 @@
 ROUTE: typing.Final = 'routes'
 CLIENT_ACCOUNT: typing.Final = 'client-accounts'
 SERVICE_CLASS: typing.Final = 'service-classes'
+LIMITS: typing.Final = 'limits'
+
+#: The name of the limits that all callers have to keep.
+CALLER_LIMITS: typing.Final = 'callers'
+
+#: The kinds that a whole configuration replaces; failure domains are taken
+#: out and back by orders of their own.
+CONFIGURED: typing.Final = frozenset(
+    (SERVICE, ROUTE, SERVICE_CLASS, CLIENT_ACCOUNT, LIMITS),
+)
 
 #: Kind under which announced targets are listed; not declared.
 TARGET: typing.Final = 'targets'
@@ -23,6 +33,11 @@
 _MAX_COUNT: typing.Final = 1_000_000
 _DEFAULT_QUEUE: typing.Final = 256
 _MIDDLE_VALUE: typing.Final = 50
+_MAX_RATE: typing.Final = 1_000_000
+_MAX_ATTEMPTS: typing.Final = 100
+_DEFAULT_HEAD_BYTES: typing.Final = 32768
+_DEFAULT_HEAD_MS: typing.Final = 30_000
+_DEFAULT_IDLE_MS: typing.Final = 75_000
 
 SERVICE_FIELDS: typing.Final[schema.Fields] = {
     'timeout_ms': schema.Integer(1, _MAX_TIMEOUT_MS, default=units.MINUTE_MS),
@@ -32,6 +47,10 @@
         default=units.MAX_BODY_BYTES,
     ),
     'max_queue': schema.Integer(0, _MAX_COUNT, default=_DEFAULT_QUEUE),
+    'health_path': schema.Text(prefix='/'),
+    'max_connections': schema.Integer(0, _MAX_COUNT),
+    'cold_period_ms': schema.Integer(0, _MAX_TIMEOUT_MS),
+    'cold_per_s': schema.Number(0, _MAX_RATE),
 }
 
 FAILURE_DOMAIN_FIELDS: typing.Final[schema.Fields] = {
@@ -40,10 +59,15 @@
 }
 
 ROUTE_FIELDS: typing.Final[schema.Fields] = {
+    'host': schema.Text(),
     'path_prefix': schema.Text(required=True, prefix='/'),
-    'service': schema.Text(required=True),
+    'service': schema.Text(),
+    'split': schema.Weights(),
     'service_class': schema.Text(default='default'),
     'home_regions': schema.Names(),
+    'timeout_ms': schema.Integer(0, _MAX_TIMEOUT_MS),
+    'objective_ms': schema.Integer(0, _MAX_TIMEOUT_MS),
+    'max_attempts': schema.Integer(0, _MAX_ATTEMPTS),
 }
 
 CLIENT_ACCOUNT_FIELDS: typing.Final[schema.Fields] = {
@@ -59,6 +83,30 @@
 }
 
 
+LIMITS_FIELDS: typing.Final[schema.Fields] = {
+    'max_head_bytes': schema.Integer(
+        1,
+        units.MIB,
+        default=_DEFAULT_HEAD_BYTES,
+    ),
+    'max_body_bytes': schema.Integer(
+        0,
+        units.MAX_BODY_BYTES,
+        default=units.MAX_BODY_BYTES,
+    ),
+    'head_timeout_ms': schema.Integer(
+        1,
+        _MAX_TIMEOUT_MS,
+        default=_DEFAULT_HEAD_MS,
+    ),
+    'idle_timeout_ms': schema.Integer(
+        1,
+        _MAX_TIMEOUT_MS,
+        default=_DEFAULT_IDLE_MS,
+    ),
+}
+
+
 def mulberryquay_register(kernel: plugins.Kernel) -> None:
     """Registers the built-in kinds with their fields."""
     kernel.resource_kinds.add(SERVICE, SERVICE_FIELDS)
@@ -66,3 +114,4 @@
     kernel.resource_kinds.add(ROUTE, ROUTE_FIELDS)
     kernel.resource_kinds.add(CLIENT_ACCOUNT, CLIENT_ACCOUNT_FIELDS)
     kernel.resource_kinds.add(SERVICE_CLASS, SERVICE_CLASS_FIELDS)
+    kernel.resource_kinds.add(LIMITS, LIMITS_FIELDS)
--- a/src/mulberryquay/control/membership.py
+++ b/src/mulberryquay/control/membership.py
@@ -10,35 +10,60 @@
 #: longer than the entry's own freshness lease, so the entry stops first.
 ENTRY_LEASE_MS: typing.Final = 4000
 
+#: Epochs of one leader; a later leader begins above them.
+_EPOCHS_PER_TERM: typing.Final = 1 << 24
+
+
+class EntryRow(typing.NamedTuple):
+    """What a control host tells the leader of an entry."""
+
+    name: str
+    region: str
+    domain: str
+    admin_address: str
+    peer_address: str
+    config_revision: int
+    entries_epoch: int
+    is_leaving: bool
+
 
 @typing.final
 class EntryStatus:
     """What is known of one live entry."""
 
-    def __init__(
-        self,
-        *,
-        region: str,
-        domain: str,
-        admin: str,
-        peer: str,
-    ) -> None:
-        """Starts with nothing confirmed."""
-        self.region = region
-        self.domain = domain
-        self.admin_address = admin
-        self.peer_address = peer
-        self.config_revision = 0
-        self.entries_epoch = 0
-        self.beat_at = 0.0
-        #: Whether the entry has begun to stop; it still has to confirm.
-        self.is_leaving = False
+    def __init__(self, row: EntryRow, *, beat_at: float) -> None:
+        """Starts with what the entry said first."""
+        self.row = row
+        self.beat_at = beat_at
+
+    def merge(self, row: EntryRow) -> None:
+        """Takes over what is newer; an entry may follow several hosts."""
+        self.row = row._replace(
+            config_revision=max(
+                row.config_revision,
+                self.row.config_revision,
+            ),
+            entries_epoch=max(row.entries_epoch, self.row.entries_epoch),
+            is_leaving=row.is_leaving or self.row.is_leaving,
+        )
+
+
+class Lists(typing.NamedTuple):
+    """The entry lists as the leader gives them."""
+
+    committed: shares.EntryList
+    pending: shares.EntryList | None
+    #: Rows of name, region and address of those that take relays.
+    peers: list[list[str]]
 
 
 @typing.final
 class Membership:
     """Proposes a new entry list on each change and commits it once all
-    live entries have confirmed it."""
+    live entries have confirmed it.
+
+    Only the leader does so; other control hosts pass its lists on.
+    """
 
     def __init__(
         self,
@@ -50,13 +75,15 @@
         self._clock = time
         self._lease = lease
         self._entries: dict[str, EntryStatus] = {}
-        # Epochs have to grow over restarts too, so they start at wall time.
-        self._committed = shares.EntryList(int(time.wall()), ())
+        self._committed = shares.EntryList(0, ())
         self._pending: shares.EntryList | None = None
+        self._peers: list[list[str]] = []
+        self._term = 0
+        self._leads_since = 0.0
 
     @property
     def entries(self) -> dict[str, EntryStatus]:
-        """The live entries by name."""
+        """The live entries by name, as far as they are known here."""
         return self._entries
 
     @property
@@ -69,41 +96,59 @@
         """The list that still waits for confirmations, if any."""
         return self._pending
 
-    def join(self, name: str, status: EntryStatus) -> None:
-        """Adds an entry or replaces its earlier connection."""
-        status.beat_at = self._clock.now()
-        is_new = name not in self._entries
-        self._entries[name] = status
-        if is_new:
-            self._propose()
+    @property
+    def is_leading(self) -> bool:
+        """Whether this control host decides on the lists."""
+        return self._term > 0
 
-    def beat(
-        self,
-        name: str,
-        *,
-        config_revision: int,
-        entries_epoch: int,
-    ) -> None:
-        """Records what an entry has confirmed."""
-        status = self._entries.get(name)
-        if status is None:
+    @property
+    def lists(self) -> Lists:
+        """The lists as they are passed on."""
+        return Lists(self._committed, self._pending, self._peers)
+
+    def lead(self, term: int) -> None:
+        """Decides on the lists from now on; 0 ends that."""
+        if term == self._term:
             return
-        status.beat_at = self._clock.now()
-        status.config_revision = config_revision
-        status.entries_epoch = entries_epoch
-        self._commit_if_confirmed()
+        self._term = term
+        if term:
+            # The entries that follow other hosts are not known here yet.
+            self._leads_since = self._clock.now()
+            self._pending = None
 
-    def start_leaving(self, name: str) -> None:
-        """Proposes a list without an entry that has begun to stop."""
-        status = self._entries.get(name)
-        if status is not None and not status.is_leaving:
-            status.is_leaving = True
-            self._propose()
+    def take_lists(self, lists: Lists) -> None:
+        """Takes over what the leader decided."""
+        if self.is_leading:
+            return
+        if lists.committed.epoch >= self._committed.epoch:
+            self._committed = lists.committed
+            self._pending = lists.pending
+            self._peers = lists.peers
+
+    def observe(self, row: EntryRow) -> None:
+        """Takes what an entry said, here or to another control host."""
+        status = self._entries.get(row.name)
+        if status is None:
+            self._entries[row.name] = EntryStatus(
+                row,
+                beat_at=self._clock.now(),
+            )
+        else:
+            status.beat_at = self._clock.now()
+            status.merge(row)
+        self.update()
+
+    def refresh(self, names: typing.Iterable[str]) -> None:
+        """Extends the leases of entries that follow another host."""
+        for name in names:
+            status = self._entries.get(name)
+            if status is not None:
+                status.beat_at = self._clock.now()
 
     def leave(self, name: str) -> None:
         """Removes an entry that stopped."""
         if self._entries.pop(name, None) is not None:
-            self._propose()
+            self.update()
 
     def expire(self) -> list[str]:
         """Removes the entries whose leases ran out and returns them."""
@@ -115,8 +160,8 @@
         ]
         for name in expired:
             self._entries.pop(name)
-        if expired:
-            self._propose()
+        if expired or self.is_leading:
+            self.update()
         return expired
 
     def waiting_for(self, revision: int) -> list[str]:
@@ -124,29 +169,51 @@
         return sorted(
             name
             for name, status in self._entries.items()
-            if status.config_revision < revision
+            if status.row.config_revision < revision
         )
 
-    def _propose(self) -> None:
-        newest = self._pending or self._committed
-        self._pending = shares.EntryList(
-            newest.epoch + 1,
-            tuple(
-                sorted(
-                    name
-                    for name, status in self._entries.items()
-                    if not status.is_leaving
-                ),
+    def update(self) -> None:
+        """Proposes and commits what the entries' reports call for."""
+        if not self.is_leading or self._is_learning():
+            return
+        members = tuple(
+            sorted(
+                name
+                for name, status in self._entries.items()
+                if not status.row.is_leaving
             ),
         )
+        newest = self._pending or self._committed
+        is_stale = newest.epoch < self._term * _EPOCHS_PER_TERM
+        if is_stale or newest.members != members:
+            self._propose(newest, members)
         self._commit_if_confirmed()
 
+    def _is_learning(self) -> bool:
+        """Whether entries of other hosts may still be unknown."""
+        if not self._committed.members:
+            return False
+        return self._clock.now() - self._leads_since < self._lease / 2
+
+    def _propose(
+        self,
+        newest: shares.EntryList,
+        members: tuple[str, ...],
+    ) -> None:
+        epoch = max(newest.epoch, self._term * _EPOCHS_PER_TERM) + 1
+        self._pending = shares.EntryList(epoch, members)
+        self._peers = [
+            [name, status.row.region, status.row.peer_address]
+            for name, status in self._entries.items()
+            if not status.row.is_leaving
+        ]
+
     def _commit_if_confirmed(self) -> None:
         pending = self._pending
         if pending is None:
             return
         if all(
-            status.entries_epoch >= pending.epoch
+            status.row.entries_epoch >= pending.epoch
             for status in self._entries.values()
         ):
             self._committed = pending
--- /dev/null
+++ b/src/mulberryquay/control/orders.py
@@ -0,0 +1,151 @@
+"""Decides on changes at the leader, wherever they were sent."""
+
+from __future__ import annotations
+
+import typing
+
+from gevent import lock
+
+from mulberryquay.control import (
+    directory,
+    host_protocol,
+    kinds,
+    replicated_state,
+)
+from mulberryquay.coordination import clock, errors, rpc, store
+from mulberryquay.coordination.replication import replica, state
+
+#: An order is answered or refused within this time. Callers take the next
+#: control host after a second.
+ORDER_MS: typing.Final = 850.0
+
+#: Kept for the way back from the leader.
+_RETURN_MS: typing.Final = 50.0
+
+Order = (
+    host_protocol.PutResource
+    | host_protocol.PutConfiguration
+    | host_protocol.SetDomainState
+    | host_protocol.EndTarget
+)
+
+
+@typing.final
+class Orders:
+    """Runs orders one after the other where the leader is."""
+
+    def __init__(
+        self,
+        shared: replicated_state.ReplicatedState,
+        targets: directory.Directory,
+        log: replica.Replica,
+        network: rpc.Clients,
+        time: clock.Clock,
+    ) -> None:
+        """Decides by ``shared`` and ``targets``; ``log`` makes durable."""
+        self._store = shared.store
+        self._directory = targets
+        self._replica = log
+        self._network = network
+        self._clock = time
+        self._deciding = lock.BoundedSemaphore(1)
+
+    def execute(self, order: Order) -> list[typing.Any]:
+        """Returns once the order is in force at the leader.
+
+        Raises NoQuorumError when that is not sure in time, and the typed
+        errors of the order.
+        """
+        deadline = self._clock.now() + ORDER_MS
+        while True:
+            if self._replica.is_leader:
+                return self.decide(order, deadline)
+            address = self._replica.leader_address
+            if address:
+                return self._forward(address, order, deadline)
+            if not self._replica.wait_for_leader(
+                timeout=deadline - self._clock.now(),
+            ):
+                raise state.NoQuorumError(
+                    'no control host leads now; send the order again',
+                )
+
+    def decide(self, order: Order, deadline: float) -> list[typing.Any]:
+        """Runs an order here; raises NoQuorumError if this is no leader."""
+        remaining = deadline - self._clock.now()
+        is_acquired = remaining > 0 and self._deciding.acquire(
+            timeout=remaining / clock.MS_PER_SECOND,
+        )
+        if not is_acquired:
+            raise state.NoQuorumError('earlier orders are not decided yet')
+        try:
+            self._replica.settle(timeout=deadline - self._clock.now())
+            return self._run(order)
+        finally:
+            self._deciding.release()
+
+    def _forward(
+        self,
+        address: str,
+        order: Order,
+        deadline: float,
+    ) -> list[typing.Any]:
+        remaining = deadline - self._clock.now() - _RETURN_MS
+        try:
+            answer = self._network.call(address, order, timeout=remaining)
+        except rpc.RemoteError:
+            raise
+        except rpc.CallFailedError as error:
+            raise state.NoQuorumError(
+                f'the leading control host gave no answer: {error}',
+            ) from error
+        return list(answer.fields)
+
+    def _run(self, order: Order) -> list[typing.Any]:
+        match order:
+            case host_protocol.PutResource(kind, name, version, spec):
+                resource = self._store.put(
+                    kind,
+                    name,
+                    version=version,
+                    spec=spec,
+                )
+                return list(resource)
+            case host_protocol.PutConfiguration():
+                return [self._put_configuration(order)]
+            case host_protocol.SetDomainState():
+                return list(self._set_domain(order))
+            case host_protocol.EndTarget(name, incarnation):
+                return [self._directory.end(name, incarnation=incarnation)]
+
+    def _put_configuration(
+        self,
+        order: host_protocol.PutConfiguration,
+    ) -> int:
+        return self._store.put_configuration(
+            store.Configuration(order.version, order.document),
+            [(kind, name, spec) for kind, name, spec in order.resources],
+            kinds=kinds.CONFIGURED,
+        )
+
+    def _set_domain(
+        self,
+        order: host_protocol.SetDomainState,
+    ) -> store.Resource:
+        kind = kinds.FAILURE_DOMAIN
+        version = 1
+        try:
+            current = self._store.get(kind, order.domain)
+        except errors.NotFoundError:
+            version = 1
+        else:
+            is_same = current.spec and current.spec['state'] == order.state
+            if is_same:
+                return current
+            version = current.version + 1
+        return self._store.put(
+            kind,
+            order.domain,
+            version=version,
+            spec={'region': order.region, 'state': order.state},
+        )
--- /dev/null
+++ b/src/mulberryquay/coordination/broadcast.py
@@ -0,0 +1,130 @@
+"""Tells every peer each piece of news in order, or all after a gap."""
+
+from __future__ import annotations
+
+import logging
+import typing
+
+import gevent
+
+from mulberryquay.coordination import clock, rpc, signals
+
+#: A peer hears something at least this often, so that silence is a sign.
+IDLE_MS: typing.Final = 1500.0
+
+#: A peer that does not answer for this long is told all again later.
+_CALL_MS: typing.Final = 900.0
+_RETRY_MS: typing.Final = 250.0
+
+#: How often the list of peers is read.
+_PEERS_MS: typing.Final = 200.0
+
+#: News queued for a peer before it is told all again.
+_MAX_QUEUED: typing.Final = 5000
+
+_LOG: typing.Final = logging.getLogger(__name__)
+
+Message = tuple[typing.Any, ...]
+
+
+class Source(typing.Protocol):
+    """The owner of the news."""
+
+    def list_peers(self) -> typing.Collection[str]:
+        """Returns the addresses of all peers but oneself."""
+
+    def tell_all(self) -> list[Message]:
+        """Returns news that contain all that is known."""
+
+    def make_call(self, news: list[Message], *, is_whole: bool) -> Message:
+        """Returns the call that carries ``news``."""
+
+    def read_boot(self, answer: typing.Any) -> str:
+        """Returns what differs after each start of a peer."""
+
+
+@typing.final
+class _Peer:
+    """What one peer was told."""
+
+    def __init__(self, time: clock.Clock) -> None:
+        self.queued: list[Message] = []
+        #: The start of the peer that was told all; empty if none was.
+        self.boot = ''
+        self.news = signals.Signal(time)
+
+    def add(self, message: Message) -> None:
+        """Queues news; too many are dropped and all is told again."""
+        self.queued.append(message)
+        if len(self.queued) > _MAX_QUEUED:
+            self.queued.clear()
+            self.boot = ''
+        self.news.notify()
+
+
+@typing.final
+class Broadcast:
+    """One task for each peer."""
+
+    def __init__(
+        self,
+        source: Source,
+        network: rpc.Clients,
+        time: clock.Clock,
+    ) -> None:
+        """Tells the news of ``source``."""
+        self._source = source
+        self._network = network
+        self._clock = time
+        self._peers: dict[str, _Peer] = {}
+        self._tasks: list[gevent.Greenlet] = []
+
+    def start(self) -> None:
+        """Begins to tell."""
+        self._tasks = [gevent.spawn(self._follow_peers)]
+
+    def stop(self) -> None:
+        """Ends all tasks."""
+        gevent.killall(self._tasks)
+        self._peers.clear()
+
+    def publish(self, message: Message) -> None:
+        """Queues news for all peers."""
+        for peer in self._peers.values():
+            peer.add(message)
+
+    def _follow_peers(self) -> None:
+        while True:
+            wanted = set(self._source.list_peers())
+            for gone in set(self._peers) - wanted:
+                self._peers.pop(gone).news.notify()
+            for address in wanted - set(self._peers):
+                peer = _Peer(self._clock)
+                self._peers[address] = peer
+                gevent.spawn(self._tell, address, peer)
+            self._clock.sleep(_PEERS_MS)
+
+    def _tell(self, address: str, peer: _Peer) -> None:
+        while self._peers.get(address) is peer:
+            is_whole = not peer.boot
+            news = peer.queued
+            peer.queued = []
+            if is_whole:
+                news = self._source.tell_all()
+            call = self._source.make_call(news, is_whole=is_whole)
+            try:
+                answer = self._network.call(address, call, timeout=_CALL_MS)
+            except rpc.CallFailedError as error:
+                _LOG.debug('peer not told', extra={'cause': str(error)})
+                peer.boot = ''
+                self._clock.sleep(_RETRY_MS)
+                continue
+            self._note_boot(peer, self._source.read_boot(answer), is_whole)
+            if not peer.queued and peer.boot:
+                peer.news.wait(IDLE_MS)
+
+    def _note_boot(self, peer: _Peer, boot: str, is_whole: bool) -> None:
+        if is_whole:
+            peer.boot = boot
+        elif boot != peer.boot:
+            peer.boot = ''
--- a/src/mulberryquay/coordination/errors.py
+++ b/src/mulberryquay/coordination/errors.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-import typing
-
 
 class MulberryquayError(Exception):
     """Base of every failure; ``code`` is stable and read by programs."""
 
-    code: typing.ClassVar[str] = 'internal'
-    http_status: typing.ClassVar[int] = 500
+    code: str = 'internal'
+    http_status: int = 500
 
 
 class InvalidInputError(MulberryquayError):
--- a/src/mulberryquay/coordination/history.py
+++ b/src/mulberryquay/coordination/history.py
@@ -41,6 +41,9 @@
         """Continues from a snapshot taken at ``revision``."""
         self._changes.clear()
         self._revision = revision
+        woken = self._changed
+        self._changed = event.Event()
+        woken.set()
 
     def append(self, change: Change) -> None:
         """Adds the next change and wakes all who wait."""
--- a/src/mulberryquay/coordination/replication/reads.py
+++ b/src/mulberryquay/coordination/replication/reads.py
@@ -20,13 +20,10 @@
     def __init__(self, shared: state.ReplicaState) -> None:
         """Reads at the replica that owns ``shared``."""
         self._state = shared
+        #: The newest term in which this replica led, if it ever did.
+        self.leading: leadership.Leadership | None = None
 
-    def wait_for_newest(
-        self,
-        leading: leadership.Leadership | None,
-        *,
-        timeout: float,
-    ) -> None:
+    def wait_for_newest(self, *, timeout: float) -> None:
         """Returns once all that was acknowledged before is applied here.
 
         Raises NoQuorumError.
@@ -35,7 +32,7 @@
         deadline = shared.clock.now() + timeout
         while shared.clock.now() < deadline:
             remaining = deadline - shared.clock.now()
-            index = self._find_index(leading, remaining)
+            index = self._find_index(remaining)
             if index >= 0 and self._is_applied(index, deadline):
                 return
             shared.progress.wait(min(remaining, timing.RETRY_MS))
@@ -43,26 +40,18 @@
             'no majority of the control hosts vouches for the newest state',
         )
 
-    def prove_index(
-        self,
-        leading: leadership.Leadership | None,
-        *,
-        timeout: float,
-    ) -> int:
+    def prove_index(self, *, timeout: float) -> int:
         """Returns the commit index if this replica still leads, else -1."""
+        leading = self.leading
         if leading is None or not leading.is_current or not leading.is_ready:
             return -1
         index = self._state.commit_index
         return index if leading.prove(timeout=timeout) else -1
 
-    def _find_index(
-        self,
-        leading: leadership.Leadership | None,
-        timeout: float,
-    ) -> int:
+    def _find_index(self, timeout: float) -> int:
         shared = self._state
         if shared.is_leader:
-            return self.prove_index(leading, timeout=timeout)
+            return self.prove_index(timeout=timeout)
         if not shared.leader_address:
             return -1
         try:
--- a/src/mulberryquay/coordination/replication/replica.py
+++ b/src/mulberryquay/coordination/replication/replica.py
@@ -153,10 +153,7 @@
             case messages.HandoverRequest():
                 return self._take_handover(request)
             case messages.ReadRequest():
-                index = self._reads.prove_index(
-                    self._leading,
-                    timeout=timing.CALL_MS,
-                )
+                index = self._reads.prove_index(timeout=timing.CALL_MS)
                 return messages.ReadAnswer(index)
         raise UnknownCallError(f'got {type(request).__name__} from a replica')
 
@@ -206,7 +203,14 @@
 
         Raises NoQuorumError.
         """
-        self._reads.wait_for_newest(self._leading, timeout=timeout)
+        self._reads.wait_for_newest(timeout=timeout)
+
+    def wait_for_leader(self, *, timeout: float) -> bool:
+        """Waits until a leader is known; False after ``timeout`` ms."""
+        return self._state.progress.wait_until(
+            lambda: bool(self.leader_address),
+            timeout=timeout,
+        )
 
     def hand_over(self) -> None:
         """Lets the follower that is furthest take the lead."""
@@ -255,6 +259,7 @@
 
     def _lead(self) -> None:
         self._leading = leadership.Leadership(self._state)
+        self._reads.leading = self._leading
         self._leading.start()
         policy = membership.MembershipPolicy(self._state, self._leading)
         gevent.spawn(policy.run)
--- a/src/mulberryquay/coordination/rpc.py
+++ b/src/mulberryquay/coordination/rpc.py
@@ -19,7 +19,6 @@
 Message = tuple[typing.Any, ...]
 
 
-@typing.final
 class CallFailedError(errors.MulberryquayError):
     """The peer gave no answer; it may have taken the call."""
 
@@ -27,14 +26,15 @@
     http_status = 503
 
 
-class RemoteError(errors.MulberryquayError):
+@typing.final
+class RemoteError(CallFailedError):
     """The peer answered with an error, whose code and status it has."""
 
     def __init__(self, code: str, http_status: int, message: str) -> None:
         """Takes over what the peer said."""
         super().__init__(message)
-        self.code = code  # type: ignore[misc]
-        self.http_status = http_status  # type: ignore[misc]
+        self.code = code
+        self.http_status = http_status
 
 
 class _Call(typing.NamedTuple):
@@ -175,10 +175,7 @@
             host, _, port = address.rpartition(':')
             client = Client((host, int(port)), self._words)
             self._clients[address] = client
-        try:
-            return client.call(message, timeout=timeout)
-        except RemoteError as error:
-            raise CallFailedError(f'{error.code}: {error}') from error
+        return client.call(message, timeout=timeout)
 
     def close(self) -> None:
         """Ends all streams."""
--- a/src/mulberryquay/coordination/schema.py
+++ b/src/mulberryquay/coordination/schema.py
@@ -12,6 +12,7 @@
 NAME_RULE: typing.Final = '1 to 63 of a-z, 0-9, "-" and "."'
 _NAME_PATTERN: typing.Final = re.compile('[a-z0-9]([a-z0-9.-]{0,62})')
 _MAX_NAMES: typing.Final = 64
+_MAX_WEIGHT: typing.Final = 1_000_000
 
 
 @typing.final
@@ -39,6 +40,18 @@
     required: bool = False
 
 
+class Number(typing.NamedTuple):
+    """A number between two bounds, both allowed."""
+
+    minimum: float
+    maximum: float
+    default: float = 0
+
+
+class Weights(typing.NamedTuple):
+    """Names with a weight each, such as ``{"a": 90, "b": 10}``."""
+
+
 class Flag(typing.NamedTuple):
     """True or false."""
 
@@ -51,7 +64,7 @@
     default: tuple[str, ...] = ()
 
 
-Field = Text | Integer | Flag | Names
+Field = Text | Integer | Number | Flag | Names | Weights
 Fields = typing.Mapping[str, Field]
 
 
@@ -102,6 +115,10 @@
             return given
         case Names():
             return _check_names(given, field, what=what)
+        case Number():
+            return _check_number(given, field, what=what)
+        case Weights():
+            return _check_weights(given, what=what)
 
 
 def _check_text(given: typing.Any, field: Text, *, what: str) -> str:
@@ -127,6 +144,31 @@
     return int(given)
 
 
+def _check_number(given: typing.Any, field: Number, *, what: str) -> float:
+    if given is None:
+        return field.default
+    is_number = isinstance(given, (int, float)) and not isinstance(given, bool)
+    if not is_number or not field.minimum <= given <= field.maximum:
+        _refuse(
+            given,
+            f'a number from {field.minimum} to {field.maximum}',
+            what=what,
+        )
+    return float(given)
+
+
+def _check_weights(given: typing.Any, *, what: str) -> dict[str, float]:
+    if given is None:
+        return {}
+    if not isinstance(given, dict) or len(given) > _MAX_NAMES:
+        _refuse(given, f'an object of at most {_MAX_NAMES} names', what=what)
+    weight = Number(0, _MAX_WEIGHT)
+    return {
+        name: _check_number(share, weight, what=f'{what}.{name}')
+        for name, share in given.items()
+    }
+
+
 def _check_names(given: typing.Any, field: Names, *, what: str) -> list[str]:
     if given is None:
         return list(field.default)
--- a/src/mulberryquay/coordination/shares.py
+++ b/src/mulberryquay/coordination/shares.py
@@ -82,7 +82,8 @@
 
     def propose(self, entries: EntryList) -> None:
         """Takes a pending list; older epochs are ignored."""
-        if entries.epoch > self._committed.epoch:
+        newest = self._pending or self._committed
+        if entries.epoch > newest.epoch:
             self._pending = entries
             self._cache.clear()
 
--- a/src/mulberryquay/coordination/store.py
+++ b/src/mulberryquay/coordination/store.py
@@ -4,11 +4,15 @@
 content is a resend and gets the first answer; with other content it lost a
 race. Deleted resources leave a tombstone, so that a late resend of an older
 put cannot bring them back.
+
+A whole configuration replaces all resources of its kinds at once, under one
+version. Of two with the same version the first one that was accepted holds.
 """
 
 from __future__ import annotations
 
 import typing
+import zlib
 
 from gevent import lock
 
@@ -23,6 +27,26 @@
 Key = tuple[str, str]
 
 
+class ChangeLog(typing.Protocol):
+    """Where changes are made durable, such as `journal.Journal`."""
+
+    @property
+    def records_since_snapshot(self) -> int:
+        """Records that a restart would replay."""
+
+    def recover(self) -> journal.Recovered:
+        """Returns the newest snapshot and the records after it."""
+
+    def append(self, records: typing.Sequence[journal.Record]) -> None:
+        """Returns once the records are durable."""
+
+    def compact(self, snapshot: journal.Record) -> None:
+        """Replaces all records by a snapshot."""
+
+    def close(self) -> None:
+        """Releases what the log holds."""
+
+
 @typing.final
 class VersionConflictError(errors.ConflictError):
     """The version is taken by other content or is out of date."""
@@ -41,13 +65,31 @@
     revision: int
 
 
+class Configuration(typing.NamedTuple):
+    """A whole configuration as an operator sent it."""
+
+    #: 0 before the first.
+    version: int
+    #: The text that was sent, as it is shown again.
+    document: bytes
+
+
+class Change(typing.NamedTuple):
+    """What takes effect at once: one record of the log."""
+
+    #: Rows of `Resource` with consecutive revisions.
+    resources: list[typing.Sequence[typing.Any]]
+    #: A row of `Configuration` with the document compressed, or nothing.
+    configuration: typing.Sequence[typing.Any] = ()
+
+
 @typing.final
 class Store:
     """Resources of all kinds, ordered by one revision counter."""
 
     def __init__(
         self,
-        log: journal.Journal,
+        log: ChangeLog,
         *,
         history_size: int = WATCH_HISTORY,
         snapshot_after: int = SNAPSHOT_AFTER,
@@ -57,10 +99,15 @@
         self._snapshot_after = snapshot_after
         self._write_lock = lock.BoundedSemaphore(1)
         self._resources: dict[Key, Resource] = {}
+        self._configuration = Configuration(0, zlib.compress(b''))
         self._changes: history.History[Resource] = history.History(
             size=history_size,
         )
-        self._restore(log.recover())
+        recovered = log.recover()
+        if recovered.snapshot is not None:
+            self.restore(recovered.snapshot)
+        for record in recovered.records:
+            self.apply(record)
 
     @property
     def revision(self) -> int:
@@ -72,6 +119,17 @@
         """The newest changes, for watches."""
         return self._changes
 
+    @property
+    def configuration(self) -> Configuration:
+        """The newest whole configuration; version 0 if there is none."""
+        held = self._configuration
+        return held._replace(document=zlib.decompress(held.document))
+
+    @property
+    def configuration_version(self) -> int:
+        """The version of the newest whole configuration, 0 if none."""
+        return self._configuration.version
+
     def get(self, kind: str, name: str) -> Resource:
         """Returns a live resource; raises NotFoundError."""
         resource = self._resources.get((kind, name))
@@ -113,35 +171,97 @@
             if current is not None and version <= current.version:
                 return _check_resend(current, version, spec)
             change = Resource(kind, name, version, spec, self.revision + 1)
-            self._log.append([tuple(change)])
-            self._apply(change)
-            if self._log.records_since_snapshot >= self._snapshot_after:
-                self._log.compact(self._snapshot())
+            self._commit(Change([tuple(change)]))
             return change
 
+    def put_configuration(
+        self,
+        configuration: Configuration,
+        resources: typing.Iterable[tuple[str, str, schema.Spec]],
+        *,
+        kinds: typing.Collection[str],
+    ) -> int:
+        """Replaces all resources of ``kinds``; returns the version held.
+
+        That is a higher version if one was accepted before; then nothing
+        changes. Raises JournalFailedError.
+        """
+        with self._write_lock:
+            if configuration.version <= self._configuration.version:
+                return self._configuration.version
+            changed = self._difference(
+                configuration.version,
+                {(kind, name): spec for kind, name, spec in resources},
+                kinds,
+            )
+            packed = configuration._replace(
+                document=zlib.compress(configuration.document),
+            )
+            self._commit(Change([tuple(row) for row in changed], tuple(packed)))
+            return configuration.version
+
     def close(self) -> None:
         """Closes the journal."""
         self._log.close()
 
-    def _restore(self, recovered: journal.Recovered) -> None:
-        if recovered.snapshot is not None:
-            self._changes.restart(recovered.snapshot[0])
-            for fields in recovered.snapshot[1]:
-                resource = Resource(*fields)
+    def apply(self, record: journal.Record) -> None:
+        """Takes over an accepted `Change`; one that was taken is ignored."""
+        change = Change(*record)
+        for row in change.resources:
+            resource = Resource(*row)
+            if resource.revision > self.revision:
                 self._resources[resource.kind, resource.name] = resource
-        for record in recovered.records:
-            self._apply(Resource(*record))
-
-    def _apply(self, change: Resource) -> None:
-        self._resources[change.kind, change.name] = change
-        self._changes.append(change)
+                self._changes.append(resource)
+        if change.configuration:
+            configuration = Configuration(*change.configuration)
+            if configuration.version > self._configuration.version:
+                self._configuration = configuration
 
-    def _snapshot(self) -> tuple[int, list[tuple[typing.Any, ...]]]:
+    def snapshot(self) -> tuple[typing.Any, ...]:
+        """Returns the whole state as msgpack types."""
         return (
             self.revision,
             [tuple(resource) for resource in self._resources.values()],
+            tuple(self._configuration),
         )
 
+    def restore(self, snapshot: typing.Sequence[typing.Any]) -> None:
+        """Replaces the state by one that `snapshot` returned."""
+        revision, rows, configuration = snapshot
+        self._changes.restart(revision)
+        self._configuration = Configuration(*configuration)
+        self._resources = {}
+        for row in rows:
+            resource = Resource(*row)
+            self._resources[resource.kind, resource.name] = resource
+
+    def _commit(self, change: Change) -> None:
+        self._log.append([tuple(change)])
+        self.apply(change)
+        if self._log.records_since_snapshot >= self._snapshot_after:
+            self._log.compact(self.snapshot())
+
+    def _difference(
+        self,
+        version: int,
+        wanted: dict[Key, schema.Spec],
+        kinds: typing.Collection[str],
+    ) -> list[Resource]:
+        """Returns what differs, with the revisions that come next."""
+        changed: list[tuple[Key, schema.Spec | None]] = []
+        for key, current in self._resources.items():
+            is_dropped = key[0] in kinds and key not in wanted
+            if is_dropped and current.spec is not None:
+                changed.append((key, None))
+        for key, spec in wanted.items():
+            known = self._resources.get(key)
+            if known is None or known.spec != spec:
+                changed.append((key, spec))
+        return [
+            Resource(*key, version, spec, self.revision + place)
+            for place, (key, spec) in enumerate(changed, start=1)
+        ]
+
 
 def _check_resend(
     current: Resource,
--- a/src/mulberryquay/coordination/wire.py
+++ b/src/mulberryquay/coordination/wire.py
@@ -39,6 +39,10 @@
         self._types = tuple(message_types)
         self._tags = {kind: tag for tag, kind in enumerate(self._types)}
 
+    def extended(self, message_types: typing.Sequence[type]) -> Vocabulary:
+        """Returns a vocabulary that has more messages behind its own."""
+        return Vocabulary((*self._types, *message_types))
+
     def fields_of(self, message: tuple[typing.Any, ...]) -> list[typing.Any]:
         """Returns the message as a list that `decode` takes."""
         return [self._tags[type(message)], *message]
--- a/src/mulberryquay/entry/config_replica.py
+++ b/src/mulberryquay/entry/config_replica.py
@@ -4,7 +4,6 @@
 
 import typing
 
-from mulberryquay import protocol
 from mulberryquay.coordination import errors, store, wire
 from mulberryquay.entry import routing, state
 
@@ -24,7 +23,6 @@
         """Starts without configuration."""
         self._shared = shared
         self._resources: routing.Keyed = {}
-        self._incoming: list[list[typing.Any]] = []
         self._revision = 0
         self._is_complete = False
 
@@ -38,41 +36,40 @@
         """Whether a whole configuration has arrived since the start."""
         return self._is_complete
 
-    def begin(self) -> None:
-        """Forgets the slices of a stream that ended."""
-        self._incoming = []
-
-    def take_slice(self, part: protocol.ConfigSlice) -> None:
-        """Collects a slice; the last one puts all in force.
+    def take_whole(
+        self,
+        revision: int,
+        resources: typing.Iterable[store.Resource],
+    ) -> None:
+        """Puts a whole configuration in force.
 
         Raises StaleControlError for a revision before the one in force.
         """
-        if part.revision < self._revision:
+        if revision < self._revision:
             raise StaleControlError(
-                f'got revision {part.revision}, expected {self._revision} '
+                f'got revision {revision}, expected {self._revision} '
                 'or later; accepted changes must not be undone',
             )
-        self._incoming += part.resources
-        if part.is_last:
-            resources = (store.Resource(*row) for row in self._incoming)
-            self._resources = {
-                (resource.kind, resource.name): resource
-                for resource in resources
-            }
-            self._incoming = []
-            self._put_in_force(part.revision)
-
-    def take_delta(self, change: store.Resource) -> None:
-        """Puts one change in force; raises ProtocolError for a gap."""
-        if change.revision <= self._revision:
+        self._resources = {
+            (resource.kind, resource.name): resource for resource in resources
+        }
+        self._put_in_force(revision)
+
+    def take_delta(self, changes: typing.Sequence[store.Resource]) -> None:
+        """Puts changes in force at once; raises ProtocolError for a gap."""
+        news = [
+            change for change in changes if change.revision > self._revision
+        ]
+        if not news:
             return
-        if change.revision != self._revision + 1:
+        if news[0].revision != self._revision + 1:
             raise wire.ProtocolError(
-                f'got revision {change.revision}, expected '
+                f'got revision {news[0].revision}, expected '
                 f'{self._revision + 1}',
             )
-        self._resources[change.kind, change.name] = change
-        self._put_in_force(change.revision)
+        for change in news:
+            self._resources[change.kind, change.name] = change
+        self._put_in_force(news[-1].revision)
 
     def _put_in_force(self, revision: int) -> None:
         shared = self._shared
--- /dev/null
+++ b/src/mulberryquay/entry/control_hosts.py
@@ -0,0 +1,98 @@
+"""The control hosts that an entry may follow, nearest first."""
+
+from __future__ import annotations
+
+import random
+import typing
+
+from mulberryquay.coordination import clock
+
+#: A host that was of no use is tried after the others for this long.
+AVOID_MS: typing.Final = 3000.0
+
+
+class ControlHost(typing.NamedTuple):
+    """Where a control host serves its feed."""
+
+    address: str
+    #: Empty while only its address is known.
+    region: str = ''
+    domain: str = ''
+
+
+@typing.final
+class ControlHosts:
+    """Hosts from the settings and those that control hosts told of."""
+
+    def __init__(
+        self,
+        addresses: typing.Sequence[str],
+        time: clock.Clock,
+        rng: random.Random,
+        *,
+        region: str,
+        domain: str,
+    ) -> None:
+        """Begins with ``addresses``; ``region`` and ``domain`` are own."""
+        self._clock = time
+        self._rng = rng
+        self._region = region
+        self._domain = domain
+        self._configured = tuple(addresses)
+        self._told: dict[str, ControlHost] = {}
+        self._avoided: dict[str, float] = {}
+
+    @property
+    def addresses(self) -> list[str]:
+        """All known addresses; none is known twice."""
+        return list(dict.fromkeys((*self._told, *self._configured)))
+
+    def configure(self, addresses: typing.Sequence[str]) -> None:
+        """Takes other addresses from the settings."""
+        self._configured = tuple(addresses)
+
+    def learn(self, rows: typing.Iterable[typing.Sequence[str]]) -> None:
+        """Takes the list that a control host gave."""
+        hosts = [ControlHost(*row) for row in rows]
+        self._told = {host.address: host for host in hosts}
+
+    def avoid(self, address: str) -> None:
+        """Tries a host after the others for a while."""
+        self._avoided[address] = self._clock.now() + AVOID_MS
+
+    def choose(self, taken: typing.Collection[str]) -> str:
+        """Returns the best host whose address is not ``taken``.
+
+        Empty if there is none. Hosts in another failure domain than those
+        that are taken go first, then near ones.
+        """
+        domains = {
+            self._told[address].domain
+            for address in taken
+            if address in self._told
+        }
+        candidates = [
+            address for address in self.addresses if address not in taken
+        ]
+        if not candidates:
+            return ''
+        return min(
+            candidates,
+            key=lambda address: self._rank(address, domains),
+        )
+
+    def _rank(
+        self,
+        address: str,
+        domains: typing.Collection[str],
+    ) -> tuple[bool, bool, int, float]:
+        host = self._told.get(address, ControlHost(address))
+        distance = 2
+        if host.region == self._region:
+            distance = int(host.domain != self._domain)
+        return (
+            self._avoided.get(address, 0) > self._clock.now(),
+            bool(host.domain) and host.domain in domains,
+            distance,
+            self._rng.random(),
+        )
--- a/src/mulberryquay/entry/daemon.py
+++ b/src/mulberryquay/entry/daemon.py
@@ -159,10 +159,7 @@
         self._peer_listener = sockets.listen(values['peer_listen'])
         self._link = control_link.ControlLink(
             self._state,
-            [
-                settings.parse_address(address)
-                for address in values['control'].split(',')
-            ],
+            values['control'].split(','),
             admin_address=self._address_of('admin_listen', self.admin_port),
             peer_address=self._address_of('peer_listen', self.peer_port),
             domain=values['domain'],
--- /dev/null
+++ b/src/mulberryquay/entry/knowledge.py
@@ -0,0 +1,117 @@
+"""What the control hosts told this entry, merged over those it follows."""
+
+from __future__ import annotations
+
+import logging
+import typing
+
+from mulberryquay.coordination import clock, shares
+from mulberryquay.entry import (
+    config_replica,
+    control_hosts,
+    state,
+    targets_view,
+)
+
+_LOG: typing.Final = logging.getLogger(__name__)
+
+
+@typing.final
+class Knowledge:
+    """Configuration, targets, entry lists and for how long they hold."""
+
+    def __init__(
+        self,
+        shared: state.EntryState,
+        hosts: control_hosts.ControlHosts,
+    ) -> None:
+        """Puts what it learns in force in ``shared``."""
+        self._shared = shared
+        self.hosts = hosts
+        self.replica = config_replica.ConfigReplica(shared)
+        self.targets = targets_view.TargetsView(shared.balancer.apply)
+        self._lease_until = 0.0
+        #: Hosts that are followed, in the order they were chosen.
+        self._followed: list[str] = []
+
+    @property
+    def time(self) -> clock.Clock:
+        """The entry's clock."""
+        return self._shared.clock
+
+    def choose_host(self) -> str:
+        """Returns the host to follow next, empty if there is none."""
+        address = self.hosts.choose(self._followed)
+        if address:
+            self._followed.append(address)
+        return address
+
+    def avoid_host(self, address: str) -> None:
+        """Takes the end of a host that was chosen."""
+        self._followed.remove(address)
+        self.hosts.avoid(address)
+
+    def end_stream(self, address: str, *, received: int, sent: int) -> None:
+        """Counts the bytes of a stream that ended."""
+        self.targets.drop(address)
+        count = self._shared.metrics.count
+        count('mulberryquay_control_bytes_total', 'in', amount=received)
+        count('mulberryquay_control_bytes_total', 'out', amount=sent)
+
+    def propose(self, entries: shares.EntryList) -> None:
+        """Takes an entry list that waits for confirmations."""
+        self._shared.view.propose(entries)
+        self._shared.balancer.refresh_limits()
+
+    def commit(self, entries: shares.EntryList) -> None:
+        """Takes an entry list that all entries confirmed."""
+        self._shared.view.commit(entries)
+        self._shared.balancer.refresh_limits()
+
+    def update_peers(self, peers: typing.Any) -> None:
+        """Takes the entries that accept relayed requests."""
+        self._shared.relays.update_peers(peers)
+
+    def block(self, fingerprint: bytes, duration: float) -> None:
+        """Refuses a request that breaks targets for a while."""
+        self._shared.guard.block(fingerprint, duration=duration)
+
+    def confirmable(self) -> tuple[int, int]:
+        """Returns the revision and the epoch that may be confirmed now."""
+        view = self._shared.view
+        epoch = view.committed.epoch
+        pending = view.pending
+        if pending and self._shared.balancer.fits_pending_shares():
+            epoch = pending.epoch
+        return self.replica.revision, epoch
+
+    def collect_reports(
+        self,
+        address: str,
+    ) -> tuple[dict[str, int], dict[str, int]]:
+        """Returns what one control host should know of targets.
+
+        Only the host that was chosen first is told; it tells the others.
+        """
+        if self._followed and self._followed[0] != address:
+            return {}, {}
+        return self._shared.balancer.collect_reports()
+
+    def renew_lease(self, until: float) -> None:
+        """Takes a control host's word that all this is the newest."""
+        self._lease_until = max(self._lease_until, until)
+        self.update_freshness()
+
+    def update_freshness(self) -> None:
+        """Looks whether some control host's word still holds."""
+        shared = self._shared
+        is_fresh = shared.clock.now() < self._lease_until
+        is_fresh = is_fresh and self.replica.is_complete
+        if is_fresh == shared.is_fresh:
+            return
+        shared.is_fresh = is_fresh
+        shared.balancer.set_fresh(is_fresh=is_fresh)
+        _LOG.warning(
+            'configuration is fresh' if is_fresh else 'lease ran out',
+            extra={'revision': self.replica.revision},
+        )
--- a/src/mulberryquay/kernel/plugins.py
+++ b/src/mulberryquay/kernel/plugins.py
@@ -37,6 +37,15 @@
         self.policies: registry.Registry[typing.Any] = registry.Registry(
             'policy',
         )
+        #: Functions that add calls to the API of a control host; they take
+        #: the app, the cluster and the kernel.
+        self.api_extensions: registry.Registry[typing.Any] = registry.Registry(
+            'API extension',
+        )
+        #: How entries speak with callers and targets.
+        self.dialects: registry.Registry[typing.Any] = registry.Registry(
+            'dialect',
+        )
         self.commands: registry.Registry[typing.Any] = registry.Registry(
             'command',
         )
--- a/src/mulberryquay/kernel/registry.py
+++ b/src/mulberryquay/kernel/registry.py
@@ -38,6 +38,11 @@
         """The registered names in order of registration."""
         return tuple(self._parts)
 
+    @property
+    def parts(self) -> tuple[Part, ...]:
+        """The registered parts in order of registration."""
+        return tuple(self._parts.values())
+
     def add(self, name: str, part: Part) -> None:
         """Registers ``part``; raises DuplicatePartError for a taken name."""
         if name in self._parts:
--- a/src/mulberryquay/protocol.py
+++ b/src/mulberryquay/protocol.py
@@ -7,7 +7,7 @@
 from mulberryquay.coordination import wire
 
 #: Changes with each incompatible change of a message.
-PROTOCOL_VERSION: typing.Final = 1
+PROTOCOL_VERSION: typing.Final = 2
 
 
 class Hello(typing.NamedTuple):
@@ -36,9 +36,10 @@
 
 
 class ConfigDelta(typing.NamedTuple):
-    """One accepted change, as a row of `coordination.store.Resource`."""
+    """Accepted changes that take effect at once."""
 
-    resource: list[typing.Any]
+    #: Rows of `coordination.store.Resource` in order of their revisions.
+    resources: list[list[typing.Any]]
 
 
 class TargetRow(typing.NamedTuple):
@@ -63,6 +64,10 @@
     is_leaving: bool
     #: Status codes that say the target refused before running the call.
     shed_statuses: list[int]
+    #: Grows with each announcement of one run.
+    sequence: int = 0
+    #: Milliseconds for which the target stays cold; -1 if it does not say.
+    cold_ms: int = -1
 
 
 class TargetsChanged(typing.NamedTuple):
@@ -96,6 +101,13 @@
     peers: list[list[str]]
 
 
+class ControlHosts(typing.NamedTuple):
+    """The control hosts that an entry may follow."""
+
+    #: Rows of address, region and failure domain.
+    hosts: list[list[str]]
+
+
 class Beat(typing.NamedTuple):
     """An entry's regular report; answered by `BeatAnswer`."""
 
@@ -112,6 +124,7 @@
     """Renews the freshness lease from the time the beat was sent."""
 
     sequence: int
+    #: 0 from a control host that has lost touch with the majority.
     lease_ms: int
 
 
@@ -158,6 +171,7 @@
         EntriesProposed,
         EntriesCommitted,
         PeersChanged,
+        ControlHosts,
         Beat,
         BeatAnswer,
         TargetBroken,
--- a/src/mulberryquay/settings.py
+++ b/src/mulberryquay/settings.py
@@ -86,6 +86,11 @@
     return settings, rest[1:]
 
 
+def defaults(declared: typing.Sequence[Setting]) -> Values:
+    """Returns the default of each setting by name."""
+    return {setting.name: setting.default for setting in declared}
+
+
 def parse_address(address: str) -> tuple[str, int]:
     """Splits a checked ``IP:PORT``."""
     host, _, port = address.rpartition(':')
--- a/testing/control/test_api.py
+++ b/testing/control/test_api.py
@@ -9,7 +9,7 @@
 import gevent
 
 from mulberryquay.commands import api_client
-from mulberryquay.control import directory
+from mulberryquay.control import directory, replicated_state
 from mulberryquay.coordination import clock
 from testing import fixtures
 
@@ -217,7 +217,8 @@
     """Whether the target or the entry comes back first."""
     for is_target_first in (True, False):
         time = clock.ManualClock()
-        listed = directory.Directory(time)
+        ended = replicated_state.ReplicatedState().endings
+        listed = directory.Directory(time, ended=ended)
         hint = directory.Hint(incarnation=5, granted=2, is_warm=True)
         if is_target_first:
             listed.announce(_GOOD_TARGET)
--- a/testing/coordination/replication/test_replica.py
+++ b/testing/coordination/replication/test_replica.py
@@ -211,3 +211,18 @@
         CASE.assertEqual(len(world.acknowledged), 3)
         world.time.run(4000)
         _wait(world)
+
+
+def test_read_that_begins_before_the_election_waits_for_it() -> None:
+    """A single replica answers at once after its restart."""
+    with _world(addresses=['a']) as world:
+        _wait(world, limit=100)
+        _propose(world, 3)
+        node = world.nodes['a']
+        node.stop()
+        node.start()
+        assert node.replica is not None
+        reading = gevent.spawn(node.replica.read_barrier, timeout=500)
+        world.time.run(400)
+        CASE.assertTrue(reading.successful())
+        CASE.assertEqual(node.machine.records, world.acknowledged)
--- a/testing/fixtures.py
+++ b/testing/fixtures.py
@@ -141,16 +141,20 @@
     """Yields a running control host."""
     with contextlib.ExitStack() as stack:
         data_folder = data_folder or stack.enter_context(folder())
-        daemon = control_daemon.ControlDaemon(
-            {
-                'data_folder': str(data_folder),
-                'api_listen': '127.0.0.1:0',
-                'feed_listen': f'127.0.0.1:{feed_port}',
-                'target_lease_ms': target_lease_ms,
-            },
-            KERNEL,
+        values, _ = settings.parse(
+            control_daemon.SETTINGS,
+            [
+                f'--data_folder={data_folder}',
+                '--api_listen=127.0.0.1:0',
+                f'--feed_listen=127.0.0.1:{feed_port}',
+                '--host_listen=127.0.0.1:0',
+                f'--target_lease_ms={target_lease_ms}',
+            ],
+            environment={},
         )
+        daemon = control_daemon.ControlDaemon(values, KERNEL)
         daemon.start()
+        wait_until(lambda: daemon.cluster.replica.is_settled)
         try:
             yield Control(daemon)
         finally:
--- a/testing/test_processes.py
+++ b/testing/test_processes.py
@@ -42,6 +42,7 @@
         '--target_lease_ms=6000',
         f'--api_listen=127.0.0.1:{api_port}',
         f'--feed_listen=127.0.0.1:{feed_port}',
+        '--host_listen=127.0.0.1:0',
     )
 
 
