--- a/Makefile
+++ b/Makefile
@@ -18,12 +18,12 @@
 	$(BIN)/python -m testing.run
 
 lint: $(STAMP)
-	$(BIN)/ruff format --check src testing benchmarks
-	$(BIN)/flake8 src testing benchmarks
+	$(BIN)/ruff format --check src testing benchmarks platform
+	$(BIN)/flake8 src testing benchmarks platform
 	$(BIN)/mypy
 
 format: $(STAMP)
-	$(BIN)/ruff format src testing benchmarks
+	$(BIN)/ruff format src testing benchmarks platform
 
 golden: $(STAMP)
 	MULBERRYQUAY_RENEW_GOLDEN=1 $(BIN)/python -m testing.run test_sessions
--- a/benchmarks/service_model.py
+++ b/benchmarks/service_model.py
@@ -18,7 +18,7 @@
 
 from mulberryquay import protocol
 from mulberryquay.coordination import clock
-from mulberryquay.entry import balancer, service_queue, targets
+from mulberryquay.entry import balancer, dialect, service_queue, targets
 
 _MAX_US: typing.Final = 60_000_000
 _DIGITS: typing.Final = 3
@@ -188,7 +188,7 @@
         self._start(number)
         view = self._views[call.entry][number]
         taken = self._clock.now() - call.arrived
-        view.record_answer(taken, reported=carried)
+        view.record_answer(taken, reported=_report(carried))
         view.in_flight -= 1
         self._recorded.record_value(max(1, int(taken * _US_PER_MS)))
         self._dispatch(call.entry)
@@ -203,7 +203,7 @@
     def _take_report(self, loads: list[int], age: float) -> None:
         for views in self._views:
             for view, load in zip(views, loads, strict=True):
-                view.record_report(load, age=age)
+                view.record_report(dialect.LoadReport(load), age=age)
 
     def _start_noise(self) -> None:
         number = self._rng.randrange(1, self._scenario.target_count)
@@ -255,3 +255,7 @@
     view = targets.TargetState(row, time)
     view.limit = limit
     return view
+
+
+def _report(carried: int | None) -> dialect.LoadReport | None:
+    return None if carried is None else dialect.LoadReport(carried)
--- a/src/mulberryquay/commands/daemons.py
+++ b/src/mulberryquay/commands/daemons.py
@@ -2,23 +2,17 @@
 
 from __future__ import annotations
 
-import gc
 import typing
 
 import mulberryquay
 from mulberryquay import logs, settings
-from mulberryquay.commands import command
+from mulberryquay.commands import command, runner
 from mulberryquay.control import daemon as control_daemon
 from mulberryquay.entry import daemon as entry_daemon
 from mulberryquay.kernel import plugins
 from mulberryquay.ledger import daemon as ledger_daemon
 
 
-#: Container objects between collections of the three generations. Few
-#: cycles arise per request, and each collection holds the hub.
-_GC_THRESHOLDS: typing.Final = (50_000, 20, 50)
-
-
 def mulberryquay_register(kernel: plugins.Kernel) -> None:
     """Registers ``control``, ``entry`` and ``version``."""
     kernel.commands.add(
@@ -106,7 +100,7 @@
 def _run_until_signal(daemon: Daemon, ports: str) -> int:
     daemon.start()
     command.say(ports)
-    freeze_start_objects()
+    runner.freeze_start_objects()
     command.wait_for_stop()
     daemon.stop()
     return 0
@@ -120,10 +114,3 @@
     """Prints the version."""
     command.say(mulberryquay.__version__)
     return 0
-
-
-def freeze_start_objects() -> None:
-    """Spares the collector the objects that live as long as the process."""
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*_GC_THRESHOLDS)
--- a/src/mulberryquay/commands/showcase.py
+++ b/src/mulberryquay/commands/showcase.py
@@ -6,7 +6,7 @@
 import typing
 
 from mulberryquay import announcer, logs, settings
-from mulberryquay.commands import command, daemons
+from mulberryquay.commands import command, runner
 from mulberryquay.control import daemon as control_daemon
 from mulberryquay.control import host_protocol, kinds
 from mulberryquay.coordination import schema, units
@@ -88,7 +88,7 @@
         control = _start_control(values, kernel, folder)
         entry = _start_entry(values, kernel, control.feed_port)
         announcers = _start_targets(control.api_port)
-        daemons.freeze_start_objects()
+        runner.freeze_start_objects()
         _print_guide(entry.port, control.api_port)
         command.wait_for_stop()
         command.say('stopping')
--- a/src/mulberryquay/control/daemon.py
+++ b/src/mulberryquay/control/daemon.py
@@ -226,6 +226,11 @@
         self._server.stop(timeout=1)
         self._cluster.stop()
 
+    def configure(self, values: settings.Values) -> None:
+        """Takes settings that changed; only those of other hosts may."""
+        contacts = tuple(filter(None, values['hosts'].split(',')))
+        self._cluster.replica.configure(contacts)
+
     def cut_feed(self) -> None:
         """Ends all streams to entries for good, as a cut network does."""
         self._cluster.feed.stop()
--- a/src/mulberryquay/coordination/replication/joining.py
+++ b/src/mulberryquay/coordination/replication/joining.py
@@ -21,6 +21,10 @@
         self._state = shared
         self._contacts = list(contacts)
 
+    def configure(self, contacts: typing.Sequence[str]) -> None:
+        """Takes other contacts."""
+        self._contacts = list(contacts)
+
     def run(self) -> None:
         """Asks whenever no leader counts this replica in."""
         shared = self._state
--- a/src/mulberryquay/coordination/replication/replica.py
+++ b/src/mulberryquay/coordination/replication/replica.py
@@ -127,6 +127,10 @@
         """Begins to follow, vote and join."""
         self._tasks = [gevent.spawn(self._begin)]
 
+    def configure(self, contacts: typing.Sequence[str]) -> None:
+        """Takes other addresses at which replicas may be found."""
+        self._joining.configure(contacts)
+
     def stop(self) -> None:
         """Ends all tasks without a word to the others."""
         self._state.follow('', '')
--- a/src/mulberryquay/coordination/retry_budget.py
+++ b/src/mulberryquay/coordination/retry_budget.py
@@ -16,21 +16,37 @@
 MAX_TOKENS: typing.Final = 50.0
 
 
+def _default_capacity() -> float:
+    return MAX_TOKENS
+
+
 @typing.final
 class RetryBudget:
     """A bucket for one service of one entry."""
 
-    def __init__(self, *, ratio: float) -> None:
-        """``ratio`` is the share of fresh calls that may be resent."""
+    def __init__(
+        self,
+        *,
+        ratio: float,
+        reserve: float = RESERVE_TOKENS,
+        capacity: typing.Callable[[], float] = _default_capacity,
+    ) -> None:
+        """``ratio`` is the share of fresh calls that may be resent.
+
+        ``reserve`` resends are possible before any fresh call; ``capacity``
+        returns how many tokens may be kept now.
+        """
         self._ratio = ratio
-        self._tokens = RESERVE_TOKENS
+        self._capacity = capacity
+        self._tokens = reserve
 
     def deposit(self) -> None:
         """Counts one fresh call."""
-        self._tokens = min(MAX_TOKENS, self._tokens + self._ratio)
+        self._tokens = min(self._capacity(), self._tokens + self._ratio)
 
     def withdraw(self) -> bool:
         """Takes a token for one resend; False when there is none."""
+        self._tokens = min(self._capacity(), self._tokens)
         if self._tokens < 1:
             return False
         self._tokens -= 1
--- a/src/mulberryquay/entry/admission.py
+++ b/src/mulberryquay/entry/admission.py
@@ -23,6 +23,8 @@
     """A request that may be served here."""
 
     route: routing.Route
+    #: Which of the route's services serves the request.
+    service: routing.Service
     account: routing.ClientAccount | None
     #: Regions that may serve the request, None for all.
     regions: frozenset[str] | None
@@ -37,15 +39,19 @@
 
     Raises RefusedError, always as not-run.
     """
-    if not (shared.is_fresh or shared.serves_stale):
+    if not (shared.is_fresh or shared.conduct.serves_stale):
         raise outcomes.not_run(
             outcomes.Reason.STALE_CONFIGURATION,
             'no control host vouches for the configuration now',
         )
-    route = shared.table.find_route(head.path)
-    service = route.service
-    if not head.noted and not route.home_regions:
-        return Admitted(route, None, None, 0, service.timeout_ms)
+    if not shared.table.is_configured:
+        raise outcomes.not_run(
+            outcomes.Reason.NO_CONFIGURATION,
+            'nothing is declared yet, as far as this entry knows',
+        )
+    host = head.find(header_names.HOST) or b''
+    route = shared.table.find_route(head.path, host)
+    service = shared.splits.choose(route)
     account = _find_account(shared, head)
     regions = routing.allowed_regions(route, account)
     _check_regions(shared, regions)
@@ -58,16 +64,17 @@
     check_length(service, head.length)
     timeout = _read_number(
         head,
-        header_names.TIMEOUT,
-        service.timeout_ms,
+        shared.dialect.timeout,
+        route.timeout_ms,
         _MAX_TIMEOUT_MS,
     )
     return Admitted(
         route,
+        service,
         account,
         regions,
         depth,
-        min(timeout, service.timeout_ms),
+        min(timeout, route.timeout_ms),
     )
 
 
@@ -97,6 +104,8 @@
 ) -> None:
     if regions is None or shared.region in regions:
         return
+    if regions and shared.conduct.forwards_to_homes:
+        return
     homes = ', '.join(sorted(regions)) or 'none'
     raise outcomes.not_run(
         outcomes.Reason.OUTSIDE_HOME_REGIONS,
--- a/src/mulberryquay/entry/answers.py
+++ b/src/mulberryquay/entry/answers.py
@@ -42,6 +42,13 @@
     request_id: str
     #: Whether the connection may carry another request.
     keeps_alive: bool
+    #: The header that names the request.
+    request_id_header: bytes = header_names.REQUEST_ID
+
+    @property
+    def naming(self) -> tuple[bytes, bytes]:
+        """The header line that names the request."""
+        return self.request_id_header, self.request_id.encode('latin-1')
 
 
 def relay(
@@ -89,7 +96,7 @@
     if caller is None or not caller.keeps_alive:
         headers.append(_CLOSE)
     if caller is not None:
-        headers.append((header_names.REQUEST_ID, caller.request_id.encode()))
+        headers.append(caller.naming)
     answer = http_heads.encode_head(_status_line(refusal.status), headers)
     if caller is not None and caller.head.method == b'HEAD':
         return answer
@@ -104,7 +111,7 @@
             outcomes.Outcome.ANSWERED,
             outcomes.Reason.KEPT_ANSWER,
         ),
-        (header_names.REQUEST_ID, caller.request_id.encode()),
+        caller.naming,
     ]
     if not caller.keeps_alive:
         headers.append(_CLOSE)
@@ -140,7 +147,7 @@
             headers.append((b'content-length', b'%d' % answer.length))
         case http_heads.Framing.NONE:
             _copy_length(caller, answer, headers)
-    headers.append((header_names.REQUEST_ID, caller.request_id.encode()))
+    headers.append(caller.naming)
     if answer.status in outcomes.UNAVAILABLE:
         # This level did what its class and budget allow; a level above that
         # tried again would multiply the tries.
--- a/src/mulberryquay/entry/attempt.py
+++ b/src/mulberryquay/entry/attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import typing
 
 import gevent
@@ -9,6 +10,7 @@
 from mulberryquay.coordination import clock, errors, watchdog
 from mulberryquay.entry import (
     connections,
+    dialect,
     header_names,
     http_heads,
     outcomes,
@@ -22,6 +24,16 @@
 #: Each further part of a longer answer must come this soon.
 _PART_TIMEOUT_S: typing.Final = 60.0
 
+#: Answers to earlier requests that are skipped on one connection.
+_MAX_LATE_ANSWERS: typing.Final = 3
+
+_FIRST_FAILURE_STATUS: typing.Final = 300
+
+#: A connection is given up before the target closes it, so that no request
+#: crosses the close.
+_KEEP_ALIVE_SHARE: typing.Final = 0.7
+_KEEP_ALIVE_TIMEOUT: typing.Final = re.compile(rb'timeout=(\d{1,6})')
+
 
 class Outgoing(typing.NamedTuple):
     """A request ready to be sent to any target."""
@@ -36,6 +48,8 @@
     rest: typing.Iterator[bytes] | None
     #: When the answer is of no more use, on the entry's clock.
     deadline: float
+    #: Names the request; targets that repeat names repeat this one.
+    request_id: bytes = b''
 
 
 @typing.final
@@ -98,6 +112,7 @@
         is_sent = self._pump is None or self._pump.value is True
         self._stop_pump()
         if is_sent and received.head.keeps_alive and link.reader.is_clean:
+            link.idle_ms = _idle_limit(received.head)
             self._target.pool.give_back(link)
         else:
             self._target.pool.discard(link)
@@ -137,12 +152,45 @@
             link.socket.sendall(unsent)
         if self._outgoing.rest is not None:
             self._pump = gevent.spawn(self._send_rest, link)
-        head = link.reader.read_head()
+        head = self._read_own_head(link)
+        self._check_sealed(head)
         if self._is_small(head):
             return self._read_whole(head, link)
         link.socket.settimeout(_PART_TIMEOUT_S)
         return outcomes.Received(head, link, None)
 
+    def _read_own_head(self, link: connections.Link) -> http_heads.ResponseHead:
+        """Returns the head of the answer to this request.
+
+        Skips late answers to earlier requests on the connection. Raises
+        MessageError, CutShortError and OSError.
+        """
+        spoken = self._target.dialect
+        for _ in range(_MAX_LATE_ANSWERS):
+            head = link.reader.read_head()
+            named = head.find(spoken.request_id)
+            is_own = not spoken.is_named_by_caller or named in {
+                None,
+                self._outgoing.request_id,
+            }
+            if is_own or self._target.is_peer:
+                return head
+            if head.framing is http_heads.Framing.UNTIL_CLOSE:
+                break
+            while link.reader.read_part() is not None:
+                """Skips the body of a late answer."""
+        raise http_heads.MessageError('got answers to other requests')
+
+    def _check_sealed(self, head: http_heads.ResponseHead) -> None:
+        """Raises MessageError for a success that no target has sealed."""
+        seal = self._target.dialect.seal
+        if not seal or head.status >= _FIRST_FAILURE_STATUS:
+            return
+        if head.find(seal) is None:
+            raise http_heads.MessageError('got a success without its seal')
+        if head.find(header_names.CONTENT_ENCODING) is not None:
+            raise http_heads.MessageError('got a body with an encoding')
+
     def _is_small(self, head: http_heads.ResponseHead) -> bool:
         if self._outgoing.method == b'HEAD':
             return False
@@ -167,18 +215,27 @@
         latency: float,
     ) -> outcomes.Attempt:
         if self._target.is_peer:
-            return _judge_relayed(received)
+            return _judge_relayed(received, self._target)
         head = received.head
+        spoken = self._target.dialect
+        report = _reported_load(head, spoken)
+        if head.status in spoken.refusal_statuses:
+            self._target.record_failure()
+            return outcomes.Shed(outcomes.Reason.MISDIRECTED)
         if self._is_shed(head):
-            self._target.record_shed()
+            self._target.record_shed(report)
             return outcomes.Shed(outcomes.Reason.TARGET_SHED)
-        self._target.record_answer(latency, reported=_reported_load(head))
+        if head.status in spoken.promise_statuses:
+            # The target does not say so, so it may have run the request.
+            self._target.record_failure()
+            return outcomes.Lost(outcomes.Reason.TARGET_UNAVAILABLE)
+        self._target.record_answer(latency, reported=report)
         return received
 
     def _is_shed(self, head: http_heads.ResponseHead) -> bool:
         if head.status in self._target.row.shed_statuses:
             return True
-        return head.find(header_names.NOT_RUN) is not None
+        return head.find(self._target.dialect.not_run) is not None
 
     def _lose(
         self,
@@ -231,7 +288,10 @@
             self._pump.kill()
 
 
-def _judge_relayed(received: outcomes.Received) -> outcomes.Attempt:
+def _judge_relayed(
+    received: outcomes.Received,
+    target: targets.TargetState,
+) -> outcomes.Attempt:
     """Takes over the outcome that another entry states."""
     head = received.head
     outcome = outcomes.Outcome(_text(head, header_names.OUTCOME))
@@ -244,7 +304,7 @@
         received.body,
         outcome,
         reason,
-        _text(head, header_names.REQUEST_ID),
+        _text(head, target.dialect.request_id),
     )
 
 
@@ -252,8 +312,19 @@
     return (head.find(name) or b'').decode('latin-1')
 
 
-def _reported_load(head: http_heads.ResponseHead) -> int | None:
-    text = head.find(header_names.LOAD)
-    if text is None or not text.isdigit():
-        return None
-    return int(text)
+def _reported_load(
+    head: http_heads.ResponseHead,
+    spoken: dialect.Dialect,
+) -> dialect.LoadReport | None:
+    text = head.find(spoken.load)
+    return None if text is None else spoken.parse_load(text)
+
+
+def _idle_limit(head: http_heads.ResponseHead) -> float:
+    """Returns for how long a connection may be kept, in ms."""
+    text = head.find(b'keep-alive')
+    found = None if text is None else _KEEP_ALIVE_TIMEOUT.search(text)
+    if found is None:
+        return connections.IDLE_MS
+    promised = int(found.group(1)) * clock.MS_PER_SECOND
+    return min(connections.IDLE_MS, promised * _KEEP_ALIVE_SHARE)
--- a/src/mulberryquay/entry/balancer.py
+++ b/src/mulberryquay/entry/balancer.py
@@ -7,7 +7,7 @@
 
 from mulberryquay import protocol
 from mulberryquay.coordination import clock, shares
-from mulberryquay.entry import relays, service_queue, targets
+from mulberryquay.entry import dialect, relays, routing, service_queue, targets
 
 #: Calls that all entries together may send a warm target, per slot. Above
 #: 1, a target has its next call at hand; far above, calls wait at the wrong
@@ -28,8 +28,10 @@
         region: str,
         domain: str,
         peers: relays.Relays,
+        spoken: dialect.Dialect = dialect.OWN,
     ) -> None:
         """Starts without targets; ``view`` divides the cold ones."""
+        self._dialect = spoken
         self._view = view
         self._relays = peers
         self._new_policy = new_policy
@@ -39,6 +41,7 @@
         self._services: dict[str, service_queue.ServiceQueue] = {}
         self._targets: dict[str, targets.TargetState] = {}
         self._domains_out: frozenset[str] = frozenset()
+        self._declared: dict[str, routing.Service] = {}
         self._is_fresh = False
 
     @property
@@ -81,6 +84,17 @@
         self._domains_out = domains_out
         self.refresh_limits()
 
+    def configure(self, services: dict[str, routing.Service]) -> None:
+        """Takes the limits of the declared services."""
+        self._declared = services
+        self.refresh_limits()
+
+    def serve_waiting(self) -> None:
+        """Grants what has become free by the passing of time."""
+        for queue in self._services.values():
+            if queue.waiting_count:
+                queue.serve_waiting()
+
     def set_fresh(self, *, is_fresh: bool) -> None:
         """Without fresh knowledge, shares of cold targets are void."""
         if is_fresh != self._is_fresh:
@@ -93,6 +107,7 @@
             target.limit = self._limit(target)
             target.is_shared_out = self._is_shared_out(target)
             target.link_limit = self._link_limit(target)
+            target.cold_rate = self._cold_rate(target.row)
             if not target.limit:
                 target.pool.close_idle()
         for queue in self._services.values():
@@ -134,11 +149,13 @@
         )
         if known is not None and is_same_process:
             known.row = row
+            known.note_cold(row.cold_ms)
             return
         if known is not None:
             self._remove(row.name)
-        target = targets.TargetState(row, self._clock)
+        target = targets.TargetState(row, self._clock, self._dialect)
         target.tier = self._tier(row)
+        target.note_cold(row.cold_ms)
         self._targets[row.name] = target
         self.queue_for(row.service).targets[row.name] = target
 
@@ -175,5 +192,16 @@
         return not row.is_leaving and row.domain not in self._domains_out
 
     def _link_limit(self, target: targets.TargetState) -> int:
-        whole = target.row.connections // self._view.member_count
-        return max(1, whole)
+        whole = target.row.connections
+        declared = self._declared.get(target.row.service)
+        if declared is not None and declared.max_connections:
+            whole = min(whole, declared.max_connections)
+        return max(1, whole // self._view.member_count)
+
+    def _cold_rate(self, row: protocol.TargetRow) -> float:
+        """Returns this entry's part of what a cold target bears."""
+        declared = self._declared.get(row.service)
+        if declared is None or not declared.cold_per_s:
+            return 1
+        whole = max(1, int(declared.cold_per_s))
+        return self._view.share(row.name, whole)
--- a/src/mulberryquay/entry/caller.py
+++ b/src/mulberryquay/entry/caller.py
@@ -52,7 +52,10 @@
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._shared = shared
         self._socket = connection
-        self._reader = messages.RequestReader(connection)
+        self._reader = messages.RequestReader(
+            connection,
+            shared.dialect.names,
+        )
         #: Whether no request is being served.
         self.is_idle = True
         #: When the connection has been quiet for too long.
--- a/src/mulberryquay/entry/config_replica.py
+++ b/src/mulberryquay/entry/config_replica.py
@@ -74,6 +74,7 @@
     def _put_in_force(self, revision: int) -> None:
         shared = self._shared
         shared.table = routing.RoutingTable(self._resources)
+        shared.balancer.configure(shared.table.services)
         shared.balancer.take_out_domains(shared.table.domains_out)
         self._revision = revision
         self._is_complete = True
--- a/src/mulberryquay/entry/connections.py
+++ b/src/mulberryquay/entry/connections.py
@@ -8,7 +8,7 @@
 from gevent import lock, socket
 
 from mulberryquay.coordination import clock, errors
-from mulberryquay.entry import messages
+from mulberryquay.entry import header_names, messages
 
 #: A target needs about this long for each new connection.
 OPEN_INTERVAL_MS: typing.Final = 1.0
@@ -37,13 +37,19 @@
 class Link:
     """One connection to a target."""
 
-    __slots__ = ('_poll', 'idle_since', 'reader', 'socket')
+    __slots__ = ('_poll', 'idle_ms', 'idle_since', 'reader', 'socket')
 
-    def __init__(self, connection: typing.Any) -> None:
+    def __init__(
+        self,
+        connection: typing.Any,
+        names: header_names.Names = header_names.OWN,
+    ) -> None:
         """Wraps a connected gevent socket."""
         self.socket = connection
-        self.reader = messages.ResponseReader(connection)
+        self.reader = messages.ResponseReader(connection, names)
         self.idle_since = 0.0
+        #: How long it may be idle and still be used.
+        self.idle_ms: float = IDLE_MS
         self._poll = select.poll()
         self._poll.register(connection.fileno(), select.POLLIN)
 
@@ -66,8 +72,14 @@
 class Pool:
     """This entry's connections to one target."""
 
-    def __init__(self, address: tuple[str, int], time: clock.Clock) -> None:
-        """Opens nothing yet."""
+    def __init__(
+        self,
+        address: tuple[str, int],
+        time: clock.Clock,
+        names: header_names.Names = header_names.OWN,
+    ) -> None:
+        """Opens nothing yet; links keep the headers in ``names``."""
+        self._names = names
         #: Where the target listens.
         self.address = address
         self._clock = time
@@ -87,10 +99,10 @@
         Raises ConnectFailedError, and ConnectionBudgetError if ``limit``
         connections are open already.
         """
-        oldest = self._clock.now() - IDLE_MS
+        now = self._clock.now()
         while self._idle:
             link = self._idle.pop()
-            if link.idle_since >= oldest and link.is_usable():
+            if now - link.idle_since <= link.idle_ms and link.is_usable():
                 return link
             self.discard(link)
         if self._open_count >= limit:
@@ -133,7 +145,7 @@
             raise
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection.settimeout(None)
-        return Link(connection)
+        return Link(connection, self._names)
 
     def _wait_for_pace(self) -> None:
         wait = self._opened_at + OPEN_INTERVAL_MS - self._clock.now()
--- a/src/mulberryquay/entry/daemon.py
+++ b/src/mulberryquay/entry/daemon.py
@@ -6,16 +6,31 @@
 import random
 import typing
 
+import gevent
 from gevent import server
 
 from mulberryquay import settings, sockets, web
 from mulberryquay.coordination import clock, units, watchdog
-from mulberryquay.entry import accounts, caller, control_link, prober, state
+from mulberryquay.entry import (
+    accounts,
+    caller,
+    control_link,
+    dialect,
+    prober,
+    state,
+)
 from mulberryquay.kernel import plugins, registry
 
 SERVE_STALE: typing.Final = 'serve'
 REFUSE_STALE: typing.Final = 'refuse'
 
+_PERCENT: typing.Final = 100
+REFUSE_OUTSIDE: typing.Final = 'refuse'
+FORWARD_OUTSIDE: typing.Final = 'forward'
+
+#: How often waiting requests are looked at when nothing else happens.
+_SERVE_WAITING_MS: typing.Final = 50.0
+
 #: The policy that measured best; docs/DESIGN.md has the table.
 DEFAULT_POLICY: typing.Final = 'hot-cold'
 
@@ -111,6 +126,40 @@
         'configuration: refuse them as not run, or serve on',
         choices=(REFUSE_STALE, SERVE_STALE),
     ),
+    settings.Setting(
+        'dialect',
+        dialect.OWN_NAME,
+        'headers by which callers and targets speak; built in is own, and '
+        'plug-ins add others',
+        form='name',
+        required=True,
+    ),
+    settings.Setting(
+        'outside_homes',
+        REFUSE_OUTSIDE,
+        'what to do here with a request whose home regions are others: '
+        'refuse it, or forward it to a target in one of them',
+        choices=(REFUSE_OUTSIDE, FORWARD_OUTSIDE),
+    ),
+    settings.Setting(
+        'ready_path',
+        '/readyz',
+        'path at which the admin port tells whether this entry is ready',
+        required=True,
+    ),
+    settings.Setting(
+        'retry_percent',
+        int(state.RETRY_RATIO * _PERCENT),
+        'resends of a service for a hundred fresh requests',
+        maximum=_PERCENT,
+    ),
+    settings.Setting(
+        'retry_reserve',
+        0,
+        'resends of a service beyond that which all entries together may '
+        'make at once; 0 gives each entry a reserve of its own',
+        maximum=units.MAX_INT64,
+    ),
     settings.Setting(
         'drain_ms',
         2 * units.SECOND_MS,
@@ -130,6 +179,16 @@
 _LOG: typing.Final = logging.getLogger(__name__)
 
 
+class _Part(typing.Protocol):
+    """Something with tasks of its own."""
+
+    def start(self) -> None:
+        """Begins its tasks."""
+
+    def stop(self) -> None:
+        """Ends its tasks."""
+
+
 @typing.final
 class EntryDaemon:
     """One entry process."""
@@ -152,7 +211,7 @@
             new_policy=lambda: factory(rng),
             time=time,
             ledger=_address_or_none(values['ledger']),
-            serves_stale=values['stale_config'] == SERVE_STALE,
+            conduct=_conduct(values, kernel),
         )
         self._listener = sockets.listen(values['listen'], reuse_port=True)
         self._admin_listener = sockets.listen(values['admin_listen'])
@@ -200,14 +259,18 @@
     def start(self) -> None:
         """Begins to serve."""
         app = web.new_app()
-        web.add_health(app, self._is_ready, self._state.metrics, self._refresh)
+        web.add_health(
+            app,
+            self._is_ready,
+            self._state.metrics,
+            self._refresh,
+            ready_path=self._values['ready_path'],
+        )
         app.route('/accounts/<request_id>', 'GET', self._show_account)
         self._admin = web.serve(self._admin_listener, app)
-        self._state.watchdog.start()
-        self._quiet_callers.start()
-        self._link.start()
-        self._state.claims.start()
-        self._prober.start()
+        for part in self._parts():
+            part.start()
+        self._serving = gevent.spawn(self._serve_waiting)
         self._server = server.StreamServer(self._listener, self._serve)
         self._server.start()
         self._peer_server = server.StreamServer(
@@ -235,13 +298,30 @@
             for task in list(self._callers):
                 task.close_if_idle()
             time.sleep(_STOP_POLL_MS)
-        self._link.stop()
-        self._state.claims.stop()
-        self._prober.stop()
-        self._state.watchdog.stop()
-        self._quiet_callers.stop()
+        self._serving.kill()
+        for part in self._parts():
+            part.stop()
         self._admin.stop(timeout=1)
 
+    def configure(self, values: settings.Values) -> None:
+        """Takes settings that changed; only those of control hosts may."""
+        self._link.configure(values['control'].split(','))
+
+    def _parts(self) -> tuple[_Part, ...]:
+        """Returns what runs as long as this entry does."""
+        return (
+            self._link,
+            self._state.claims,
+            self._prober,
+            self._state.watchdog,
+            self._quiet_callers,
+        )
+
+    def _serve_waiting(self) -> None:
+        while True:
+            self._state.clock.sleep(_SERVE_WAITING_MS)
+            self._state.balancer.serve_waiting()
+
     def _serve(self, connection: typing.Any, _address: typing.Any) -> None:
         self._run_task(caller.CallerTask(self._state, connection))
 
@@ -269,7 +349,9 @@
 
     def _is_ready(self) -> bool:
         shared = self._state
-        is_usable = shared.is_fresh or shared.serves_stale
+        is_usable = shared.is_fresh or (
+            shared.conduct.serves_stale and shared.table.is_configured
+        )
         return is_usable and not shared.is_stopping
 
     def _show_account(self, request_id: str) -> str:
@@ -289,6 +371,27 @@
     return settings.parse_address(address) if address else None
 
 
+def _conduct(
+    values: settings.Values,
+    kernel: plugins.Kernel,
+) -> state.Conduct:
+    return state.Conduct(
+        _find_dialect(kernel, values['dialect']),
+        values['stale_config'] == SERVE_STALE,
+        values['outside_homes'] == FORWARD_OUTSIDE,
+        values['retry_percent'] / _PERCENT,
+        values['retry_reserve'],
+    )
+
+
+def _find_dialect(kernel: plugins.Kernel, name: str) -> dialect.Dialect:
+    try:
+        found: dialect.Dialect = kernel.dialects.get(name)
+    except registry.UnknownPartError as error:
+        raise settings.InvalidSettingError(f'--dialect: {error}') from error
+    return found
+
+
 def _find_policy(kernel: plugins.Kernel, name: str) -> typing.Any:
     try:
         return kernel.policies.get(name)
--- a/src/mulberryquay/entry/exchange.py
+++ b/src/mulberryquay/entry/exchange.py
@@ -45,7 +45,7 @@
         self._socket = connection
         self._head = head
         self._body = request_body.RequestBody(connection, reader, head)
-        self._request_id = shared.next_request_id()
+        self._request_id = _request_id_of(shared, head)
         self._started = shared.clock.now()
         self._route: routing.Route | None = None
         self._account: routing.ClientAccount | None = None
@@ -150,7 +150,7 @@
         admitted = admission.admit(self._shared, self._head)
         self._route = admitted.route
         self._enter_account(admitted.account)
-        service = admitted.route.service
+        service = admitted.service
         body = self._body.read_beginning(service)
         rest = None
         if not self._body.is_read:
@@ -162,6 +162,7 @@
                 admitted.route.service_class,
                 admitted.regions,
                 deadline,
+                admitted.route.max_attempts,
                 may_relay=not self._is_relayed,
             ),
             attempt.Outgoing(
@@ -172,17 +173,20 @@
                 body,
                 rest,
                 deadline,
+                self._request_id.encode('latin-1'),
             ),
             self._head.find(header_names.NO_RETRY) is None,
         )
 
     def _outgoing_headers(self, depth: int) -> http_heads.Headers:
         head = self._head
+        spoken = self._shared.dialect
         headers = [
             *head.kept,
-            (header_names.REQUEST_ID, self._request_id.encode()),
-            (header_names.DEPTH, b'%d' % depth),
+            (spoken.request_id, self._request_id.encode('latin-1')),
         ]
+        if spoken.tells_depth:
+            headers.append((header_names.DEPTH, b'%d' % depth))
         match head.framing:
             case http_heads.Framing.CHUNKED:
                 headers.append((b'transfer-encoding', b'chunked'))
@@ -196,7 +200,12 @@
             and self._head.keeps_alive
             and not self._shared.is_stopping
         )
-        return answers.Caller(self._head, self._request_id, keeps_alive)
+        return answers.Caller(
+            self._head,
+            self._request_id,
+            keeps_alive,
+            self._shared.dialect.request_id,
+        )
 
     def _send_refusal(self, refusal: outcomes.RefusedError) -> bool:
         """Answers with an error; True if the connection stays usable."""
@@ -264,3 +273,15 @@
                 self._forwarder.tries if self._forwarder else [],
             ),
         )
+
+
+def _request_id_of(
+    shared: state.EntryState,
+    head: http_heads.RequestHead,
+) -> str:
+    """Returns the caller's name for its request, or a new one."""
+    if shared.dialect.is_named_by_caller:
+        named = head.find(shared.dialect.request_id)
+        if named:
+            return named.decode('latin-1')
+    return shared.next_request_id()
--- a/src/mulberryquay/entry/forwarder.py
+++ b/src/mulberryquay/entry/forwarder.py
@@ -99,16 +99,26 @@
         )
         ended: outcomes.Attempt = outcomes.NotSent(outcomes.Reason.NONE)
         try:
-            ended = self._attempt.run(self._try_headers(started))
+            ended = self._attempt.run(self._try_headers(target, started))
         finally:
             if not isinstance(ended, outcomes.Received):
                 self._release()
         self._record(target, ended, self._shared.clock.now() - started)
         return ended
 
-    def _try_headers(self, now: float) -> http_heads.Headers:
+    def _try_headers(
+        self,
+        target: targets.TargetState,
+        now: float,
+    ) -> http_heads.Headers:
         remaining = max(0, int(self._call.demand.deadline - now))
-        headers = [(header_names.TIMEOUT, b'%d' % remaining)]
+        spoken = self._shared.dialect
+        headers = [(spoken.timeout, b'%d' % remaining)]
+        if spoken.expected_target and not target.is_peer:
+            name = target.row.name.encode()
+            headers.append((spoken.expected_target, name))
+        if not spoken.tells_depth and not target.is_peer:
+            return headers
         if self.tries or not self._call.may_retry:
             headers.append((header_names.NO_RETRY, b'1'))
         return headers
@@ -185,7 +195,7 @@
     def _has_tries_left(self) -> bool:
         return (
             self._call.may_retry
-            and len(self.tries) < self._call.demand.service_class.max_attempts
+            and len(self.tries) < self._call.demand.max_attempts
             and self._shared.clock.now() < self._call.demand.deadline
         )
 
--- a/src/mulberryquay/entry/header_names.py
+++ b/src/mulberryquay/entry/header_names.py
@@ -4,6 +4,16 @@
 
 import typing
 
+
+class Names(typing.NamedTuple):
+    """Which headers a reader keeps."""
+
+    #: Headers that this system reads.
+    noted: frozenset[bytes]
+    #: Headers that are never passed on as they came.
+    not_passed_on: frozenset[bytes]
+
+
 #: Names the client account of a request; set by the caller.
 ACCOUNT: typing.Final = b'mulberryquay-account'
 
@@ -38,6 +48,9 @@
 #: How long the answer is of use, in milliseconds from now.
 TIMEOUT: typing.Final = b'mulberryquay-timeout-ms'
 
+HOST: typing.Final = b'host'
+CONTENT_ENCODING: typing.Final = b'content-encoding'
+
 #: Headers of one connection only (RFC 9110, section 7.6.1), and those that
 #: are written anew for each connection.
 HOP_BY_HOP: typing.Final = frozenset(
@@ -70,4 +83,8 @@
 )
 
 #: Headers that this system reads.
-NOTED: typing.Final = NOT_PASSED_ON | frozenset((ACCOUNT, IDEMPOTENCY_KEY))
+NOTED: typing.Final = NOT_PASSED_ON | frozenset(
+    (ACCOUNT, IDEMPOTENCY_KEY, HOST, CONTENT_ENCODING),
+)
+
+OWN: typing.Final = Names(NOTED, NOT_PASSED_ON)
--- a/src/mulberryquay/entry/messages.py
+++ b/src/mulberryquay/entry/messages.py
@@ -34,8 +34,13 @@
     message.
     """
 
-    def __init__(self, connection: typing.Any) -> None:
+    def __init__(
+        self,
+        connection: typing.Any,
+        names: header_names.Names,
+    ) -> None:
         self._socket = connection
+        self._names = names
         self._events: collections.deque[typing.Any] = collections.deque()
         self._kept: http_heads.Headers = []
         self._noted: http_heads.Headers = []
@@ -59,9 +64,9 @@
     def on_header(self, name: bytes, header: bytes) -> None:
         """Called by the parser."""
         name = name.lower()
-        if name in header_names.NOTED:
+        if name in self._names.noted:
             self._noted.append((name, header))
-        if name not in header_names.NOT_PASSED_ON:
+        if name not in self._names.not_passed_on:
             self._kept.append((name, header))
 
     def on_body(self, body: bytes) -> None:
@@ -165,9 +170,13 @@
 class RequestReader(_Reader):
     """Reads the requests of one caller's connection."""
 
-    def __init__(self, connection: typing.Any) -> None:
+    def __init__(
+        self,
+        connection: typing.Any,
+        names: header_names.Names = header_names.OWN,
+    ) -> None:
         """Reads from ``connection``, a gevent socket."""
-        super().__init__(connection)
+        super().__init__(connection, names)
         self._parser = httptools.HttpRequestParser(self)
         self._url = b''
 
@@ -225,9 +234,13 @@
 class ResponseReader(_Reader):
     """Reads the responses on one connection to a target."""
 
-    def __init__(self, connection: typing.Any) -> None:
+    def __init__(
+        self,
+        connection: typing.Any,
+        names: header_names.Names = header_names.OWN,
+    ) -> None:
         """Reads from ``connection``, a gevent socket."""
-        super().__init__(connection)
+        super().__init__(connection, names)
         self._parser = httptools.HttpResponseParser(self)
 
     def on_headers_complete(self) -> None:
--- a/src/mulberryquay/entry/outcomes.py
+++ b/src/mulberryquay/entry/outcomes.py
@@ -37,6 +37,7 @@
     BODY_TOO_LARGE = 'body-too-large'
     REQUEST_CUT_SHORT = 'request-cut-short'
     REQUEST_TIMEOUT = 'request-timeout'
+    NO_CONFIGURATION = 'no-configuration'
     NO_ROUTE = 'no-route'
     UNKNOWN_ACCOUNT = 'unknown-account'
     ACCOUNT_LIMIT = 'account-limit'
@@ -50,6 +51,7 @@
     CONNECT_FAILED = 'connect-failed'
     CONNECTION_BUDGET = 'connection-budget'
     TARGET_SHED = 'target-shed'
+    MISDIRECTED = 'misdirected'
     TARGET_UNAVAILABLE = 'target-unavailable'
     CONNECTION_LOST = 'connection-lost'
     MALFORMED_ANSWER = 'malformed-answer'
@@ -89,6 +91,7 @@
 _PASSING: typing.Final = frozenset(
     (
         Reason.ACCOUNT_LIMIT,
+        Reason.NO_CONFIGURATION,
         Reason.NO_TARGET,
         Reason.OVERLOADED,
         Reason.QUEUE_TIMEOUT,
@@ -97,6 +100,7 @@
         Reason.CONNECT_FAILED,
         Reason.CONNECTION_BUDGET,
         Reason.TARGET_SHED,
+        Reason.MISDIRECTED,
         Reason.KEY_IN_USE,
         Reason.LEDGER_UNAVAILABLE,
     ),
@@ -116,7 +120,7 @@
         *,
         status: int = 0,
         headers: http_heads.Headers | None = None,
-        retry_after_s: int = 1,
+        retry_after_s: float = 1,
     ) -> None:
         """A ``status`` of 0 takes the one that belongs to the reason."""
         super().__init__(message)
@@ -125,7 +129,7 @@
         self.status = status or _status_of(outcome, reason)
         self.headers = list(headers or ())
         if reason in _PASSING:
-            self.headers.append((b'retry-after', b'%d' % retry_after_s))
+            self.headers.append((b'retry-after', b'%g' % retry_after_s))
 
 
 def not_run(
--- a/src/mulberryquay/entry/prober.py
+++ b/src/mulberryquay/entry/prober.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import logging
 import typing
 
 import gevent
@@ -19,6 +20,7 @@
 
 _INTERVAL_MS: typing.Final = 100.0
 _TIMEOUT_S: typing.Final = 1.0
+_LOG: typing.Final = logging.getLogger(__name__)
 _FIRST_BAD_STATUS: typing.Final = 500
 
 
@@ -36,10 +38,7 @@
     ) -> None:
         """Rates are in probes a second and target, and bytes a second."""
         self._shared = shared
-        self._request = http_heads.encode_head(
-            f'GET {path} HTTP/1.1'.encode(),
-            [(b'host', b'mulberryquay-probe')],
-        )
+        self._path = path
         self._per_target_rate = per_target_rate
         self._bytes = token_bucket.TokenBucket(
             shared.clock,
@@ -96,26 +95,65 @@
             'same-region' if is_near else 'cross-region',
             amount=PROBE_BYTES,
         )
-        started = self._shared.clock.now()
         try:
-            status = self._ask(target)
-        except (OSError, errors.MulberryquayError):
-            status = _FIRST_BAD_STATUS
-        if status >= _FIRST_BAD_STATUS:
+            head = self._ask(target)
+        except (OSError, errors.MulberryquayError) as error:
+            _LOG.debug('probe failed', extra={'cause': str(error)})
             target.record_failure()
             return
-        latency = self._shared.clock.now() - started
-        target.record_probe(latency)
+        if head.status >= _FIRST_BAD_STATUS or not self._is_meant(target, head):
+            target.record_failure()
+            return
+        self._take_reports(target, head)
+        target.record_probe()
         self._shared.balancer.queue_for(target.row.service).serve_waiting()
 
-    def _ask(self, target: targets.TargetState) -> int:
+    def _is_meant(
+        self,
+        target: targets.TargetState,
+        head: http_heads.ResponseHead,
+    ) -> bool:
+        """Whether no other target has the address by now."""
+        spoken = self._shared.dialect
+        named = head.find(spoken.target_name) if spoken.target_name else None
+        return named is None or named == target.row.name.encode()
+
+    def _take_reports(
+        self,
+        target: targets.TargetState,
+        head: http_heads.ResponseHead,
+    ) -> None:
+        spoken = self._shared.dialect
+        cold = head.find(spoken.cold) if spoken.cold else None
+        if cold is not None and cold.isdigit():
+            target.note_cold(int(cold))
+        load = head.find(spoken.load)
+        report = None if load is None else spoken.parse_load(load)
+        if report is not None:
+            target.record_report(report, age=0)
+
+    def _ask(self, target: targets.TargetState) -> http_heads.ResponseHead:
         link = target.pool.take(limit=target.link_limit)
         try:
-            return self._exchange(link)
+            return self._exchange(link, self._path_of(target))
         finally:
             target.pool.discard(link)
 
-    def _exchange(self, link: connections.Link) -> int:
+    def _path_of(self, target: targets.TargetState) -> str:
+        service = self._shared.table.services.get(target.row.service)
+        if service is None or not service.health_path:
+            return self._path
+        return service.health_path
+
+    def _exchange(
+        self,
+        link: connections.Link,
+        path: str,
+    ) -> http_heads.ResponseHead:
         link.socket.settimeout(_TIMEOUT_S)
-        http_heads.send_all(link.socket, self._request)
-        return link.reader.read_head().status
+        request = http_heads.encode_head(
+            f'GET {path} HTTP/1.1'.encode(),
+            [(b'host', b'mulberryquay-probe')],
+        )
+        http_heads.send_all(link.socket, request)
+        return link.reader.read_head()
--- a/src/mulberryquay/entry/relays.py
+++ b/src/mulberryquay/entry/relays.py
@@ -12,7 +12,7 @@
 
 from mulberryquay import protocol
 from mulberryquay.coordination import clock, shares
-from mulberryquay.entry import targets
+from mulberryquay.entry import dialect, targets
 
 #: Requests that may be relayed to one entry at once.
 MAX_RELAYED: typing.Final = 64
@@ -30,8 +30,10 @@
         view: shares.ShareView,
         time: clock.Clock,
         rng: random.Random,
+        spoken: dialect.Dialect = dialect.OWN,
     ) -> None:
         """Starts without peers; ``entry`` is this entry's own name."""
+        self._dialect = spoken
         self._entry = entry
         self._view = view
         self._clock = time
@@ -84,7 +86,7 @@
         ]
 
     def _new_peer(self, row: protocol.TargetRow) -> targets.TargetState:
-        peer = targets.TargetState(row, self._clock)
+        peer = targets.TargetState(row, self._clock, self._dialect)
         peer.is_peer = True
         peer.limit = MAX_RELAYED
         peer.link_limit = MAX_RELAYED
--- a/src/mulberryquay/entry/routing.py
+++ b/src/mulberryquay/entry/routing.py
@@ -5,12 +5,12 @@
 import typing
 
 from mulberryquay.control import kinds
-from mulberryquay.coordination import schema, store
+from mulberryquay.coordination import schema, store, units
 from mulberryquay.entry import outcomes
 
 
 #: Paths whose routes are remembered; all are forgotten when it is full.
-_MAX_FOUND: typing.Final = 4096
+_MAX_FOUND: typing.Final = 512
 
 
 class ServiceClass(typing.NamedTuple):
@@ -34,6 +34,12 @@
     timeout_ms: int
     max_body_bytes: int
     max_queue: int
+    #: Path that probes ask for; empty for the entry's own setting.
+    health_path: str = ''
+    #: Connections that a target bears; 0 for what it announced.
+    max_connections: int = 0
+    #: Calls a second that a cold target bears; 0 if it is not said.
+    cold_per_s: float = 0
 
 
 class ClientAccount(typing.NamedTuple):
@@ -44,14 +50,35 @@
     max_in_flight: int
 
 
+class Part(typing.NamedTuple):
+    """A service and its share of a route's requests."""
+
+    service: Service
+    weight: float
+
+
 class Route(typing.NamedTuple):
     """What serves the requests below a path."""
 
     name: str
+    #: Empty for any host.
+    host: str
     path_prefix: str
-    service: Service
+    parts: tuple[Part, ...]
     service_class: ServiceClass
     home_regions: tuple[str, ...]
+    timeout_ms: int
+    #: Within this time an answer is of full worth; 0 if it is not said.
+    objective_ms: int
+    #: Tries in all, the first one included.
+    max_attempts: int
+
+
+class CallerLimits(typing.NamedTuple):
+    """What callers have to keep."""
+
+    max_body_bytes: int = units.MAX_BODY_BYTES
+    idle_timeout_ms: int = 75_000
 
 
 Keyed = dict[tuple[str, str], store.Resource]
@@ -77,10 +104,13 @@
             for name, spec in specs[kinds.CLIENT_ACCOUNT].items()
         }
         self._routes = {
-            route.path_prefix: route
+            (route.host, route.path_prefix): route
             for route in self._make_routes(specs[kinds.ROUTE])
         }
-        self._found: dict[bytes, Route] = {}
+        self._hosts = frozenset(host for host, _ in self._routes)
+        limits = specs[kinds.LIMITS].get(kinds.CALLER_LIMITS)
+        self._limits = _make_limits(limits) if limits else CallerLimits()
+        self._found: dict[tuple[bytes, bytes], Route] = {}
         self._domains_out = frozenset(
             name
             for name, spec in specs[kinds.FAILURE_DOMAIN].items()
@@ -92,26 +122,48 @@
         """The failure domains that operators have taken out."""
         return self._domains_out
 
-    def find_route(self, path: bytes) -> Route:
+    @property
+    def is_configured(self) -> bool:
+        """Whether anything was declared; the first table is empty."""
+        return bool(self._services or self._routes)
+
+    @property
+    def limits(self) -> CallerLimits:
+        """What callers have to keep."""
+        return self._limits
+
+    @property
+    def services(self) -> dict[str, Service]:
+        """The declared services by name."""
+        return self._services
+
+    def find_route(self, path: bytes, host: bytes = b'') -> Route:
         """Returns the route with the longest prefix of whole segments.
 
-        Raises RefusedError with the reason ``no-route``.
+        A route of the request's host goes before one of any host. Raises
+        RefusedError with the reason ``no-route``.
         """
-        route = self._found.get(path)
+        key = (host, path)
+        route = self._found.get(key)
         if route is None:
-            route = self._search(path)
+            route = self._search(path, host)
             if len(self._found) >= _MAX_FOUND:
                 self._found.clear()
-            self._found[path] = route
+            self._found[key] = route
         return route
 
-    def _search(self, path: bytes) -> Route:
-        prefix = path.partition(b'?')[0].decode('latin-1')
-        while prefix:
-            route = self._routes.get(prefix)
-            if route is not None:
-                return route
-            prefix = prefix[:-1] if prefix.endswith('/') else _parent(prefix)
+    def _search(self, path: bytes, host: bytes) -> Route:
+        name = host.partition(b':')[0].decode('latin-1').lower()
+        for routed in (name, ''):
+            if routed not in self._hosts:
+                continue
+            prefix = path.partition(b'?')[0].decode('latin-1')
+            while prefix:
+                route = self._routes.get((routed, prefix))
+                if route is not None:
+                    return route
+                is_folder = prefix.endswith('/')
+                prefix = prefix[:-1] if is_folder else _parent(prefix)
         raise outcomes.not_run(
             outcomes.Reason.NO_ROUTE,
             'no route serves this path; declare one with `apply`',
@@ -132,18 +184,27 @@
         specs: dict[str, schema.Spec],
     ) -> typing.Iterator[Route]:
         for name, spec in sorted(specs.items(), reverse=True):
-            service = self._services.get(spec['service'])
+            weights = spec['split'] or {spec['service']: 1}
+            parts = tuple(
+                Part(self._services[service], weight)
+                for service, weight in weights.items()
+                if service in self._services and weight > 0
+            )
             service_class = self._classes.get(spec['service_class'])
             if service_class is None and spec['service_class'] == 'default':
                 service_class = ServiceClass()
-            if service is None or service_class is None:
+            if not parts or service_class is None:
                 continue
             yield Route(
                 name,
+                spec['host'].lower(),
                 spec['path_prefix'],
-                service,
+                parts,
                 service_class,
                 tuple(spec['home_regions']),
+                spec['timeout_ms'] or parts[0].service.timeout_ms,
+                spec['objective_ms'],
+                spec['max_attempts'] or service_class.max_attempts,
             )
 
 
@@ -177,6 +238,7 @@
             kinds.ROUTE,
             kinds.CLIENT_ACCOUNT,
             kinds.SERVICE_CLASS,
+            kinds.LIMITS,
         )
     }
     for resource in resources.values():
@@ -201,9 +263,16 @@
         spec['timeout_ms'],
         spec['max_body_bytes'],
         spec['max_queue'],
+        spec['health_path'],
+        spec['max_connections'],
+        spec['cold_per_s'],
     )
 
 
+def _make_limits(spec: schema.Spec) -> CallerLimits:
+    return CallerLimits(spec['max_body_bytes'], spec['idle_timeout_ms'])
+
+
 def _make_account(name: str, spec: schema.Spec) -> ClientAccount:
     return ClientAccount(
         name,
--- a/src/mulberryquay/entry/service_queue.py
+++ b/src/mulberryquay/entry/service_queue.py
@@ -32,6 +32,8 @@
     regions: Regions
     #: When the request is of no more use, on the entry's clock.
     deadline: float
+    #: Tries in all, the first one included.
+    max_attempts: int = 3
     #: Whether another entry may be asked to serve the request.
     may_relay: bool = True
 
@@ -100,7 +102,7 @@
         if not self._waiting_count:
             target = self._find(demand, excluded)
             if target is not None:
-                target.in_flight += 1
+                target.enter()
                 return target
         started = self._clock.now()
         while True:
@@ -134,7 +136,7 @@
             if target is None:
                 passed.append(place)
                 continue
-            target.in_flight += 1
+            target.enter()
             self._end(waiter)
             waiter.granted.set(target)
         for skipped in passed:
@@ -167,7 +169,7 @@
         with_room = [
             target
             for target in self.targets.values()
-            if target.in_flight < target.limit
+            if target.has_room_at(now)
         ]
         if demand.regions is not None or excluded:
             with_room = [
@@ -223,7 +225,7 @@
             return None
         peer = self._relays.find(cold_rows, demand.regions, excluded)
         if peer is not None:
-            peer.in_flight += 1
+            peer.enter()
         return peer
 
     def _wait(
--- a/src/mulberryquay/entry/state.py
+++ b/src/mulberryquay/entry/state.py
@@ -18,9 +18,11 @@
     accounts,
     balancer,
     claim_client,
+    dialect,
     relays,
     routing,
     service_queue,
+    splits,
 )
 
 #: Resends allowed for each fresh call of a service.
@@ -103,6 +105,22 @@
         """Reports that a request reported before was answered."""
 
 
+class Conduct(typing.NamedTuple):
+    """How an entry is set up to behave."""
+
+    dialect: dialect.Dialect = dialect.OWN
+    #: Whether requests are served while no control host vouches.
+    serves_stale: bool = False
+    #: Whether an entry outside the home regions of a request passes it on
+    #: to a target there, and does not refuse it.
+    forwards_to_homes: bool = False
+    #: Resends for each fresh call of a service.
+    retry_ratio: float = RETRY_RATIO
+    #: Resends beyond that which all entries together may save up; 0 leaves
+    #: each entry its own reserve.
+    retry_reserve: float = 0
+
+
 @typing.final
 class EntryState:
     """The knowledge, limits and records of one entry."""
@@ -115,14 +133,15 @@
         domain: str,
         new_policy: typing.Callable[[], service_queue.Policy],
         time: clock.Clock | None = None,
-        serves_stale: bool = False,
         ledger: tuple[str, int] | None = None,
+        conduct: Conduct | None = None,
     ) -> None:
         """Starts without configuration and targets."""
         self.name = name
+        self.conduct = conduct or Conduct()
+        self.dialect = self.conduct.dialect
         self.region = region
         self.clock = time or clock.Clock()
-        self.serves_stale = serves_stale
         self.metrics = metrics.Metrics(METRICS)
         self.table = routing.RoutingTable({})
         self.view = shares.ShareView(name)
@@ -131,6 +150,7 @@
             self.view,
             self.clock,
             random.Random(name),
+            self.dialect,
         )
         self.balancer = balancer.Balancer(
             self.view,
@@ -139,11 +159,13 @@
             region=region,
             domain=domain,
             peers=self.relays,
+            spoken=self.dialect,
         )
         self.watchdog = watchdog.Watchdog(self.clock)
         self.claims = claim_client.ClaimClient(name, ledger, self.clock)
         self.guard = crash_guard.CrashGuard(self.clock)
         self.accounts = accounts.AccountBook()
+        self.splits = splits.Splits()
         self.account_in_flight: dict[str, int] = {}
         self.in_flight = 0
         self.is_fresh = False
@@ -162,6 +184,22 @@
         """Returns the retry budget of a service."""
         budget = self._budgets.get(service)
         if budget is None:
-            budget = retry_budget.RetryBudget(ratio=RETRY_RATIO)
+            budget = self._new_budget()
             self._budgets[service] = budget
         return budget
+
+    def _new_budget(self) -> retry_budget.RetryBudget:
+        ratio = self.conduct.retry_ratio
+        if not self.conduct.retry_reserve:
+            return retry_budget.RetryBudget(ratio=ratio)
+        return retry_budget.RetryBudget(
+            ratio=ratio,
+            reserve=self._retry_capacity(),
+            capacity=self._retry_capacity,
+        )
+
+    def _retry_capacity(self) -> float:
+        """Returns this entry's part of the common reserve."""
+        if not self.view.committed.members:
+            return 1
+        return max(1, self.conduct.retry_reserve / self.view.member_count)
--- a/src/mulberryquay/entry/targets.py
+++ b/src/mulberryquay/entry/targets.py
@@ -7,7 +7,7 @@
 
 from mulberryquay import protocol, settings
 from mulberryquay.coordination import clock
-from mulberryquay.entry import connections
+from mulberryquay.entry import connections, dialect
 
 #: A load report counts for 1/e of its value after this long.
 REPORT_DECAY_MS: typing.Final = 100.0
@@ -40,7 +40,12 @@
         '_reported_at',
         '_slow_answers',
         '_slow_ms',
+        '_slowness',
         '_timeouts',
+        '_cold_next',
+        'cold_rate',
+        'cold_until',
+        'dialect',
         'in_flight',
         'is_peer',
         'is_shared_out',
@@ -54,12 +59,19 @@
         'tier',
     )
 
-    def __init__(self, row: protocol.TargetRow, time: clock.Clock) -> None:
+    def __init__(
+        self,
+        row: protocol.TargetRow,
+        time: clock.Clock,
+        spoken: dialect.Dialect = dialect.OWN,
+    ) -> None:
         """Starts without observations and without permission to use it."""
         self.row = row
+        self.dialect = spoken
         self.pool = connections.Pool(
             settings.parse_address(row.address),
             time,
+            spoken.names,
         )
         #: Calls that this entry runs on the target now.
         self.in_flight = 0
@@ -78,6 +90,11 @@
         #: Whether the target shed or slowed down since the last beat.
         self.shed = False
         self.suspended_until = 0.0
+        #: Until when the target said that it is cold.
+        self.cold_until = 0.0
+        #: Calls a second that this entry may send it meanwhile.
+        self.cold_rate = 0.0
+        self._cold_next = 0.0
         self._clock = time
         self._failures = 0
         self._fast_ms = 0.0
@@ -85,7 +102,8 @@
         self._slow_answers = 0
         self._timeouts = 0
         self._reported = 0.0
-        self._reported_at = 0.0
+        self._reported_at = float('-inf')
+        self._slowness = 1.0
 
     @property
     def latency_ms(self) -> float:
@@ -100,7 +118,26 @@
     @property
     def has_room(self) -> bool:
         """Whether this entry may send the target another call."""
-        return self.in_flight < self.limit
+        return self.has_room_at(self._clock.now())
+
+    def has_room_at(self, now: float) -> bool:
+        """Whether this entry may send the target another call then."""
+        if self.in_flight >= self.limit:
+            return False
+        if self.cold_until <= now:
+            return True
+        return self.cold_rate > 0 and self._cold_next <= now
+
+    def enter(self) -> None:
+        """Takes the room for one call."""
+        self.in_flight += 1
+        now = self._clock.now()
+        if self.cold_until > now and self.cold_rate > 0:
+            self._cold_next = now + clock.MS_PER_SECOND / self.cold_rate
+
+    def note_cold(self, remaining: float) -> None:
+        """Takes for how long the target stays cold, in ms."""
+        self.cold_until = self._clock.now() + remaining
 
     def load(self, now: float) -> float:
         """Estimates the calls per slot, own ones and aged reports."""
@@ -110,10 +147,15 @@
             others *= math.exp(-age / REPORT_DECAY_MS)
         return (self.in_flight + others) / self.row.slots
 
-    def record_answer(self, latency: float, *, reported: int | None) -> None:
+    def record_answer(
+        self,
+        latency: float,
+        *,
+        reported: dialect.LoadReport | None,
+    ) -> None:
         """Takes an answer's latency (ms) and the load that it carried.
 
-        ``reported`` is the target's calls in flight, this one included.
+        ``reported`` counts this call, too.
         """
         self._failures = 0
         self._timeouts = 0
@@ -121,25 +163,26 @@
         if not self.row.is_warm:
             self.served += 1
         if reported is not None:
-            self._reported = max(0.0, reported - self.in_flight)
-            self._reported_at = self._clock.now()
+            self.record_report(reported, age=0)
         self._average(latency)
 
-    def record_report(self, load: int, *, age: float) -> None:
+    def record_report(self, report: dialect.LoadReport, *, age: float) -> None:
         """Takes a load report that is ``age`` ms old.
 
         An answer that came since then knows better and is kept.
         """
         reported_at = self._clock.now() - age
-        if reported_at > self._reported_at:
-            self._reported = max(0.0, load - self.in_flight)
-            self._reported_at = reported_at
+        if reported_at < self._reported_at:
+            return
+        calls = report.running + report.waiting
+        self._reported = max(0.0, calls - self.in_flight)
+        self._reported_at = reported_at
+        self._slowness = report.slowness
 
-    def record_probe(self, latency: float) -> None:
+    def record_probe(self) -> None:
         """Takes a probe's answer: the target may be used again."""
         self._failures = 0
         self.suspended_until = 0
-        self._average(latency)
 
     def record_failure(self) -> None:
         """Suspends the target for a growing while."""
@@ -158,10 +201,12 @@
             self._timeouts = 0
             self.record_failure()
 
-    def record_shed(self) -> None:
+    def record_shed(self, report: dialect.LoadReport | None = None) -> None:
         """Suspends the target and reports that it bears less."""
         self.shed = True
         self.record_failure()
+        if report is not None:
+            self.record_report(report, age=0)
 
     def _average(self, latency: float) -> None:
         if not self._slow_ms:
--- a/src/mulberryquay/kernel/plugins.py
+++ b/src/mulberryquay/kernel/plugins.py
@@ -16,6 +16,7 @@
 
 BUILT_IN: typing.Final = (
     'mulberryquay.control.kinds',
+    'mulberryquay.entry.dialect',
     'mulberryquay.entry.policies.sampling',
     'mulberryquay.entry.policies.counting',
     'mulberryquay.entry.policies.hot_cold',
--- a/src/mulberryquay/metrics.py
+++ b/src/mulberryquay/metrics.py
@@ -5,8 +5,6 @@
 import collections
 import typing
 
-import aioprometheus
-
 #: Labels of one series in the order of `Declared.labels`.
 Labels = tuple[str, ...]
 
@@ -49,6 +47,9 @@
 
     def render(self) -> tuple[bytes, str]:
         """Returns the exposition text and its content type."""
+        # Imported on use: it takes memory that only a reader needs.
+        import aioprometheus  # noqa: PLC0415, WPS433
+
         registry = aioprometheus.Registry()
         for metric in self._declared.values():
             kind = aioprometheus.Gauge
--- a/src/mulberryquay/settings.py
+++ b/src/mulberryquay/settings.py
@@ -7,8 +7,6 @@
 import re
 import typing
 
-from absl import flags
-
 from mulberryquay.coordination import errors, units
 
 #: A flag ``entry_port`` is read from ``MULBERRYQUAY_ENTRY_PORT``.
@@ -64,11 +62,14 @@
     default. Raises InvalidSettingError naming the flag, what was got and
     what is allowed.
     """
+    # Imported on use: programs that take no flags do without its memory.
+    from absl import flags  # noqa: PLC0415, WPS433
+
     if environment is None:
         environment = os.environ
     flag_values = flags.FlagValues()
     for setting in declared:
-        _define(setting, flag_values)
+        _define(setting, flags, flag_values)
     from_environment = [
         f'--{setting.name}={environment[variable]}'
         for setting in declared
@@ -91,6 +92,21 @@
     return {setting.name: setting.default for setting in declared}
 
 
+def complete(
+    declared: typing.Sequence[Setting],
+    given: typing.Mapping[str, typing.Any],
+) -> Values:
+    """Returns given values, checked, with the defaults of all others.
+
+    Raises InvalidSettingError.
+    """
+    values = {**defaults(declared), **given}
+    return {
+        setting.name: _check(setting, values[setting.name])
+        for setting in declared
+    }
+
+
 def parse_address(address: str) -> tuple[str, int]:
     """Splits a checked ``IP:PORT``."""
     host, _, port = address.rpartition(':')
@@ -123,7 +139,11 @@
     }[setting.form]
 
 
-def _define(setting: Setting, flag_values: flags.FlagValues) -> None:
+def _define(
+    setting: Setting,
+    flags: typing.Any,
+    flag_values: typing.Any,
+) -> None:
     define = flags.DEFINE_string
     if isinstance(setting.default, bool):
         define = flags.DEFINE_boolean
--- a/src/mulberryquay/web.py
+++ b/src/mulberryquay/web.py
@@ -50,8 +50,10 @@
     is_ready: typing.Callable[[], bool],
     counters: metrics_module.Metrics,
     refresh: typing.Callable[[], None],
+    *,
+    ready_path: str = '/readyz',
 ) -> None:
-    """Adds ``/healthz``, ``/readyz`` and ``/metrics``.
+    """Adds ``/healthz``, ``/metrics`` and whether the process is ready.
 
     ``refresh`` sets the gauges just before they are rendered.
     """
@@ -72,7 +74,7 @@
         return content
 
     app.route('/healthz', 'GET', healthz)
-    app.route('/readyz', 'GET', readyz)
+    app.route(ready_path, 'GET', readyz)
     app.route('/metrics', 'GET', render)
 
 
--- a/testing/__init__.py
+++ b/testing/__init__.py
@@ -5,9 +5,13 @@
 import importlib
 import inspect
 import pathlib
+import sys
 import typing
 import unittest
 
+# Behind all other folders, so that the name of the folder hides nothing.
+sys.path.append(str(pathlib.Path(__file__).parent.parent / 'platform'))
+
 
 def load_tests(
     _loader: unittest.TestLoader,
--- a/testing/entry/test_balancer.py
+++ b/testing/entry/test_balancer.py
@@ -10,7 +10,7 @@
 import gevent
 
 from mulberryquay.coordination import allowance, clock
-from mulberryquay.entry import daemon, targets
+from mulberryquay.entry import dialect, daemon, targets
 from mulberryquay.standin import target
 from testing import fixtures
 
@@ -218,10 +218,10 @@
     row = _warm_row()
     known = targets.TargetState(row, time)
     for _answer in range(50):
-        known.record_answer(5, reported=1)
+        known.record_answer(5, reported=dialect.LoadReport(1))
     CASE.assertFalse(known.shed)
     for _answer in range(6):
-        known.record_answer(200, reported=1)
+        known.record_answer(200, reported=dialect.LoadReport(1))
     CASE.assertTrue(known.shed)
 
 
--- /dev/null
+++ b/testing/platform_adapter/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the platform adapter, without the platform."""
--- /dev/null
+++ b/testing/platform_adapter/test_calls.py
@@ -0,0 +1,213 @@
+"""Tests of the platform's calls against a running control host."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import typing
+import unittest
+from unittest import mock
+
+import urllib3
+
+from mulberryquay import settings
+from mulberryquay.control import daemon as control_daemon
+from mulberryquay.kernel import plugins
+from mulberryquay_platform import calls
+from testing import fixtures
+from testing.platform_adapter import samples
+
+CASE: typing.Final = unittest.TestCase()
+
+
+class _Platform:
+    """Calls a control host as operators and targets do."""
+
+    def __init__(self, daemon: control_daemon.ControlDaemon) -> None:
+        self.daemon = daemon
+        self._pool = urllib3.PoolManager(retries=False)
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b'',
+    ) -> tuple[int, bytes]:
+        """Returns status and body of the answer."""
+        answer = self._pool.request(
+            method,
+            f'http://127.0.0.1:{self.daemon.api_port}{path}',
+            body=body,
+        )
+        return answer.status, answer.data
+
+    def put(self, document: typing.Any) -> int:
+        """Puts a configuration; returns the status."""
+        body = samples.encoded(document)
+        return self.call('POST', '/configuration/put', body)[0]
+
+    def held(self) -> typing.Any:
+        """Returns the configuration that is read back."""
+        return json.loads(self.call('GET', '/configuration/get')[1])
+
+    def check_in(self, name: str, **changes: typing.Any) -> int:
+        """Sends a check-in; returns the status."""
+        body = samples.encoded(samples.check_in(**changes))
+        return self.call('POST', f'/instances/{name}/heartbeat', body)[0]
+
+
+@contextlib.contextmanager
+def _platform() -> typing.Iterator[_Platform]:
+    with fixtures.folder() as folder:
+        path = folder / 'settings.toml'
+        path.write_text(samples.SETTINGS)
+        kernel = plugins.load_kernel()
+        calls.mulberryquay_register(kernel)
+        values = settings.complete(
+            control_daemon.SETTINGS,
+            {
+                'data_folder': str(folder / 'data'),
+                'api_listen': '127.0.0.1:0',
+                'feed_listen': '127.0.0.1:0',
+                'host_listen': '127.0.0.1:0',
+            },
+        )
+        daemon = control_daemon.ControlDaemon(values, kernel)
+        with mock.patch.dict(
+            os.environ,
+            {'MULBERRYQUAY_NODE_FILE': str(path)},
+        ):
+            daemon.start()
+        try:
+            yield _Platform(daemon)
+        finally:
+            daemon.stop()
+
+
+def test_configuration_is_read_back_as_it_was_put() -> None:
+    """Before the first one, a read is refused."""
+    with _platform() as platform:
+        CASE.assertEqual(platform.call('GET', '/configuration/get')[0], 503)
+        document = samples.configuration(7)
+        document['unknown'] = 'kept'
+        CASE.assertEqual(platform.put(document), 200)
+        CASE.assertEqual(platform.held(), document)
+
+
+def test_version_that_is_not_higher_is_acknowledged_and_changes_nothing() -> (
+    None
+):
+    """The same again, other content under the same version, an older one."""
+    with _platform() as platform:
+        first = samples.configuration(7)
+        platform.put(first)
+        revision = platform.daemon.store.revision
+        for version in (7, 6):
+            other = samples.configuration(version)
+            other['listeners'] = []
+            CASE.assertEqual(platform.put(other), 200)
+        CASE.assertEqual(platform.held(), first)
+        CASE.assertEqual(platform.daemon.store.revision, revision)
+
+
+def test_refused_configuration_changes_nothing() -> None:
+    """Not even the parts of it that are valid."""
+    with _platform() as platform:
+        first = samples.configuration(7)
+        platform.put(first)
+        broken = samples.configuration(8)
+        broken['clusters'] = []
+        CASE.assertEqual(platform.put(broken), 400)
+        CASE.assertEqual(
+            platform.call('POST', '/configuration/put', b'{"version"')[0],
+            400,
+        )
+        CASE.assertEqual(platform.held(), first)
+
+
+def test_configuration_replaces_all_routes_at_once() -> None:
+    """What the new version lacks is gone."""
+    with _platform() as platform:
+        platform.put(samples.configuration(7))
+        second = samples.configuration(9)
+        second['listeners'][0]['rules'].pop()
+        platform.put(second)
+        routes = platform.daemon.store.list_kind('routes')
+        CASE.assertEqual([route.name for route in routes], ['r-order'])
+
+
+def test_draining_target_takes_no_new_work_and_stays_so() -> None:
+    """Late check-ins of that run change nothing; a new run starts anew."""
+    with _platform() as platform:
+        CASE.assertEqual(platform.check_in('i-1'), 200)
+        targets = platform.daemon.targets
+        CASE.assertFalse(targets.get('i-1').is_leaving)
+        platform.check_in('i-1', state='draining', sequence=5)
+        CASE.assertTrue(targets.get('i-1').is_leaving)
+        platform.check_in('i-1', sequence=3)
+        platform.check_in('i-1', sequence=6)
+        CASE.assertTrue(targets.get('i-1').is_leaving)
+        platform.check_in('i-1', born=1_700_000_009_000, sequence=1)
+        CASE.assertFalse(targets.get('i-1').is_leaving)
+        platform.check_in('i-1', sequence=9)
+        CASE.assertEqual(targets.get('i-1').incarnation, 1_700_000_009_000)
+
+
+def test_deregistered_target_is_not_revived() -> None:
+    """Also if it never said that it drains, and by whichever check-in."""
+    with _platform() as platform:
+        platform.check_in('i-1')
+        CASE.assertEqual(
+            platform.call('POST', '/instances/i-1/deregister')[0],
+            200,
+        )
+        CASE.assertTrue(platform.daemon.targets.get('i-1').is_leaving)
+        CASE.assertEqual(
+            platform.call('POST', '/instances/i-2/deregister')[0],
+            200,
+        )
+        CASE.assertEqual(platform.check_in('i-2'), 200)
+        names = [row.name for row in platform.daemon.targets.list_targets()]
+        CASE.assertEqual(names, ['i-1'])
+
+
+def test_foreign_check_in_names_no_target() -> None:
+    """Fields that are missing, of another type, or bytes of another form."""
+    breaks: tuple[dict[str, typing.Any], ...] = (
+        {'service': None},
+        {'service': 7},
+        {'address': 'nowhere'},
+        {'address': None},
+        {'slots': '2'},
+        {'slots': 0},
+        {'state': 'asleep'},
+        {'sequence': 1.5},
+        {'cold_remaining_s': 'long'},
+        {'born': 'today'},
+        {'zone': []},
+    )
+    with _platform() as platform:
+        platform.check_in('i-1')
+        for changes in breaks:
+            with CASE.subTest(changes=changes):
+                CASE.assertEqual(platform.check_in('i-9', **changes), 400)
+        path = '/instances/i-9/heartbeat'
+        for body in (b'', b'\xff\xfe', b'[]', b'{', b'"x"'):
+            CASE.assertEqual(platform.call('POST', path, body)[0], 400)
+        names = [row.name for row in platform.daemon.targets.list_targets()]
+        CASE.assertEqual(names, ['i-1'])
+
+
+def test_zone_is_taken_out_and_back_whatever_was_sent_before() -> None:
+    """The same order again is acknowledged."""
+    with _platform() as platform:
+        for turn in ('start', 'start', 'end', 'end', 'start'):
+            path = f'/evacuation/south-1/{turn}'
+            CASE.assertEqual(platform.call('POST', path)[0], 200)
+        state = platform.daemon.store.get('failure-domains', 'south-1').spec
+        CASE.assertEqual(state, {'region': 'south', 'state': 'out'})
+        CASE.assertEqual(
+            platform.call('POST', '/evacuation/nowhere/start')[0],
+            404,
+        )
--- /dev/null
+++ b/testing/platform_adapter/test_configuration.py
@@ -0,0 +1,95 @@
+"""Tests of translating whole configurations."""
+
+from __future__ import annotations
+
+import typing
+import unittest
+
+from mulberryquay.control import configuration, kinds
+from mulberryquay.coordination import errors
+from mulberryquay_platform import configuration as documents
+from testing import fixtures
+from testing.platform_adapter import samples
+
+CASE: typing.Final = unittest.TestCase()
+
+_Change = typing.Callable[[typing.Any], typing.Any]
+
+
+def _check(body: bytes) -> configuration.Resources:
+    return configuration.check(
+        documents.decode(body).resources,
+        fixtures.KERNEL.resource_kinds,
+    )
+
+
+def _rule(document: typing.Any) -> typing.Any:
+    return document['listeners'][0]['rules'][0]
+
+
+#: What makes a configuration invalid.
+_BREAKS: typing.Final[tuple[_Change, ...]] = (
+    lambda document: _rule(document)['action'].update(service='none'),
+    lambda document: _rule(document)['action'].update(timeout_s=0),
+    lambda document: _rule(document)['action'].update(timeout_s=601),
+    lambda document: _rule(document).update(target_latency_s=62),
+    lambda document: _rule(document)['match'].update(path_prefix='order/'),
+    lambda document: document['listeners'][0].update(host=''),
+    lambda document: document.pop('clusters'),
+    lambda document: document.update(version='7'),
+    lambda document: document.update(version=7),
+    lambda document: document.update(listeners=None),
+    lambda document: _rule(document)['action'].update(timeout_s='2'),
+    lambda document: _rule(document)['action'].update(
+        allowed_regions='north',
+    ),
+)
+
+
+def test_sample_becomes_resources_of_the_product() -> None:
+    """Times are in ms; kinds say what may be repeated."""
+    by_key = {
+        (kind, name): spec
+        for kind, name, spec in _check(
+            samples.encoded(samples.configuration()),
+        )
+    }
+    order = by_key[kinds.ROUTE, 'r-order']
+    CASE.assertEqual(order['timeout_ms'], 2000)
+    CASE.assertEqual(order['objective_ms'], 500)
+    CASE.assertEqual(order['home_regions'], ['north'])
+    CASE.assertFalse(
+        by_key[kinds.SERVICE_CLASS, order['service_class']]['idempotent'],
+    )
+    stock = by_key[kinds.ROUTE, 'r-stock']
+    CASE.assertEqual(stock['split'], {'stock': 90, 'order': 10})
+    CASE.assertTrue(
+        by_key[kinds.SERVICE_CLASS, stock['service_class']]['idempotent'],
+    )
+    CASE.assertEqual(by_key[kinds.SERVICE, 'stock']['cold_per_s'], 2.8)
+
+
+def test_each_broken_rule_refuses_the_whole_configuration() -> None:
+    """With a status of the 400s, never a crash."""
+    for number, change in enumerate(_BREAKS):
+        document = samples.configuration()
+        change(document)
+        with CASE.subTest(number=number):
+            with CASE.assertRaises(errors.InvalidInputError):
+                _check(samples.encoded(document))
+
+
+def test_document_that_is_cut_short_is_refused_at_every_length() -> None:
+    """Bytes that cannot be read in full name no configuration."""
+    whole = samples.encoded(samples.configuration())
+    for length in range(0, len(whole), 7):
+        with CASE.assertRaises(errors.InvalidInputError):
+            _check(whole[:length])
+
+
+def test_unknown_fields_are_ignored() -> None:
+    """A later platform may say more."""
+    document = samples.configuration()
+    document['new'] = {'a': 1}
+    _rule(document)['action']['new'] = 'b'
+    CASE.assertTrue(_check(samples.encoded(document)))
--- /dev/null
+++ b/testing/platform_adapter/test_node.py
@@ -0,0 +1,47 @@
+"""Tests of reading the settings file."""
+
+from __future__ import annotations
+
+import typing
+import unittest
+
+from mulberryquay import settings
+from mulberryquay.control import daemon as control_daemon
+from mulberryquay.entry import daemon as entry_daemon
+from mulberryquay_platform import node
+from testing import fixtures
+from testing.platform_adapter import samples
+
+CASE: typing.Final = unittest.TestCase()
+
+
+def _read(text: str) -> node.Node:
+    with fixtures.folder() as folder:
+        path = folder / 'settings.toml'
+        path.write_text(text)
+        return node.read(path)
+
+
+def test_both_roles_get_settings_that_the_product_takes() -> None:
+    """Fields that are not known are ignored."""
+    read = _read(samples.SETTINGS + 'new_bound = "text"\n')
+    entry = settings.complete(
+        entry_daemon.SETTINGS,
+        node.settings_of('entry', read),
+    )
+    CASE.assertEqual(entry['control'], '10.1.0.1:7621,10.2.0.1:7621')
+    CASE.assertEqual(entry['stale_config'], 'serve')
+    CASE.assertEqual(entry['drain_ms'] + entry['stop_timeout_ms'], 5500)
+    control = settings.complete(
+        control_daemon.SETTINGS,
+        {**node.settings_of('control', read), 'data_folder': 'folder'},
+    )
+    CASE.assertEqual(control['hosts'], '10.1.0.1:7620,10.2.0.1:7620')
+    CASE.assertTrue(control['found'])
+
+
+def test_unreadable_settings_are_a_typed_error() -> None:
+    """Cut short, or with a table missing."""
+    for text in (samples.SETTINGS[:40], '[self]\nnode = "a"\n', ''):
+        with CASE.assertRaises(settings.InvalidSettingError):
+            _read(text)
