Ask near targets for their load before each choice; end work of callers that left

Cause: a quarter of the targets works four times slower for some 300 ms at a time; an entry sends a target about one call a second, so what answers carry is too old to choose by (27% of the answers came late). Each entry held the admin libraries and patches that it does not need. Change: scout asks the near targets whose report is older than 60 ms, farther ones only if none of the nearer is idle on a usual host; policy expected-time weighs work, slowness, queue and distance; caller_watch ends idempotent requests whose callers left; the readiness port has a server of its own and the admin port loads its libraries when first asked. Ruled out: more decay on carried reports (no newer information); asking all targets (price of bytes and probes).

--- a/src/mulberryquay/control/api.py
+++ b/src/mulberryquay/control/api.py
@@ -354,7 +354,7 @@
             try:
                 waiting = changes.since(seen)
             except history.RevisionCompactedError as error:
-                yield _line(web.error_body(error.code, str(error)))
+                yield _line(errors.to_body(error.code, str(error)))
                 return
 
     return lines()
--- a/src/mulberryquay/coordination/errors.py
+++ b/src/mulberryquay/coordination/errors.py
@@ -3,6 +3,11 @@
 from __future__ import annotations
 
 
+def to_body(code: str, message: str) -> dict[str, dict[str, str]]:
+    """Returns the JSON object by which all HTTP surfaces tell an error."""
+    return {'error': {'code': code, 'message': message}}
+
+
 class MulberryquayError(Exception):
     """Base of every failure; ``code`` is stable and read by programs."""
 
--- /dev/null
+++ b/src/mulberryquay/entry/admin.py
@@ -0,0 +1,66 @@
+"""Health, metrics and accounts of an entry, loaded when first asked for."""
+
+from __future__ import annotations
+
+import importlib
+import typing
+
+import gevent
+from gevent import monkey, socket
+
+from mulberryquay.entry import accounts, state
+
+
+@typing.final
+class Admin:
+    """Serves the admin port; its libraries cost memory that few need."""
+
+    def __init__(
+        self,
+        listener: typing.Any,
+        shared: state.EntryState,
+        is_ready: typing.Callable[[], bool],
+        refresh: typing.Callable[[], None],
+    ) -> None:
+        """``refresh`` sets the gauges just before they are read."""
+        self._listener = listener
+        self._state = shared
+        self._is_ready = is_ready
+        self._refresh = refresh
+        self._server: typing.Any = None
+        self._task: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Waits for the first connection."""
+        self._task = gevent.spawn(self._serve_first)
+
+    def stop(self) -> None:
+        """Closes the port."""
+        if self._task is not None:
+            self._task.kill()
+        if self._server is None:
+            self._listener.close()
+        else:
+            self._server.stop(timeout=1)
+
+    def _serve_first(self) -> None:
+        socket.wait_read(self._listener.fileno())
+        if not monkey.is_module_patched('threading'):
+            # bottle keeps the request in a thread local.
+            monkey.patch_thread()
+        web = importlib.import_module('mulberryquay.web')
+        app = web.new_app()
+        web.add_health(
+            app,
+            self._is_ready,
+            self._state.metrics,
+            self._refresh,
+        )
+        app.route('/accounts/<request_id>', 'GET', self._show_account)
+        self._server = web.serve(self._listener, app)
+
+    def _show_account(self, request_id: str) -> str:
+        web = importlib.import_module('mulberryquay.web')
+        account = self._state.accounts.get(request_id)
+        shown: str = web.to_json(accounts.to_json(account))
+        return shown
--- a/src/mulberryquay/entry/answers.py
+++ b/src/mulberryquay/entry/answers.py
@@ -7,7 +7,6 @@
 import typing
 from http import HTTPStatus
 
-from mulberryquay import web
 from mulberryquay.coordination import errors
 from mulberryquay.entry import (
     header_names,
@@ -85,7 +84,7 @@
     ``caller`` is None when the request could not be read.
     """
     body = json.dumps(
-        web.error_body(refusal.reason.value, str(refusal)),
+        errors.to_body(refusal.reason.value, str(refusal)),
     ).encode()
     headers = [
         (b'content-type', b'application/json'),
--- a/src/mulberryquay/entry/attempt.py
+++ b/src/mulberryquay/entry/attempt.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import re
 import typing
 
 import gevent
@@ -29,11 +28,6 @@
 
 _FIRST_FAILURE_STATUS: typing.Final = 300
 
-#: A connection is given up before the target closes it, so that no request
-#: crosses the close.
-_KEEP_ALIVE_SHARE: typing.Final = 0.7
-_KEEP_ALIVE_TIMEOUT: typing.Final = re.compile(rb'timeout=(\d{1,6})')
-
 
 class Outgoing(typing.NamedTuple):
     """A request ready to be sent to any target."""
@@ -112,8 +106,7 @@
         is_sent = self._pump is None or self._pump.value is True
         self._stop_pump()
         if is_sent and received.head.keeps_alive and link.reader.is_clean:
-            link.idle_ms = _idle_limit(received.head)
-            self._target.pool.give_back(link)
+            self._target.pool.give_back(link, received.head)
         else:
             self._target.pool.discard(link)
 
@@ -318,13 +311,3 @@
 ) -> dialect.LoadReport | None:
     text = head.find(spoken.load)
     return None if text is None else spoken.parse_load(text)
-
-
-def _idle_limit(head: http_heads.ResponseHead) -> float:
-    """Returns for how long a connection may be kept, in ms."""
-    text = head.find(b'keep-alive')
-    found = None if text is None else _KEEP_ALIVE_TIMEOUT.search(text)
-    if found is None:
-        return connections.IDLE_MS
-    promised = int(found.group(1)) * clock.MS_PER_SECOND
-    return min(connections.IDLE_MS, promised * _KEEP_ALIVE_SHARE)
--- a/src/mulberryquay/entry/balancer.py
+++ b/src/mulberryquay/entry/balancer.py
@@ -15,6 +15,16 @@
 OVERCOMMIT: typing.Final = 2.0
 
 
+class Room(typing.NamedTuple):
+    """What an entry may send to a warm target."""
+
+    #: Calls at once, however many entries there are.
+    min_calls: int = 1
+    #: Calls a slot, as the target reports them, at which it gets no more; 0
+    #: for any.
+    load_limit: float = 0
+
+
 @typing.final
 class Balancer:
     """The service queues of an entry, kept in step with its knowledge."""
@@ -29,8 +39,10 @@
         domain: str,
         peers: relays.Relays,
         spoken: dialect.Dialect = dialect.OWN,
+        room: Room | None = None,
     ) -> None:
         """Starts without targets; ``view`` divides the cold ones."""
+        self._room = room or Room()
         self._dialect = spoken
         self._view = view
         self._relays = peers
@@ -108,6 +120,7 @@
             target.is_shared_out = self._is_shared_out(target)
             target.link_limit = self._link_limit(target)
             target.cold_rate = self._cold_rate(target.row)
+            target.load_limit = self._room.load_limit
             if not target.limit:
                 target.pool.close_idle()
         for queue in self._services.values():
@@ -177,7 +190,7 @@
             return 0
         if row.is_warm:
             whole = row.slots * OVERCOMMIT / self._view.member_count
-            return max(1, math.ceil(whole))
+            return max(self._room.min_calls, math.ceil(whole))
         if not self._is_fresh:
             return 0
         return self._view.share(row.name, row.allowance)
--- a/src/mulberryquay/entry/connections.py
+++ b/src/mulberryquay/entry/connections.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import re
 import select
 import typing
 
 from gevent import lock, socket
 
 from mulberryquay.coordination import clock, errors
-from mulberryquay.entry import header_names, messages
+from mulberryquay.entry import header_names, http_heads, messages
 
 #: A target needs about this long for each new connection.
 OPEN_INTERVAL_MS: typing.Final = 1.0
@@ -16,6 +17,11 @@
 #: An idle connection is closed after this long.
 IDLE_MS: typing.Final = 20_000
 
+#: A connection is given up before the target closes it, so that no request
+#: crosses the close.
+_KEEP_ALIVE_SHARE: typing.Final = 0.7
+_KEEP_ALIVE_TIMEOUT: typing.Final = re.compile(rb'timeout=(\d{1,6})')
+
 _CONNECT_TIMEOUT_S: typing.Final = 1.0
 
 
@@ -111,9 +117,10 @@
             )
         return self._open()
 
-    def give_back(self, link: Link) -> None:
-        """Keeps a connection that stands between two answers."""
+    def give_back(self, link: Link, head: http_heads.ResponseHead) -> None:
+        """Keeps a connection that stands behind the answer of ``head``."""
         link.idle_since = self._clock.now()
+        link.idle_ms = _idle_limit(head)
         if link.socket.timeout is not None:
             link.socket.settimeout(None)
         self._idle.append(link)
@@ -152,3 +159,13 @@
         if wait > 0:
             self._clock.sleep(wait)
         self._opened_at = self._clock.now()
+
+
+def _idle_limit(head: http_heads.ResponseHead) -> float:
+    """Returns for how long a connection may be kept, in ms."""
+    text = head.find(b'keep-alive')
+    found = None if text is None else _KEEP_ALIVE_TIMEOUT.search(text)
+    if found is None:
+        return IDLE_MS
+    promised = int(found.group(1)) * clock.MS_PER_SECOND
+    return min(IDLE_MS, promised * _KEEP_ALIVE_SHARE)
--- a/src/mulberryquay/entry/daemon.py
+++ b/src/mulberryquay/entry/daemon.py
@@ -9,14 +9,17 @@
 import gevent
 from gevent import server
 
-from mulberryquay import settings, sockets, web
+from mulberryquay import settings, sockets
 from mulberryquay.coordination import clock, units, watchdog
 from mulberryquay.entry import (
-    accounts,
+    admin,
+    balancer,
     caller,
     control_link,
     dialect,
     prober,
+    ready,
+    scout,
     state,
 )
 from mulberryquay.kernel import plugins, registry
@@ -144,9 +147,37 @@
     settings.Setting(
         'ready_path',
         '/readyz',
-        'path at which the admin port tells whether this entry is ready',
+        'path at which ready_listen tells whether this entry is ready',
         required=True,
     ),
+    settings.Setting(
+        'ready_listen',
+        '',
+        "a platform's balancer that asks for readiness only, as IP:PORT; the "
+        'admin port answers it, too',
+        form='address',
+    ),
+    settings.Setting(
+        'ask_load',
+        False,
+        'whether near targets are asked for their load before each choice; '
+        'their health path has to answer at once',
+    ),
+    settings.Setting(
+        'min_calls',
+        1,
+        'calls at once that this entry may send a warm target, however many '
+        'entries there are',
+        minimum=1,
+        maximum=units.MAX_INT64,
+    ),
+    settings.Setting(
+        'load_limit_percent',
+        0,
+        'calls for a hundred slots, as a target reports them, at which it '
+        'gets no more; 0 for any',
+        maximum=units.MAX_INT64,
+    ),
     settings.Setting(
         'retry_percent',
         int(state.RETRY_RATIO * _PERCENT),
@@ -234,6 +265,22 @@
             per_target_rate=values['probes_per_target_s'],
             bytes_rate=values['probe_bytes_s'],
         )
+        if values['ask_load']:
+            self._state.scout = scout.Scout(self._prober, self._state.clock)
+        self._admin = admin.Admin(
+            self._admin_listener,
+            self._state,
+            self._is_ready,
+            self._refresh,
+        )
+        self._ready_servers = [
+            ready.ReadyServer(
+                sockets.listen(address),
+                values['ready_path'],
+                self._is_ready,
+            )
+            for address in filter(None, [values['ready_listen']])
+        ]
         self._callers: set[caller.CallerTask] = set()
 
     @property
@@ -258,16 +305,6 @@
 
     def start(self) -> None:
         """Begins to serve."""
-        app = web.new_app()
-        web.add_health(
-            app,
-            self._is_ready,
-            self._state.metrics,
-            self._refresh,
-            ready_path=self._values['ready_path'],
-        )
-        app.route('/accounts/<request_id>', 'GET', self._show_account)
-        self._admin = web.serve(self._admin_listener, app)
         for part in self._parts():
             part.start()
         self._serving = gevent.spawn(self._serve_waiting)
@@ -301,21 +338,23 @@
         self._serving.kill()
         for part in self._parts():
             part.stop()
-        self._admin.stop(timeout=1)
 
     def configure(self, values: settings.Values) -> None:
         """Takes settings that changed; only those of control hosts may."""
         self._link.configure(values['control'].split(','))
 
-    def _parts(self) -> tuple[_Part, ...]:
+    def _parts(self) -> list[_Part]:
         """Returns what runs as long as this entry does."""
-        return (
+        return [
             self._link,
             self._state.claims,
             self._prober,
             self._state.watchdog,
             self._quiet_callers,
-        )
+            self._state.caller_watch,
+            self._admin,
+            *self._ready_servers,
+        ]
 
     def _serve_waiting(self) -> None:
         while True:
@@ -354,10 +393,6 @@
         )
         return is_usable and not shared.is_stopping
 
-    def _show_account(self, request_id: str) -> str:
-        account = self._state.accounts.get(request_id)
-        return web.to_json(accounts.to_json(account))
-
     def _refresh(self) -> None:
         shared = self._state
         gauge = shared.metrics.gauge
@@ -381,6 +416,10 @@
         values['outside_homes'] == FORWARD_OUTSIDE,
         values['retry_percent'] / _PERCENT,
         values['retry_reserve'],
+        balancer.Room(
+            values['min_calls'],
+            values['load_limit_percent'] / _PERCENT,
+        ),
     )
 
 
--- a/src/mulberryquay/entry/exchange.py
+++ b/src/mulberryquay/entry/exchange.py
@@ -5,11 +5,14 @@
 import math
 import typing
 
+import gevent
+
 from mulberryquay.entry import (
     accounts,
     admission,
     answers,
     attempt,
+    caller_watch,
     forwarder,
     header_names,
     keyed,
@@ -52,6 +55,31 @@
         self._forwarder: forwarder.Forwarder | None = None
         self._keyed: keyed.KeyedRequest | None = None
         self._status = 0
+        self._task = gevent.getcurrent()
+
+    @property
+    def connection(self) -> typing.Any:
+        """The caller's connection."""
+        return self._socket
+
+    def leave(self) -> None:
+        """Ends what is of no use to a caller that has left.
+
+        A request that must not run twice and may be with a target goes on
+        to its end, so that its account tells what became of it.
+        """
+        forwarding = self._forwarder
+        if forwarding is None or self._keyed is not None:
+            return
+        forwarding.forget_caller()
+        route = self._route
+        is_idempotent = route is not None and route.service_class.idempotent
+        if is_idempotent or not forwarding.is_sent:
+            gevent.kill(
+                self._task,
+                caller_watch.CallerGoneError(),
+                block=False,
+            )
 
     def serve(self) -> bool:
         """Answers the request; True if the connection may carry another.
@@ -114,8 +142,17 @@
 
     def _forward(self, call: forwarder.Call) -> outcomes.Received:
         self._forwarder = forwarder.Forwarder(self._shared, call)
+        if call.outgoing.rest is None:
+            self._shared.caller_watch.watch(self)
+        try:
+            return self._forward_keyed(call)
+        finally:
+            self._shared.caller_watch.release(self)
+
+    def _forward_keyed(self, call: forwarder.Call) -> outcomes.Received:
+        forwarding = typing.cast(forwarder.Forwarder, self._forwarder)
         try:
-            received = self._forwarder.forward()
+            received = forwarding.forward()
         except outcomes.RefusedError as refusal:
             if self._keyed is not None:
                 self._keyed.settle_refusal(refusal)
--- a/src/mulberryquay/entry/forwarder.py
+++ b/src/mulberryquay/entry/forwarder.py
@@ -42,6 +42,16 @@
         self.tries: list[accounts.Try] = []
         #: Whether some try may have run the request.
         self.may_have_run = False
+        self._is_caller_gone = False
+
+    @property
+    def is_sent(self) -> bool:
+        """Whether a target may have the request now."""
+        return self._target is not None
+
+    def forget_caller(self) -> None:
+        """Ends further tries: nobody waits for the answer."""
+        self._is_caller_gone = True
 
     def forward(self) -> outcomes.Received:
         """Returns an answer; `finish` or `abandon` must follow.
@@ -50,19 +60,26 @@
         """
         self._check_not_blocked()
         self._budget.deposit()
-        demand = self._call.demand
         excluded: frozenset[str] = frozenset()
-        ended = self._try(self._queue.acquire(demand, excluded))
+        ended = self._try(self._acquire(excluded))
         while self._retries(ended):
             self._release_answer(ended)
             excluded |= {self.tries[-1].target}
             try:
-                target = self._queue.acquire(demand, excluded)
+                target = self._acquire(excluded)
             except outcomes.RefusedError as refusal:
                 raise self._refusal_after(ended, refusal) from refusal
             ended = self._try(target)
         return self._conclude(ended)
 
+    def _acquire(self, excluded: frozenset[str]) -> targets.TargetState:
+        demand = self._call.demand
+        if self._shared.scout is not None:
+            self._shared.scout.look(
+                self._queue.open_targets(demand, excluded),
+            )
+        return self._queue.acquire(demand, excluded)
+
     def finish(self, received: outcomes.Received) -> None:
         """Ends a call whose answer was read to its end."""
         if self._attempt is not None:
@@ -195,6 +212,7 @@
     def _has_tries_left(self) -> bool:
         return (
             self._call.may_retry
+            and not self._is_caller_gone
             and len(self.tries) < self._call.demand.max_attempts
             and self._shared.clock.now() < self._call.demand.deadline
         )
--- a/src/mulberryquay/entry/prober.py
+++ b/src/mulberryquay/entry/prober.py
@@ -69,6 +69,17 @@
             if target.has_failed and self._may_probe(target)
         ]
 
+    def ask_load(self, target: targets.TargetState) -> gevent.Greenlet:
+        """Begins to ask a target for its load."""
+        return gevent.spawn(self._ask_load, target)
+
+    def _ask_load(self, target: targets.TargetState) -> None:
+        target.begin_question()
+        try:
+            self._probe(target)
+        finally:
+            target.end_question()
+
     def _run(self) -> None:
         while True:
             self._shared.clock.sleep(_INTERVAL_MS)
@@ -134,10 +145,15 @@
 
     def _ask(self, target: targets.TargetState) -> http_heads.ResponseHead:
         link = target.pool.take(limit=target.link_limit)
+        head = None
         try:
-            return self._exchange(link, self._path_of(target))
+            head = self._exchange(link, self._path_of(target))
         finally:
-            target.pool.discard(link)
+            if head is not None and head.keeps_alive and link.reader.is_clean:
+                target.pool.give_back(link, head)
+            else:
+                target.pool.discard(link)
+        return head
 
     def _path_of(self, target: targets.TargetState) -> str:
         service = self._shared.table.services.get(target.row.service)
@@ -156,4 +172,9 @@
             [(b'host', b'mulberryquay-probe')],
         )
         http_heads.send_all(link.socket, request)
-        return link.reader.read_head()
+        head = link.reader.read_head()
+        if head.framing is http_heads.Framing.UNTIL_CLOSE:
+            return head
+        while link.reader.read_part() is not None:
+            """Reads the body to its end."""
+        return head
--- a/src/mulberryquay/entry/service_queue.py
+++ b/src/mulberryquay/entry/service_queue.py
@@ -118,6 +118,21 @@
                 raise _no_target(demand)
             self._clock.sleep(_SHARE_POLL_MS)
 
+    def open_targets(
+        self,
+        demand: Demand,
+        excluded: frozenset[str],
+    ) -> list[targets.TargetState]:
+        """Returns the targets among which `acquire` would choose now."""
+        now = self._clock.now()
+        return [
+            target
+            for target in self.targets.values()
+            if target.has_room_at(now)
+            and target.suspended_until <= now
+            and _is_allowed(target, demand.regions, excluded)
+        ]
+
     def release(self, target: targets.TargetState) -> None:
         """Ends a call on a target and serves those who wait."""
         target.in_flight -= 1
@@ -187,6 +202,8 @@
             return None
         if len(candidates) == 1:
             return candidates[0]
+        if getattr(self._policy, 'spans_tiers', False):
+            return self._policy.choose(candidates, now)
         nearest = min([target.tier for target in candidates])
         return self._policy.choose(
             [target for target in candidates if target.tier == nearest],
--- a/src/mulberryquay/entry/state.py
+++ b/src/mulberryquay/entry/state.py
@@ -17,12 +17,14 @@
 from mulberryquay.entry import (
     accounts,
     balancer,
+    caller_watch,
     claim_client,
     dialect,
     relays,
     routing,
     service_queue,
     splits,
+    targets,
 )
 
 #: Resends allowed for each fresh call of a service.
@@ -105,6 +107,13 @@
         """Reports that a request reported before was answered."""
 
 
+class Scout(typing.Protocol):
+    """Asks targets for their load."""
+
+    def look(self, candidates: typing.Sequence[targets.TargetState]) -> None:
+        """Returns when the useful reports are fresh, or soon after."""
+
+
 class Conduct(typing.NamedTuple):
     """How an entry is set up to behave."""
 
@@ -119,6 +128,7 @@
     #: Resends beyond that which all entries together may save up; 0 leaves
     #: each entry its own reserve.
     retry_reserve: float = 0
+    room: balancer.Room = balancer.Room()
 
 
 @typing.final
@@ -160,12 +170,16 @@
             domain=domain,
             peers=self.relays,
             spoken=self.dialect,
+            room=self.conduct.room,
         )
         self.watchdog = watchdog.Watchdog(self.clock)
         self.claims = claim_client.ClaimClient(name, ledger, self.clock)
         self.guard = crash_guard.CrashGuard(self.clock)
         self.accounts = accounts.AccountBook()
         self.splits = splits.Splits()
+        self.caller_watch = caller_watch.CallerWatch(self.clock)
+        #: Asks targets for their load before one is chosen, if at all.
+        self.scout: Scout | None = None
         self.account_in_flight: dict[str, int] = {}
         self.in_flight = 0
         self.is_fresh = False
--- a/src/mulberryquay/entry/targets.py
+++ b/src/mulberryquay/entry/targets.py
@@ -12,6 +12,18 @@
 #: A load report counts for 1/e of its value after this long.
 REPORT_DECAY_MS: typing.Final = 100.0
 
+#: What a host said of its slowness counts for 1/e after this long.
+SLOWNESS_DECAY_MS: typing.Final = 200.0
+
+#: A report of an idle target on a usual host is believed for this long.
+CALM_MS: typing.Final = 60.0
+_CALM: typing.Final = 1.3
+
+#: A question that is open for longer makes the target less likely to be
+#: chosen, by this many ms for each ms.
+_SILENCE_MS: typing.Final = 8.0
+_SILENCE_WEIGHT: typing.Final = 4.0
+
 #: Weight of the newest answer in the fast and the slow latency average.
 _FAST_WEIGHT: typing.Final = 0.3
 _SLOW_WEIGHT: typing.Final = 0.02
@@ -33,6 +45,7 @@
     """One target with this entry's own observations."""
 
     __slots__ = (
+        '_asked_at',
         '_clock',
         '_failures',
         '_fast_ms',
@@ -50,6 +63,7 @@
         'is_peer',
         'is_shared_out',
         'limit',
+        'load_limit',
         'link_limit',
         'pool',
         'row',
@@ -90,6 +104,8 @@
         #: Whether the target shed or slowed down since the last beat.
         self.shed = False
         self.suspended_until = 0.0
+        #: Calls a slot, as reported, at which it gets no more; 0 for any.
+        self.load_limit = 0.0
         #: Until when the target said that it is cold.
         self.cold_until = 0.0
         #: Calls a second that this entry may send it meanwhile.
@@ -104,12 +120,36 @@
         self._reported = 0.0
         self._reported_at = float('-inf')
         self._slowness = 1.0
+        self._asked_at = 0.0
 
     @property
     def latency_ms(self) -> float:
         """The fast average of the answers' latency, 0 before the first."""
         return self._fast_ms
 
+    @property
+    def usual_ms(self) -> float:
+        """The slow average of the answers' latency, 0 before the first."""
+        return self._slow_ms
+
+    @property
+    def slowness(self) -> float:
+        """How long work takes on the target's host, as last reported."""
+        return self._slowness
+
+    @property
+    def reported_at(self) -> float:
+        """When the target reported its load last."""
+        return self._reported_at
+
+    @property
+    def silence_ms(self) -> float:
+        """For how long it has not answered a question that is open."""
+        if not self._asked_at:
+            return 0
+        silence = self._clock.now() - self._asked_at
+        return 0 if silence < _SILENCE_MS else silence * _SILENCE_WEIGHT
+
     @property
     def has_failed(self) -> bool:
         """Whether the newest call or probe failed."""
@@ -124,6 +164,8 @@
         """Whether this entry may send the target another call then."""
         if self.in_flight >= self.limit:
             return False
+        if self.load_limit and self.load(now) >= self.load_limit:
+            return False
         if self.cold_until <= now:
             return True
         return self.cold_rate > 0 and self._cold_next <= now
@@ -139,6 +181,23 @@
         """Takes for how long the target stays cold, in ms."""
         self.cold_until = self._clock.now() + remaining
 
+    def freshness(self, now: float) -> float:
+        """Returns how much the last report still says, 1 for all."""
+        return math.exp((self._reported_at - now) / SLOWNESS_DECAY_MS)
+
+    def is_calm(self, now: float) -> bool:
+        """Whether it said just now that it works as usual and has a slot."""
+        is_fresh = now - self._reported_at <= CALM_MS
+        return is_fresh and self._slowness <= _CALM and self.load(now) < 1
+
+    def begin_question(self) -> None:
+        """Notes that the target was asked for its load."""
+        self._asked_at = self._clock.now()
+
+    def end_question(self) -> None:
+        """Notes that the question was answered or given up."""
+        self._asked_at = 0.0
+
     def load(self, now: float) -> float:
         """Estimates the calls per slot, own ones and aged reports."""
         others = self._reported
--- a/src/mulberryquay/kernel/plugins.py
+++ b/src/mulberryquay/kernel/plugins.py
@@ -4,7 +4,6 @@
 
 import importlib
 import typing
-from importlib import metadata
 
 from mulberryquay.kernel import registry
 
@@ -20,6 +19,7 @@
     'mulberryquay.entry.policies.sampling',
     'mulberryquay.entry.policies.counting',
     'mulberryquay.entry.policies.hot_cold',
+    'mulberryquay.entry.policies.expected_time',
     'mulberryquay.commands.daemons',
     'mulberryquay.commands.clients',
     'mulberryquay.commands.showcase',
@@ -52,8 +52,12 @@
         )
 
 
-def load_kernel(*, module_names: typing.Iterable[str] = BUILT_IN) -> Kernel:
-    """Returns a kernel filled by built-in and installed plug-ins.
+def load_kernel(
+    *,
+    module_names: typing.Iterable[str] = BUILT_IN,
+    with_installed: bool = True,
+) -> Kernel:
+    """Returns a kernel filled by the named and the installed plug-ins.
 
     Raises ImportError if a module is missing and DuplicatePartError if two
     plug-ins use one name.
@@ -62,6 +66,11 @@
     for module_name in module_names:
         module = importlib.import_module(module_name)
         getattr(module, REGISTER_HOOK)(kernel)
+    if not with_installed:
+        return kernel
+    # Imported on use: it takes memory that a fixed set of plug-ins spares.
+    from importlib import metadata  # noqa: PLC0415, WPS433
+
     for entry_point in metadata.entry_points(group=ENTRY_POINT_GROUP):
         getattr(entry_point.load(), REGISTER_HOOK)(kernel)
     return kernel
--- a/src/mulberryquay/web.py
+++ b/src/mulberryquay/web.py
@@ -50,10 +50,8 @@
     is_ready: typing.Callable[[], bool],
     counters: metrics_module.Metrics,
     refresh: typing.Callable[[], None],
-    *,
-    ready_path: str = '/readyz',
 ) -> None:
-    """Adds ``/healthz``, ``/metrics`` and whether the process is ready.
+    """Adds ``/healthz``, ``/readyz`` and ``/metrics``.
 
     ``refresh`` sets the gauges just before they are rendered.
     """
@@ -74,7 +72,7 @@
         return content
 
     app.route('/healthz', 'GET', healthz)
-    app.route(ready_path, 'GET', readyz)
+    app.route('/readyz', 'GET', readyz)
     app.route('/metrics', 'GET', render)
 
 
@@ -119,11 +117,6 @@
     return server
 
 
-def error_body(code: str, message: str) -> dict[str, typing.Any]:
-    """Returns the JSON object of an error."""
-    return {'error': {'code': code, 'message': message}}
-
-
 def _map_errors(
     handler: typing.Callable[..., typing.Any],
 ) -> typing.Callable[..., typing.Any]:
@@ -132,7 +125,7 @@
             return handler(**parameters)
         except errors.MulberryquayError as error:
             bottle.response.status = error.http_status
-            return to_json(error_body(error.code, str(error)))
+            return to_json(errors.to_body(error.code, str(error)))
 
     return wrapped
 
@@ -140,4 +133,4 @@
 def _render_bottle_error(error: bottle.HTTPError) -> str:
     code = _CODES_BY_STATUS.get(error.status_code, 'internal')
     message = 'internal error' if code == 'internal' else error.body
-    return to_json(error_body(code, str(message)))
+    return to_json(errors.to_body(code, str(message)))
--- /dev/null
+++ b/testing/entry/test_caller_watch.py
@@ -0,0 +1,86 @@
+"""Tests of callers that leave before their answers."""
+
+from __future__ import annotations
+
+import typing
+import unittest
+
+import gevent
+from gevent import socket
+
+from mulberryquay.entry import daemon as entry_daemon
+from mulberryquay.standin import target
+from testing import fixtures
+
+CASE: typing.Final = unittest.TestCase()
+
+
+def _leave_after_sending(entry: entry_daemon.EntryDaemon) -> None:
+    connection = socket.create_connection(('127.0.0.1', entry.port))
+    connection.sendall(fixtures.request_bytes('/stock/1'))
+    known = entry.state.balancer.all_targets['stock-a']
+    fixtures.wait_until(lambda: known.in_flight)
+    connection.close()
+
+
+def _slow(_request: target.Received) -> target.Answer:
+    gevent.sleep(0.7)
+    return target.Answer(body=b'done')
+
+
+def _reasons(entry: entry_daemon.EntryDaemon) -> float:
+    return entry.state.metrics.read(
+        'mulberryquay_requests_total',
+        'unknown',
+        'caller-gone',
+    )
+
+
+def test_idempotent_request_ends_with_its_caller() -> None:
+    """The target's connection is closed, so that it may stop working."""
+    with (
+        fixtures.control() as control,
+        fixtures.entry(control) as entry,
+        fixtures.target_of(control, 'stock-a', _slow),
+    ):
+        control.declare(service_class={'idempotent': True})
+        fixtures.wait_for_targets(entry, 'stock-a')
+        control.wait_in_force()
+        _leave_after_sending(entry)
+        known = entry.state.balancer.all_targets['stock-a']
+        fixtures.wait_until(lambda: not known.in_flight)
+        CASE.assertEqual(known.pool.open_count, 0)
+        CASE.assertEqual(_reasons(entry), 1)
+
+
+def test_request_that_must_not_run_twice_is_followed_to_its_end() -> None:
+    """Its account tells what became of it."""
+    with (
+        fixtures.control() as control,
+        fixtures.entry(control) as entry,
+        fixtures.target_of(control, 'stock-a', _slow) as stock,
+    ):
+        control.declare(service_class={'idempotent': False})
+        fixtures.wait_for_targets(entry, 'stock-a')
+        control.wait_in_force()
+        _leave_after_sending(entry)
+        gevent.sleep(0.3)
+        known = entry.state.balancer.all_targets['stock-a']
+        CASE.assertEqual(known.in_flight, 1)
+        fixtures.wait_until(lambda: not known.in_flight)
+        CASE.assertEqual(sum(stock.runs.values()), 1)
+
+
+def test_caller_that_sends_its_next_request_early_is_not_gone() -> None:
+    """Bytes that can be read are no end of the connection."""
+    with (
+        fixtures.control() as control,
+        fixtures.entry(control) as entry,
+        fixtures.target_of(control, 'stock-a', _slow),
+    ):
+        control.declare(service_class={'idempotent': True})
+        fixtures.wait_for_targets(entry, 'stock-a')
+        control.wait_in_force()
+        twice = fixtures.request_bytes('/stock/1') * 2
+        answer = fixtures.send(entry.port, twice)
+        CASE.assertEqual(answer.status, 200)
