Cancel requests of callers that left

Cause: gevent.kill takes no flag to block; the watch task ended with a TypeError, so nothing was cancelled.

--- a/src/mulberryquay/entry/exchange.py
+++ b/src/mulberryquay/entry/exchange.py
@@ -75,11 +75,7 @@
         route = self._route
         is_idempotent = route is not None and route.service_class.idempotent
         if is_idempotent or not forwarding.is_sent:
-            gevent.kill(
-                self._task,
-                caller_watch.CallerGoneError(),
-                block=False,
-            )
+            gevent.kill(self._task, caller_watch.CallerGoneError())
 
     def serve(self) -> bool:
         """Answers the request; True if the connection may carry another.
