--- a/src/mulberryquay/control/cluster.py
+++ b/src/mulberryquay/control/cluster.py
@@ -31,7 +31,7 @@
 from mulberryquay.coordination.replication import disk, replica
 
 #: A control host that told nothing for this long is not offered to entries.
-HOST_LEASE_MS: typing.Final = 5000.0
+HOST_LEASE_MS: typing.Final = 8000.0
 
 #: How often the lead is looked at.
 _LEAD_MS: typing.Final = 50.0
@@ -175,15 +175,20 @@
         """
         self.replica.read_barrier(timeout=orders.ORDER_MS)
 
-    def list_hosts(self) -> list[list[str]]:
-        """Returns address, region and domain of each live host's feed."""
+    def live_hosts(self) -> list[host_protocol.HostInfo]:
+        """Returns this host and those that told something just now."""
         oldest = self._clock.now() - HOST_LEASE_MS
         known = [self._info]
         known += [
             info for info, heard_at in self._hosts.values() if heard_at > oldest
         ]
+        return known
+
+    def list_hosts(self) -> list[list[str]]:
+        """Returns address, region and domain of each live host's feed."""
         return sorted(
-            [info.feed_address, info.region, info.domain] for info in known
+            [info.feed_address, info.region, info.domain]
+            for info in self.live_hosts()
         )
 
     def list_peers(self) -> list[str]:
@@ -209,7 +214,8 @@
     ) -> host_protocol.Bulletin:
         """Returns the call that carries news to another host."""
         return host_protocol.Bulletin(
-            list(self._info),
+            list(self._info) if is_whole else [],
+            self._info.address,
             is_whole,
             [host_protocol.NEWS.fields_of(message) for message in news],
         )
@@ -241,15 +247,21 @@
         self,
         bulletin: host_protocol.Bulletin,
     ) -> host_protocol.BulletinTaken:
-        sender = host_protocol.HostInfo(*bulletin.sender)
-        self._hosts[sender.address] = (sender, self._clock.now())
+        address = bulletin.address
+        if bulletin.sender:
+            sender = host_protocol.HostInfo(*bulletin.sender)
+            self._hosts[address] = (sender, self._clock.now())
+        else:
+            known = self._hosts.get(address)
+            if known is not None:
+                self._hosts[address] = (known[0], self._clock.now())
         for fields in bulletin.news:
             try:
                 self._take_news(host_protocol.NEWS.decode(fields))
             except wire.ProtocolError as error:
                 _LOG.warning(
                     'news not understood',
-                    extra={'sender': sender.address, 'cause': str(error)},
+                    extra={'sender': address, 'cause': str(error)},
                 )
         return host_protocol.BulletinTaken(self._boot)
 
--- a/src/mulberryquay/control/host_protocol.py
+++ b/src/mulberryquay/control/host_protocol.py
@@ -63,8 +63,10 @@
 class Bulletin(typing.NamedTuple):
     """What a control host tells all others."""
 
-    #: Row of `HostInfo`.
+    #: Row of `HostInfo` in a whole bulletin, empty in others.
     sender: list[typing.Any]
+    #: The sender's address.
+    address: str
     #: Whether ``news`` is all that the sender knows.
     is_whole: bool
     #: Messages as `wire.Vocabulary.fields_of` gives them.
--- a/src/mulberryquay/control/membership.py
+++ b/src/mulberryquay/control/membership.py
@@ -10,6 +10,9 @@
 #: longer than the entry's own freshness lease, so the entry stops first.
 ENTRY_LEASE_MS: typing.Final = 4000
 
+#: Entries that come within this time make one change of the list.
+SETTLE_MS: typing.Final = 400.0
+
 #: Epochs of one leader; a later leader begins above them.
 _EPOCHS_PER_TERM: typing.Final = 1 << 24
 
@@ -70,8 +73,12 @@
         time: clock.Clock,
         *,
         lease: float = ENTRY_LEASE_MS,
+        settle: float = SETTLE_MS,
     ) -> None:
-        """Starts without entries; ``lease`` is in milliseconds."""
+        """Starts without entries; times are in milliseconds.
+
+        A changed list is proposed ``settle`` after the first change.
+        """
         self._clock = time
         self._lease = lease
         self._entries: dict[str, EntryStatus] = {}
@@ -79,6 +86,8 @@
         self._pending: shares.EntryList | None = None
         self._peers: list[list[str]] = []
         self._term = 0
+        self._settle = settle
+        self._changed_at = 0.0
         self._leads_since = 0.0
 
     @property
@@ -186,7 +195,19 @@
         newest = self._pending or self._committed
         is_stale = newest.epoch < self._term * _EPOCHS_PER_TERM
         if is_stale or newest.members != members:
+            # Entries that come together make one change. One that goes is
+            # taken out at once, since others may still send it requests.
+            now = self._clock.now()
+            self._changed_at = self._changed_at or now
+            is_early = now - self._changed_at < self._settle
+            if (
+                is_early
+                and newest.members
+                and set(newest.members) < set(members)
+            ):
+                return
             self._propose(newest, members)
+        self._changed_at = 0.0
         self._commit_if_confirmed()
 
     def _is_learning(self) -> bool:
--- a/src/mulberryquay/coordination/broadcast.py
+++ b/src/mulberryquay/coordination/broadcast.py
@@ -10,7 +10,7 @@
 from mulberryquay.coordination import clock, rpc, signals
 
 #: A peer hears something at least this often, so that silence is a sign.
-IDLE_MS: typing.Final = 1500.0
+IDLE_MS: typing.Final = 3000.0
 
 #: A peer that does not answer for this long is told all again later.
 _CALL_MS: typing.Final = 900.0
--- a/src/mulberryquay/coordination/replication/follower.py
+++ b/src/mulberryquay/coordination/replication/follower.py
@@ -125,7 +125,7 @@
         if request.term > shared.term:
             shared.adopt_term(request.term)
         shared.contacted_at = shared.clock.now()
-        shared.follow(request.leader, request.leader_address)
+        shared.follow(request.leader)
         return None
 
 
--- a/src/mulberryquay/coordination/replication/leadership.py
+++ b/src/mulberryquay/coordination/replication/leadership.py
@@ -226,7 +226,7 @@
             shared.commit(agreed)
             self._news.notify()
             if not shared.is_voter:
-                shared.follow('', '')
+                shared.follow('')
 
     def _watch_quorum(self) -> None:
         """Steps down when no majority answers any more."""
@@ -239,7 +239,7 @@
                 continue
             if not self.has_quorum_since(oldest):
                 _LOG.warning('quorum lost', extra={'term': self._term})
-                shared.follow('', '')
+                shared.follow('')
 
 
 def _heard_at(peer: progress.Progress | None) -> float:
--- a/src/mulberryquay/coordination/replication/messages.py
+++ b/src/mulberryquay/coordination/replication/messages.py
@@ -33,7 +33,6 @@
 
     follower: str
     leader: str
-    leader_address: str
     term: int
     previous_index: int
     previous_term: int
@@ -57,7 +56,6 @@
 
     follower: str
     leader: str
-    leader_address: str
     term: int
     position: int
     position_term: int
--- a/src/mulberryquay/coordination/replication/progress.py
+++ b/src/mulberryquay/coordination/replication/progress.py
@@ -46,7 +46,6 @@
     return messages.AppendRequest(
         peer.identity,
         shared.identity,
-        shared.address,
         term,
         previous,
         shared.log.term_at(previous),
@@ -64,7 +63,6 @@
     return messages.SnapshotRequest(
         peer.identity,
         shared.identity,
-        shared.address,
         term,
         snapshot.position,
         snapshot.position_term,
--- a/src/mulberryquay/coordination/replication/replica.py
+++ b/src/mulberryquay/coordination/replication/replica.py
@@ -133,7 +133,7 @@
 
     def stop(self) -> None:
         """Ends all tasks without a word to the others."""
-        self._state.follow('', '')
+        self._state.follow('')
         gevent.killall(self._tasks)
         self._state.disk.close()
 
--- a/src/mulberryquay/coordination/replication/state.py
+++ b/src/mulberryquay/coordination/replication/state.py
@@ -32,6 +32,11 @@
     code = 'replica-diverged'
 
 
+def address_of(identity: str) -> str:
+    """Returns where the replica of an identity is called."""
+    return identity.rpartition('/')[0]
+
+
 class StateMachine(typing.Protocol):
     """What the records change; its methods must not yield."""
 
@@ -119,14 +124,14 @@
         """Enters a later term as a follower without a vote."""
         self.term = term
         self.voted_for = ''
-        self.follow('', '')
+        self.follow('')
 
-    def follow(self, leader: str, address: str) -> None:
+    def follow(self, leader: str) -> None:
         """Takes the role of a follower; ``leader`` may be unknown."""
         is_change = self.is_leader or leader != self.leader
         self.is_leader = False
         self.leader = leader
-        self.leader_address = address
+        self.leader_address = address_of(leader)
         if is_change:
             _LOG.info(
                 'following',
--- a/src/mulberryquay/entry/control_hosts.py
+++ b/src/mulberryquay/entry/control_hosts.py
@@ -66,11 +66,6 @@
         Empty if there is none. Hosts in another failure domain than those
         that are taken go first, then near ones.
         """
-        domains = {
-            self._told[address].domain
-            for address in taken
-            if address in self._told
-        }
         candidates = [
             address for address in self.addresses if address not in taken
         ]
@@ -78,21 +73,41 @@
             return ''
         return min(
             candidates,
-            key=lambda address: self._rank(address, domains),
+            key=lambda address: self._rank(address, taken),
         )
 
-    def _rank(
+    def is_best(self, address: str, taken: typing.Collection[str]) -> bool:
+        """Whether no other host is nearer, or apart from ``taken``."""
+        own = self._place(address, taken)
+        return all(
+            self._place(other, taken) >= own
+            for other in self._told
+            if other not in taken
+            and self._avoided.get(other, 0) <= self._clock.now()
+        )
+
+    def _place(
         self,
         address: str,
-        domains: typing.Collection[str],
-    ) -> tuple[bool, bool, int, float]:
+        taken: typing.Collection[str],
+    ) -> tuple[bool, int]:
+        """Returns whether it shares a domain, and the distance."""
         host = self._told.get(address, ControlHost(address))
+        domains = {
+            self._told[other].domain for other in taken if other in self._told
+        }
         distance = 2
         if host.region == self._region:
             distance = int(host.domain != self._domain)
+        return bool(host.domain) and host.domain in domains, distance
+
+    def _rank(
+        self,
+        address: str,
+        taken: typing.Collection[str],
+    ) -> tuple[bool, tuple[bool, int], float]:
         return (
             self._avoided.get(address, 0) > self._clock.now(),
-            bool(host.domain) and host.domain in domains,
-            distance,
+            self._place(address, taken),
             self._rng.random(),
         )
--- a/src/mulberryquay/entry/control_stream.py
+++ b/src/mulberryquay/entry/control_stream.py
@@ -18,7 +18,7 @@
 SILENCE_MS: typing.Final = 1200.0
 
 _TICK_MS: typing.Final = 50.0
-_RECONNECT_MS: typing.Final = 200.0
+_RECONNECT_MS: typing.Final = 100.0
 _CONNECT_MS: typing.Final = 600.0
 _MAX_UNANSWERED: typing.Final = 16
 _LOG: typing.Final = logging.getLogger(__name__)
@@ -45,6 +45,7 @@
         self._vouched_at = 0.0
         self._beat_at = 0.0
         self._confirmed = (0, 0)
+        self._is_moving = False
         #: Address of the host that is followed, empty while there is none.
         self.address = ''
 
@@ -89,7 +90,11 @@
                     )
                 finally:
                     self._disconnect()
-                self._knowledge.avoid_host(self.address)
+                self._knowledge.leave_host(
+                    self.address,
+                    is_useless=not self._is_moving,
+                )
+                self._is_moving = False
                 self.address = ''
             self._clock.sleep(_RECONNECT_MS)
 
@@ -162,6 +167,9 @@
                         extra={'host': self.address},
                     )
                     self._disconnect()
+                elif self._knowledge.should_move(self.address):
+                    self._is_moving = True
+                    self._disconnect()
                 elif self._is_beat_due(now):
                     self._beat(now)
             self._clock.sleep(_TICK_MS)
--- a/src/mulberryquay/entry/knowledge.py
+++ b/src/mulberryquay/entry/knowledge.py
@@ -13,6 +13,9 @@
     targets_view,
 )
 
+#: An entry leaves a host for a nearer one this often at the most.
+MOVE_MS: typing.Final = 1000.0
+
 _LOG: typing.Final = logging.getLogger(__name__)
 
 
@@ -31,6 +34,7 @@
         self.replica = config_replica.ConfigReplica(shared)
         self.targets = targets_view.TargetsView(shared.balancer.apply)
         self._lease_until = 0.0
+        self._moved_at = shared.clock.now()
         #: Hosts that are followed, in the order they were chosen.
         self._followed: list[str] = []
 
@@ -46,10 +50,28 @@
             self._followed.append(address)
         return address
 
-    def avoid_host(self, address: str) -> None:
+    def leave_host(self, address: str, *, is_useless: bool) -> None:
         """Takes the end of a host that was chosen."""
         self._followed.remove(address)
-        self.hosts.avoid(address)
+        if is_useless:
+            self.hosts.avoid(address)
+
+    def should_move(self, address: str) -> bool:
+        """Whether a host had better be left for a nearer one.
+
+        Only while another one is followed, and one at a time.
+        """
+        others = [other for other in self._followed if other != address]
+        if not others or not self._shared.is_fresh:
+            return False
+        now = self._shared.clock.now()
+        if now - self._moved_at < MOVE_MS or self.hosts.is_best(
+            address,
+            others,
+        ):
+            return False
+        self._moved_at = now
+        return True
 
     def end_stream(self, address: str, *, received: int, sent: int) -> None:
         """Counts the bytes of a stream that ended."""
--- a/src/mulberryquay/entry/policies/expected_time.py
+++ b/src/mulberryquay/entry/policies/expected_time.py
@@ -10,7 +10,7 @@
 
 #: Milliseconds that a call to another failure domain of the region, and to
 #: another region, has to win: its bytes are paid for and its way is longer.
-TIER_COST_MS: typing.Final = (0.0, 40.0, 400.0)
+TIER_COST_MS: typing.Final = (0.0, 80.0, 700.0)
 
 #: How long work takes while no answer has told it yet.
 _FIRST_WORK_MS: typing.Final = 200.0
@@ -27,7 +27,7 @@
 
 #: Above this share of busy slots a target's calls slow each other down.
 _KNEE: typing.Final = 0.8
-_KNEE_FACTOR: typing.Final = 1.5
+_KNEE_FACTOR: typing.Final = 1.6
 
 Candidates = typing.Sequence[targets.TargetState]
 
@@ -74,8 +74,9 @@
         load = target.load(now)
         if load > _KNEE:
             taken *= _KNEE_FACTOR
-        if load > 1:
-            taken += (load - 1) * work * slowness
+        waiting = load - 1
+        if waiting > 0:
+            taken += waiting * work * usual
         return taken + TIER_COST_MS[target.tier] + target.silence_ms
 
 
