Keep targets over a restart of control; let callers of shed requests come back soon

Cause: after all machines restart, control hosts know no target until it checks in again (up to 1.5 s), so entries refuse; a request that was shed or misdirected on all its tries was told to come back after 1 s, past its aim. Change: control hosts write the announced targets beside the log (synced, replaced whole, at most every 1.5 s) and read them back; Retry-After by reason (0.05 s where another target may take it at once); idempotent requests are also retried after a 500. Heartbeats 450 ms, election wait 1.1 to 1.7 s.

--- a/src/mulberryquay/control/cluster.py
+++ b/src/mulberryquay/control/cluster.py
@@ -19,6 +19,7 @@
     membership,
     orders,
     replicated_state,
+    target_cache,
 )
 from mulberryquay.coordination import (
     broadcast,
@@ -115,6 +116,11 @@
             time,
             self,
         )
+        self._cache = target_cache.TargetCache(
+            placement.data_folder,
+            self.targets,
+            time,
+        )
         self._broadcast = broadcast.Broadcast(self, self._network, time)
         self._server: rpc.Server | None = None
         self._published_lists: host_protocol.EntryLists | None = None
@@ -130,6 +136,7 @@
         self._server = rpc.Server(listener, host_protocol.WORDS, self._handle)
         self._server.start()
         self.replica.start()
+        self._cache.start()
         self._broadcast.start()
         self.reports.start()
         self.feed.start(feed_listener)
@@ -141,6 +148,7 @@
         if self._task is not None:
             self._task.kill()
         self.feed.stop()
+        self._cache.stop()
         self.reports.stop()
         self._broadcast.stop()
         self.replica.stop()
--- /dev/null
+++ b/src/mulberryquay/control/target_cache.py
@@ -0,0 +1,110 @@
+"""Keeps the announced targets over a restart of all control hosts.
+
+The targets announce themselves again within a heartbeat or two; until then
+entries that start would know of none. What a cache says may be out of date,
+which entries notice as they do of any target that has gone.
+"""
+
+from __future__ import annotations
+
+import logging
+import os
+import pathlib
+import typing
+
+import gevent
+import msgpack
+
+from mulberryquay import protocol
+from mulberryquay.control import directory
+from mulberryquay.coordination import clock, journal, units
+
+#: Changes are written this often at the most.
+WRITE_MS: typing.Final = 1500.0
+
+_NAME: typing.Final = 'targets'
+_LOG: typing.Final = logging.getLogger(__name__)
+
+
+@typing.final
+class TargetCache:
+    """One task that writes the targets when they have changed."""
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        targets: directory.Directory,
+        time: clock.Clock,
+        *,
+        file_system: journal.FileSystem | None = None,
+    ) -> None:
+        """Writes into ``folder``, which a journal holds."""
+        self._path = folder / _NAME / 'rows'
+        self._targets = targets
+        self._clock = time
+        self._file_system = file_system or journal.FileSystem()
+        self._task: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Gives back what was written and begins to write."""
+        self.load()
+        self._task = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Ends the task."""
+        if self._task is not None:
+            self._task.kill()
+
+    def load(self) -> None:
+        """Announces the targets that were written before a restart."""
+        try:
+            rows = msgpack.unpackb(self._path.read_bytes())
+            known = [protocol.TargetRow(*row) for row in rows]
+        except FileNotFoundError:
+            return
+        except (OSError, ValueError, TypeError) as error:
+            _LOG.warning('targets not read', extra={'cause': str(error)})
+            return
+        for row in known:
+            self._targets.learn(row)
+
+    def write(self) -> None:
+        """Writes all targets and syncs them; raises OSError."""
+        rows = [list(row) for row in self._targets.list_targets()]
+        body: bytes = msgpack.packb(rows)
+        self._file_system.run(lambda: self._replace(body))
+
+    def _run(self) -> None:
+        written = self._targets.changes.revision
+        while True:
+            self._clock.sleep(WRITE_MS)
+            revision = self._targets.changes.revision
+            if revision == written:
+                continue
+            try:
+                self.write()
+            except OSError as error:
+                _LOG.warning('targets not kept', extra={'cause': str(error)})
+                continue
+            written = revision
+
+    def _replace(self, body: bytes) -> None:
+        folder = self._path.parent
+        folder.mkdir(exist_ok=True)
+        partial = folder / 'rows.partial'
+        descriptor = os.open(
+            partial,
+            os.O_WRONLY | os.O_CREAT | os.O_TRUNC,
+            units.PRIVATE_FILE_MODE,
+        )
+        try:
+            self._file_system.write(descriptor, body)
+            self._file_system.sync(descriptor)
+        finally:
+            os.close(descriptor)
+        partial.rename(self._path)
+        opened = os.open(folder, os.O_RDONLY)
+        try:
+            self._file_system.sync(opened)
+        finally:
+            os.close(opened)
--- a/src/mulberryquay/coordination/replication/timing.py
+++ b/src/mulberryquay/coordination/replication/timing.py
@@ -5,12 +5,12 @@
 import typing
 
 #: The leader is heard at least this often.
-HEARTBEAT_MS: typing.Final = 350.0
+HEARTBEAT_MS: typing.Final = 450.0
 
 #: A follower that hears no leader for this long, drawn anew each time, asks
 #: for votes. Several heartbeats, and a few round trips between regions, fit.
-ELECTION_MIN_MS: typing.Final = 900.0
-ELECTION_MAX_MS: typing.Final = 1500.0
+ELECTION_MIN_MS: typing.Final = 1100.0
+ELECTION_MAX_MS: typing.Final = 1700.0
 
 #: After a start nobody was heard yet, so the first wait is shorter.
 FIRST_ELECTION_MIN_MS: typing.Final = 60.0
@@ -18,7 +18,7 @@
 
 #: A leader that no majority answered for this long steps down. Shorter than
 #: the shortest election wait, so two leaders are rarely active at once.
-QUORUM_LOSS_MS: typing.Final = 880.0
+QUORUM_LOSS_MS: typing.Final = 1050.0
 
 #: A call between replicas without an answer for this long has failed. It
 #: leaves room for a slow sync of a disk.
--- a/src/mulberryquay/entry/forwarder.py
+++ b/src/mulberryquay/entry/forwarder.py
@@ -190,9 +190,7 @@
         outgoing = self._call.outgoing
         is_idempotent = self._call.demand.service_class.idempotent
         match ended:
-            case outcomes.Received(head) if (
-                head.status not in outcomes.UNAVAILABLE
-            ):
+            case outcomes.Received(head) if head.status not in outcomes.RETRIED:
                 return False
             case outcomes.Received(head):
                 is_resendable = is_idempotent and outgoing.rest is None
--- a/src/mulberryquay/entry/outcomes.py
+++ b/src/mulberryquay/entry/outcomes.py
@@ -17,6 +17,10 @@
 UNAVAILABLE: typing.Final = frozenset((502, 503, 504))
 
 
+#: Statuses after which an idempotent request goes to another target.
+RETRIED: typing.Final = UNAVAILABLE | frozenset((500,))
+
+
 class Outcome(enum.Enum):
     """What an answer says of the request; sent as a header."""
 
@@ -107,6 +111,18 @@
 )
 
 
+#: Seconds after which a caller had better come back, where it is not one:
+#: another target may take the request at once.
+_RETRY_AFTER_S: typing.Final = {
+    Reason.CONNECT_FAILED: 0.05,
+    Reason.CONNECTION_BUDGET: 0.05,
+    Reason.TARGET_SHED: 0.05,
+    Reason.MISDIRECTED: 0.05,
+    Reason.QUEUE_TIMEOUT: 0.2,
+    Reason.OVERLOADED: 0.2,
+}
+
+
 class RefusedError(errors.MulberryquayError):
     """The entry answers a request itself, with an outcome and a reason."""
 
@@ -120,15 +136,19 @@
         *,
         status: int = 0,
         headers: http_heads.Headers | None = None,
-        retry_after_s: float = 1,
+        retry_after_s: float = 0,
     ) -> None:
-        """A ``status`` of 0 takes the one that belongs to the reason."""
+        """A ``status`` of 0 takes the one that belongs to the reason.
+
+        So does a ``retry_after_s`` of 0.
+        """
         super().__init__(message)
         self.outcome = outcome
         self.reason = reason
         self.status = status or _status_of(outcome, reason)
         self.headers = list(headers or ())
         if reason in _PASSING:
+            retry_after_s = retry_after_s or _RETRY_AFTER_S.get(reason, 1)
             self.headers.append((b'retry-after', b'%g' % retry_after_s))
 
 
