Count late answers of a target against it for a while

Change: a target whose newest answers took over twice the usual time is expected to be that much slower, forgotten within seconds.

--- a/src/mulberryquay/entry/policies/expected_time.py
+++ b/src/mulberryquay/entry/policies/expected_time.py
@@ -46,10 +46,11 @@
 
     def choose(self, candidates: Candidates, now: float) -> targets.TargetState:
         """Returns the target with the least expected time."""
-        work = _usual_work(candidates) / max(1.0, self._usual)
+        usual = _usual_work(candidates)
+        work = usual / max(1.0, self._usual)
         scored = [
             (
-                self._expect(target, work, now),
+                self._expect(target, work, now) * target.drag(usual, now),
                 self._rng.random(),
                 target,
             )
--- a/src/mulberryquay/entry/targets.py
+++ b/src/mulberryquay/entry/targets.py
@@ -24,6 +24,14 @@
 _SILENCE_MS: typing.Final = 8.0
 _SILENCE_WEIGHT: typing.Final = 4.0
 
+#: Answers that take this many times the usual time, as an average of the
+#: newest few, are a drag; noise of neighbours alone stays below it mostly.
+_DRAG_FLOOR: typing.Final = 2.0
+_MAX_DRAG: typing.Final = 4.0
+
+#: Without answers, a drag is forgotten to 1/e after this long.
+_DRAG_DECAY_MS: typing.Final = 3000.0
+
 #: Weight of the newest answer in the fast and the slow latency average.
 _FAST_WEIGHT: typing.Final = 0.3
 _SLOW_WEIGHT: typing.Final = 0.02
@@ -45,6 +53,7 @@
     """One target with this entry's own observations."""
 
     __slots__ = (
+        '_answered_at',
         '_asked_at',
         '_clock',
         '_failures',
@@ -121,6 +130,7 @@
         self._reported_at = float('-inf')
         self._slowness = 1.0
         self._asked_at = 0.0
+        self._answered_at = 0.0
 
     @property
     def latency_ms(self) -> float:
@@ -181,6 +191,14 @@
         """Takes for how long the target stays cold, in ms."""
         self.cold_until = self._clock.now() + remaining
 
+    def drag(self, usual: float, now: float) -> float:
+        """Returns by how much its answers take longer than usual of late."""
+        if not usual or self._fast_ms <= usual * _DRAG_FLOOR:
+            return 1
+        age = now - self._answered_at
+        excess = self._fast_ms / (usual * _DRAG_FLOOR) - 1
+        return 1 + min(excess, _MAX_DRAG) * math.exp(-age / _DRAG_DECAY_MS)
+
     def freshness(self, now: float) -> float:
         """Returns how much the last report still says, 1 for all."""
         return math.exp((self._reported_at - now) / SLOWNESS_DECAY_MS)
@@ -268,6 +286,7 @@
             self.record_report(report, age=0)
 
     def _average(self, latency: float) -> None:
+        self._answered_at = self._clock.now()
         if not self._slow_ms:
             self._fast_ms = latency
             self._slow_ms = latency
--- a/testing/entry/test_expected_time.py
+++ b/testing/entry/test_expected_time.py
@@ -99,6 +99,23 @@
     CASE.assertTrue(busy.has_room)
 
 
+def test_target_whose_answers_came_late_is_avoided_for_a_while() -> None:
+    """Its host may be slow without saying so."""
+    time = clock.ManualClock(start=1000)
+    near = _target(time, 'near')
+    others = [_target(time, f'other-{number}', tier=1) for number in range(3)]
+    for known in (near, *others):
+        known.record_answer(100, reported=None)
+    for _ in range(8):
+        near.record_timeout(1500)
+    near.suspended_until = 0
+    for known in (near, *others):
+        known.record_report(dialect.LoadReport(0, 0, 1), age=0)
+    CASE.assertNotEqual(_chosen(time, near, *others), 'near')
+    time.advance(15_000)
+    CASE.assertEqual(_chosen(time, near, *others), 'near')
+
+
 class _Asking:
     """Answers questions at once and counts them."""
 
