--- a/src/mulberryquay/commands/reference.py
+++ b/src/mulberryquay/commands/reference.py
@@ -8,7 +8,7 @@
 
 from mulberryquay import metrics, settings
 from mulberryquay.commands import command
-from mulberryquay.control import api, directory
+from mulberryquay.control import announcements, api
 from mulberryquay.control import daemon as control_daemon
 from mulberryquay.coordination import schema
 from mulberryquay.entry import outcomes
@@ -98,7 +98,7 @@
         fields = kernel.resource_kinds.get(name)
         lines += ['', f'## {name}', '', *_field_rows(fields)]
     lines += ['', '## Announcement of a target', '']
-    lines += _field_rows(directory.ANNOUNCEMENT_FIELDS)
+    lines += _field_rows(announcements.ANNOUNCEMENT_FIELDS)
     return '\n'.join(lines) + '\n'
 
 
--- a/src/mulberryquay/control/directory.py
+++ b/src/mulberryquay/control/directory.py
@@ -2,19 +2,11 @@
 
 from __future__ import annotations
 
-import ipaddress
 import typing
 
 from mulberryquay import protocol
-from mulberryquay.control import endings, host_protocol
-from mulberryquay.coordination import (
-    allowance,
-    clock,
-    errors,
-    history,
-    schema,
-    units,
-)
+from mulberryquay.control import announcements, endings, host_protocol
+from mulberryquay.coordination import allowance, clock, errors, history
 
 #: A target that has not renewed for this long is removed. Entries notice a
 #: target that crashed at their next call, and one that leaves says so, so the
@@ -27,28 +19,6 @@
 #: A smaller change of the time for which a target stays cold is no news.
 _COLD_STEP_MS: typing.Final = 700
 
-_MAX_SLOTS: typing.Final = 10_000
-_MAX_CONNECTIONS: typing.Final = 1_000_000
-_MAX_PORT: typing.Final = 65535
-_MAX_STATUS: typing.Final = 599
-
-#: The ``cold_ms`` of a target that does not know whether it is cold.
-UNTOLD: typing.Final = -1
-
-ANNOUNCEMENT_FIELDS: typing.Final[schema.Fields] = {
-    'name': schema.Text(required=True),
-    'service': schema.Text(required=True),
-    'address': schema.Text(required=True),
-    'region': schema.Text(required=True),
-    'domain': schema.Text(required=True),
-    'slots': schema.Integer(1, _MAX_SLOTS, required=True),
-    'connections': schema.Integer(1, _MAX_CONNECTIONS, required=True),
-    'incarnation': schema.Integer(1, units.MAX_INT64, required=True),
-    'shed_status': schema.Integer(0, _MAX_STATUS, default=0),
-    'sequence': schema.Integer(0, units.MAX_INT64, default=0),
-    'cold_ms': schema.Integer(-1, units.HOUR_MS, default=UNTOLD),
-}
-
 
 @typing.final
 class UnknownTargetError(errors.NotFoundError):
@@ -155,7 +125,7 @@
         A higher incarnation than before means a restart, so the target is
         cold. Raises InvalidResourceError and StaleIncarnationError.
         """
-        row = _parse_announcement(announcement)
+        row = announcements.parse(announcement)
         known = self._targets.get(row.name)
         if known is not None and row.incarnation < known.row.incarnation:
             raise _stale(row.name, row.incarnation, known.row.incarnation)
@@ -178,7 +148,10 @@
             return
         self._take(row)
         known = self._targets[row.name]
-        if row.cold_ms == UNTOLD and row.allowance > known.growth.current:
+        if (
+            row.cold_ms == announcements.UNTOLD
+            and row.allowance > known.growth.current
+        ):
             known.growth.restore(row.allowance, is_warm=row.is_warm)
             self._update_allowance(known)
 
@@ -260,7 +233,7 @@
     def record_served(self, name: str, answers: int) -> None:
         """Grows a target's allowance by good answers."""
         known = self._targets.get(name)
-        if known is None or known.row.cold_ms != UNTOLD:
+        if known is None or known.row.cold_ms != announcements.UNTOLD:
             return
         if known.growth.record_served(answers):
             self._update_allowance(known)
@@ -270,13 +243,16 @@
         known = self._targets.get(name)
         if known is None or known.row.incarnation != incarnation:
             return
-        if known.row.cold_ms == UNTOLD and known.growth.record_shed():
+        if (
+            known.row.cold_ms == announcements.UNTOLD
+            and known.growth.record_shed()
+        ):
             self._update_allowance(known)
 
     def reset_domain(self, domain: str) -> None:
         """Makes the targets of a domain cold, for when it comes back."""
         for known in self._targets.values():
-            is_told = known.row.cold_ms != UNTOLD
+            is_told = known.row.cold_ms != announcements.UNTOLD
             if is_told or known.row.domain != domain:
                 continue
             if known.growth.reset_cold():
@@ -339,7 +315,7 @@
         return is_changed
 
     def _add(self, row: protocol.TargetRow, reason: str) -> None:
-        is_cold = row.cold_ms == UNTOLD
+        is_cold = row.cold_ms == announcements.UNTOLD
         growth = allowance.Allowance(slots=row.slots, cold=is_cold)
         hint = self._hints.pop(row.name, None)
         if hint and is_cold and hint.incarnation == row.incarnation:
@@ -397,37 +373,5 @@
     )
 
 
-def _parse_announcement(announcement: typing.Any) -> protocol.TargetRow:
-    spec = schema.check_spec(
-        announcement,
-        ANNOUNCEMENT_FIELDS,
-        what='announcement',
-    )
-    for field in ('name', 'service', 'region', 'domain'):
-        schema.check_name(spec[field], what=f'announcement.{field}')
-    _check_address(spec['address'])
-    shed_status = spec.pop('shed_status')
-    return protocol.TargetRow(
-        **spec,
-        allowance=allowance.FIRST_ALLOWANCE,
-        is_warm=False,
-        is_leaving=False,
-        shed_statuses=[shed_status] if shed_status else [],
-    )
-
-
-def _check_address(address: str) -> None:
-    host, _, port = address.rpartition(':')
-    try:
-        ipaddress.ip_address(host.strip('[]'))
-    except ValueError:
-        port = ''
-    if not port.isdecimal() or not 0 < int(port) <= _MAX_PORT:
-        raise schema.InvalidResourceError(
-            f'announcement.address: got {address!r}, expected an IP number '
-            'and a port such as 10.0.0.7:8080',
-        )
-
-
 def _ignore(_news: tuple[typing.Any, ...]) -> None:
     """There is no other control host."""
--- a/src/mulberryquay/control/feed.py
+++ b/src/mulberryquay/control/feed.py
@@ -11,7 +11,7 @@
 from mulberryquay import protocol
 from mulberryquay.control import (
     directory,
-    entry_reports,
+    feed_messages,
     host_protocol,
     kinds,
     membership,
@@ -47,30 +47,6 @@
 _LOG: typing.Final = logging.getLogger(__name__)
 
 
-class Surroundings(typing.Protocol):
-    """The other control hosts, as the feed needs them."""
-
-    @property
-    def is_in_touch(self) -> bool:
-        """Whether this host hears of every change that a majority has."""
-
-    @property
-    def reports(self) -> entry_reports.EntryReports:
-        """Tells the leader of the entries that follow this host."""
-
-    def wait_for_newest(self) -> None:
-        """Returns once this host has all that was acknowledged before.
-
-        Raises NoQuorumError.
-        """
-
-    def list_hosts(self) -> list[list[str]]:
-        """Returns address, region and domain of each host's feed."""
-
-    def publish(self, message: tuple[typing.Any, ...]) -> None:
-        """Tells all other control hosts."""
-
-
 @typing.final
 class Feed:
     """Accepts the streams of entries; one reader and writer task each."""
@@ -81,7 +57,7 @@
         targets: directory.Directory,
         entries: membership.Membership,
         time: clock.Clock,
-        surroundings: Surroundings,
+        surroundings: feed_messages.Surroundings,
     ) -> None:
         """Serves the given state; call `start` to accept entries."""
         self._store = resources
@@ -195,10 +171,12 @@
                 is_complete=not self._directory.is_relearning,
             ),
         )
-        outbound.put_nowait(_committed_message(self._membership.committed))
+        outbound.put_nowait(
+            feed_messages.entries_committed(self._membership.committed)
+        )
         pending = self._membership.pending
         if pending is not None:
-            outbound.put_nowait(_proposed_message(pending))
+            outbound.put_nowait(feed_messages.entries_proposed(pending))
         outbound.put_nowait(self._peers_message())
 
     def _enqueue_config(self, outbound: queue.Queue) -> None:
@@ -321,14 +299,14 @@
         if pending is not None and pending != self._sent_pending:
             self._sent_pending = pending
             self._broadcast(
-                _proposed_message(pending),
+                feed_messages.entries_proposed(pending),
             )
             self._broadcast(self._peers_message())
         committed = self._membership.committed
         if committed != self._sent_committed:
             self._sent_committed = committed
             self._broadcast(
-                _committed_message(committed),
+                feed_messages.entries_committed(committed),
             )
 
     def _peers_message(self) -> protocol.PeersChanged:
@@ -368,7 +346,7 @@
             sent += len(changes)
             newest = {change.target.name: change for change in changes}
             if newest:
-                self._broadcast(_target_message(newest.values()))
+                self._broadcast(feed_messages.targets_changed(newest.values()))
 
     def _expire(self) -> None:
         was_relearning = self._directory.is_relearning
@@ -401,24 +379,3 @@
         self._broadcast(
             protocol.TargetsChanged(rows, [], is_complete=True),
         )
-
-
-def _target_message(
-    changes: typing.Iterable[directory.TargetChange],
-) -> protocol.TargetsChanged:
-    changed = []
-    removed = []
-    for change in changes:
-        if change.is_removed:
-            removed.append(change.target.name)
-        else:
-            changed.append(list(change.target))
-    return protocol.TargetsChanged(changed, removed, is_complete=False)
-
-
-def _proposed_message(entries: shares.EntryList) -> protocol.EntriesProposed:
-    return protocol.EntriesProposed(entries.epoch, list(entries.members))
-
-
-def _committed_message(entries: shares.EntryList) -> protocol.EntriesCommitted:
-    return protocol.EntriesCommitted(entries.epoch, list(entries.members))
