--- /dev/null
+++ b/testing/control/test_group.py
@@ -0,0 +1,173 @@
+"""Tests of several control hosts in one group."""
+
+from __future__ import annotations
+
+import contextlib
+import functools
+import itertools
+import os
+import pathlib
+import typing
+import unittest
+
+import gevent
+from gevent import socket
+
+from mulberryquay import settings
+from mulberryquay.control import daemon as control_daemon
+from mulberryquay.coordination import errors
+from testing import fixtures
+
+CASE: typing.Final = unittest.TestCase()
+
+_GOOD_TARGET: typing.Final = {
+    'name': 't',
+    'service': 'stock',
+    'address': '127.0.0.1:80',
+    'region': 'north',
+    'domain': 'north-1',
+    'slots': 2,
+    'connections': 10,
+    'incarnation': 5,
+}
+
+
+#: Below the ports that the kernel gives to outgoing connections.
+_PORTS: typing.Final = itertools.count(20_000 + os.getpid() % 1000 * 10)
+
+
+def _free_port() -> int:
+    for port in _PORTS:
+        with contextlib.closing(socket.socket()) as probe:
+            try:
+                probe.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+            return port
+    raise AssertionError('no port is free')
+
+
+def _start(
+    folder: pathlib.Path,
+    port: int,
+    hosts: typing.Sequence[int],
+    *,
+    found: bool = True,
+) -> fixtures.Control:
+    values = settings.complete(
+        control_daemon.SETTINGS,
+        {
+            'data_folder': str(folder / str(port)),
+            'api_listen': '127.0.0.1:0',
+            'feed_listen': '127.0.0.1:0',
+            'host_listen': f'127.0.0.1:{port}',
+            'hosts': ','.join(f'127.0.0.1:{host}' for host in hosts),
+            'found': found,
+        },
+    )
+    daemon = control_daemon.ControlDaemon(values, fixtures.KERNEL)
+    daemon.start()
+    return fixtures.Control(daemon)
+
+
+@contextlib.contextmanager
+def _group() -> typing.Iterator[list[fixtures.Control]]:
+    with fixtures.folder() as folder:
+        ports = [_free_port() for _ in range(3)]
+        hosts = [_start(folder, port, ports) for port in ports]
+        try:
+            fixtures.wait_until(lambda: _leader_of(hosts))
+            yield hosts
+        finally:
+            for host in hosts:
+                host.daemon.stop()
+
+
+def _leader_of(hosts: list[fixtures.Control]) -> fixtures.Control | None:
+    for host in hosts:
+        if host.daemon.cluster.replica.is_settled:
+            return host
+    return None
+
+
+def _is_leaving(host: fixtures.Control) -> bool:
+    return host.daemon.targets.get('t').is_leaving
+
+
+def _put(host: fixtures.Control, name: str) -> None:
+    """Declares a service, again after a refusal, as operators do."""
+    while True:
+        try:
+            host.put('services', name)
+        except errors.MulberryquayError:
+            gevent.sleep(0.05)
+        else:
+            return
+
+
+def test_order_sent_to_any_host_is_read_at_every_other() -> None:
+    """A read shows all that was acknowledged before it."""
+    with _group() as hosts:
+        for number, host in enumerate(hosts):
+            _put(host, f'service-{number}')
+            for reader in hosts:
+                listed = reader.client.call('GET', '/v1/services')
+                names = {item['name'] for item in listed['items']}
+                CASE.assertIn(f'service-{number}', names)
+
+
+def test_equal_versions_at_two_hosts_have_one_winner() -> None:
+    """And all hosts agree on which."""
+    with _group() as hosts:
+        tries = [
+            gevent.spawn(host.put, 'services', 's', max_queue=number)
+            for number, host in enumerate(hosts)
+        ]
+        gevent.joinall(tries)
+        CASE.assertEqual(sum(one.successful() for one in tries), 1)
+        seen = [
+            host.client.call('GET', '/v1/services/s')['spec']['max_queue']
+            for host in hosts
+        ]
+        CASE.assertEqual(len(set(seen)), 1)
+
+
+def test_targets_are_told_to_all_hosts_and_their_ends_agreed() -> None:
+    """Whichever host a target calls."""
+    with _group() as hosts:
+        path = '/v1/announcements'
+        hosts[0].client.call('POST', path, _GOOD_TARGET)
+        for host in hosts:
+            fixtures.wait_until(host.daemon.targets.list_targets)
+        hosts[1].client.call('DELETE', f'{path}/t?incarnation=5')
+        for host in hosts:
+            fixtures.wait_until(functools.partial(_is_leaving, host))
+
+
+def test_entry_serves_on_while_the_leader_stops() -> None:
+    """It follows two hosts, and the others elect a leader."""
+    with _group() as hosts:
+        with fixtures.entry(hosts[0]) as entry:
+            link = entry.state.balancer
+            hosts[0].client.call('POST', '/v1/announcements', _GOOD_TARGET)
+            fixtures.wait_until(lambda: link.all_targets)
+            leader = _leader_of(hosts)
+            assert leader is not None
+            hosts.remove(leader)
+            leader.daemon.stop()
+            _put(hosts[0], 'later')
+            fixtures.wait_until(lambda: 'later' in entry.state.table.services)
+            CASE.assertTrue(link.all_targets)
+
+
+def test_host_that_is_added_becomes_a_voter() -> None:
+    """It joins through the hosts that it is told of."""
+    with _group() as hosts, fixtures.folder() as folder:
+        members = hosts[0].daemon.cluster.replica.members
+        known = [
+            int(address.rpartition(':')[-1]) for address in members.values()
+        ]
+        hosts.append(_start(folder, _free_port(), known, found=False))
+        replica = hosts[-1].daemon.cluster.replica
+        fixtures.wait_until(lambda: replica.identity in replica.members)
+        CASE.assertEqual(len(replica.members), 4)
--- /dev/null
+++ b/testing/entry/test_routing.py
@@ -0,0 +1,92 @@
+"""Tests of routes by host and of splits."""
+
+from __future__ import annotations
+
+import collections
+import typing
+import unittest
+
+from mulberryquay.control import kinds
+from mulberryquay.coordination import schema, store
+from mulberryquay.entry import outcomes, routing, splits
+from testing import fixtures
+
+CASE: typing.Final = unittest.TestCase()
+
+
+def _table(
+    *routes: tuple[str, dict[str, typing.Any]],
+) -> routing.RoutingTable:
+    resources: routing.Keyed = {}
+    specs: list[tuple[str, str, dict[str, typing.Any]]] = [
+        (kinds.SERVICE, 'a', {'timeout_ms': 700}),
+        (kinds.SERVICE, 'b', {}),
+        *((kinds.ROUTE, name, spec) for name, spec in routes),
+    ]
+    for kind, name, spec in specs:
+        fields = fixtures.KERNEL.resource_kinds.get(kind)
+        checked = schema.check_spec(spec, fields, what=kind)
+        resources[kind, name] = store.Resource(kind, name, 1, checked, 1)
+    return routing.RoutingTable(resources)
+
+
+def test_route_of_the_host_goes_before_one_of_any_host() -> None:
+    """Ports and case of the Host header do not count."""
+    table = _table(
+        ('any', {'path_prefix': '/x/', 'service': 'a'}),
+        ('own', {'host': 'Shop.example', 'path_prefix': '/', 'service': 'b'}),
+    )
+    CASE.assertEqual(table.find_route(b'/x/1').name, 'any')
+    CASE.assertEqual(
+        table.find_route(b'/x/1', b'shop.example:80').name,
+        'own',
+    )
+    CASE.assertEqual(table.find_route(b'/x/1', b'other.example').name, 'any')
+    with CASE.assertRaises(outcomes.RefusedError):
+        table.find_route(b'/y', b'other.example')
+
+
+def test_longest_prefix_of_whole_segments_wins() -> None:
+    """The query does not count."""
+    table = _table(
+        ('short', {'path_prefix': '/x/', 'service': 'a'}),
+        ('long', {'path_prefix': '/x/y/', 'service': 'a'}),
+    )
+    CASE.assertEqual(table.find_route(b'/x/y/1?a=/z').name, 'long')
+    CASE.assertEqual(table.find_route(b'/x/yy/1').name, 'short')
+
+
+def test_limits_of_a_route_go_before_those_of_its_service() -> None:
+    """Without its own, the service's and the class's hold."""
+    table = _table(
+        ('plain', {'path_prefix': '/a/', 'service': 'a'}),
+        (
+            'own',
+            {
+                'path_prefix': '/b/',
+                'service': 'a',
+                'timeout_ms': 90,
+                'max_attempts': 7,
+            },
+        ),
+    )
+    CASE.assertEqual(table.find_route(b'/a/').timeout_ms, 700)
+    CASE.assertEqual(table.find_route(b'/b/').timeout_ms, 90)
+    CASE.assertEqual(table.find_route(b'/b/').max_attempts, 7)
+
+
+def test_split_keeps_to_its_weights() -> None:
+    """In every run of ten, and nothing goes to a weight of 0."""
+    table = _table(
+        ('split', {'path_prefix': '/', 'split': {'a': 90, 'b': 10}}),
+        ('none', {'path_prefix': '/n/', 'split': {'a': 1, 'b': 0}}),
+    )
+    parting = splits.Splits()
+    route = table.find_route(b'/x')
+    for _ in range(5):
+        counted = collections.Counter(
+            parting.choose(route).name for _ in range(10)
+        )
+        CASE.assertEqual(counted, {'a': 9, 'b': 1})
+    route = table.find_route(b'/n/x')
+    CASE.assertEqual({parting.choose(route).name for _ in range(9)}, {'a'})
