Catch signals before the first line is printed

Ruled out: load as such; the order in the code is the cause. Change: handlers are installed first. A test that checks the order fails before (said, caught) and passes after, without timing. Conclusion: fixed.

--- a/src/mulberryquay/commands/command.py
+++ b/src/mulberryquay/commands/command.py
@@ -26,12 +26,17 @@
     run: Run
 
 
-def wait_for_stop() -> None:
-    """Returns when the process gets SIGTERM or SIGINT."""
+def catch_stop() -> event.Event:
+    """Returns an event that is set by SIGTERM and SIGINT from now on."""
     stopping = event.Event()
     gevent.signal_handler(signal.SIGTERM, stopping.set)
     gevent.signal_handler(signal.SIGINT, stopping.set)
-    stopping.wait()
+    return stopping
+
+
+def wait_for_stop() -> None:
+    """Returns when the process gets SIGTERM or SIGINT."""
+    catch_stop().wait()
 
 
 def say(line: str) -> None:
--- a/src/mulberryquay/commands/daemons.py
+++ b/src/mulberryquay/commands/daemons.py
@@ -70,7 +70,7 @@
     logs.configure(level=values['log_level'], role='control')
     daemon = control_daemon.ControlDaemon(values, kernel)
     ports = f'api port {daemon.api_port}, feed port {daemon.feed_port}'
-    return _run_until_signal(daemon, ports)
+    return run_until_signal(daemon, ports)
 
 
 def run_entry(
@@ -82,7 +82,7 @@
     logs.configure(level=values['log_level'], role='entry')
     daemon = entry_daemon.EntryDaemon(values, kernel)
     ports = f'port {daemon.port}, admin port {daemon.admin_port}'
-    return _run_until_signal(daemon, ports)
+    return run_until_signal(daemon, ports)
 
 
 def run_ledger(
@@ -94,14 +94,17 @@
     logs.configure(level=values['log_level'], role='ledger')
     daemon = ledger_daemon.LedgerDaemon(values)
     ports = f'port {daemon.port}, admin port {daemon.admin_port}'
-    return _run_until_signal(daemon, ports)
+    return run_until_signal(daemon, ports)
 
 
-def _run_until_signal(daemon: Daemon, ports: str) -> int:
+def run_until_signal(daemon: Daemon, ports: str) -> int:
+    """Runs a daemon, tells its ports, and stops it on a signal."""
+    # A signal may come as soon as the ports are told.
+    stopping = command.catch_stop()
     daemon.start()
     command.say(ports)
     runner.freeze_start_objects()
-    command.wait_for_stop()
+    stopping.wait()
     daemon.stop()
     return 0
 
--- a/src/mulberryquay/commands/showcase.py
+++ b/src/mulberryquay/commands/showcase.py
@@ -84,13 +84,14 @@
 ) -> int:
     """Runs the demo until a signal."""
     logs.configure(level=values['log_level'], role='demo')
+    stopping = command.catch_stop()
     with tempfile.TemporaryDirectory() as folder:
         control = _start_control(values, kernel, folder)
         entry = _start_entry(values, kernel, control.feed_port)
         announcers = _start_targets(control.api_port)
         runner.freeze_start_objects()
         _print_guide(entry.port, control.api_port)
-        command.wait_for_stop()
+        stopping.wait()
         command.say('stopping')
         for announcing in announcers:
             announcing.stop()
--- /dev/null
+++ b/testing/commands/test_daemons.py
@@ -0,0 +1,63 @@
+"""Tests of how long-running subcommands start and stop."""
+
+from __future__ import annotations
+
+import functools
+import typing
+import unittest
+from unittest import mock
+
+from gevent import event
+
+from mulberryquay import settings
+from mulberryquay.commands import command, daemons, showcase
+from testing import fixtures
+
+CASE: typing.Final = unittest.TestCase()
+
+
+class _Idle:
+    """A daemon that does nothing."""
+
+    def start(self) -> None:
+        """Begins nothing."""
+
+    def stop(self) -> None:
+        """Ends nothing."""
+
+
+def _order_of(run: typing.Callable[[], int]) -> list[str]:
+    """Returns whether signals were caught before or after the first line."""
+    order: list[str] = []
+    stopping = event.Event()
+    stopping.set()
+
+    def catch() -> event.Event:
+        order.append('caught')
+        return stopping
+
+    with (
+        mock.patch.object(command, 'catch_stop', catch),
+        mock.patch.object(command, 'say', lambda _: order.append('said')),
+        mock.patch('mulberryquay.logs.configure'),
+    ):
+        CASE.assertEqual(run(), 0)
+    return order[:2]
+
+
+def test_signal_that_comes_with_the_first_line_is_not_missed() -> None:
+    """Whoever reads the line may stop the process at once."""
+    run_idle = functools.partial(
+        daemons.run_until_signal,
+        _Idle(),
+        'ports',
+    )
+    CASE.assertEqual(_order_of(run_idle), ['caught', 'said'])
+    values = settings.complete(
+        showcase.SETTINGS,
+        {'listen': '127.0.0.1:0', 'api_listen': '127.0.0.1:0'},
+    )
+    CASE.assertEqual(
+        _order_of(lambda: showcase.run_demo(values, [], fixtures.KERNEL)),
+        ['caught', 'said'],
+    )
