--- a/Makefile
+++ b/Makefile
@@ -43,7 +43,8 @@
 		--constraint requirements.lock --quiet .
 
 soak: $(STAMP)
-	MULBERRYQUAY_SOAK=1 $(BIN)/python -m testing.run test_claims test_shares test_store
+	MULBERRYQUAY_SOAK=1 $(BIN)/python -m testing.run test_claims test_shares test_store \
+		test_search test_wire
 
 clean:
 	rm -rf .venv build dist .mypy_cache .ruff_cache
