Make one piece serve where reads, file replacement and addresses stood twice

Header sets were built anew for each caller's connection. MAX_LOAD, has_configuration, configuration_version and the entry's copy of callers' limits were used by nothing.

--- a/src/mulberryquay/commands/showcase.py
+++ b/src/mulberryquay/commands/showcase.py
@@ -106,14 +106,16 @@
     folder: str,
 ) -> control_daemon.ControlDaemon:
     control = control_daemon.ControlDaemon(
-        {
-            **settings.defaults(control_daemon.SETTINGS),
-            'data_folder': folder,
-            'api_listen': values['api_listen'],
-            'feed_listen': '127.0.0.1:0',
-            'host_listen': '127.0.0.1:0',
-            'target_lease_ms': 3000,
-        },
+        settings.complete(
+            control_daemon.SETTINGS,
+            {
+                'data_folder': folder,
+                'api_listen': values['api_listen'],
+                'feed_listen': '127.0.0.1:0',
+                'host_listen': '127.0.0.1:0',
+                'target_lease_ms': 3000,
+            },
+        ),
         kernel,
     )
     control.start()
@@ -136,19 +138,21 @@
     feed_port: int,
 ) -> entry_daemon.EntryDaemon:
     entry = entry_daemon.EntryDaemon(
-        {
-            **settings.defaults(entry_daemon.SETTINGS),
-            'name': 'entry-1',
-            'region': _REGION,
-            'domain': _DOMAINS[0],
-            'listen': values['listen'],
-            'admin_listen': '127.0.0.1:0',
-            'peer_listen': '127.0.0.1:0',
-            'control': f'127.0.0.1:{feed_port}',
-            'probe_bytes_s': units.MIB,
-            'drain_ms': _DRAIN_MS,
-            'stop_timeout_ms': _STOP_TIMEOUT_MS,
-        },
+        settings.complete(
+            entry_daemon.SETTINGS,
+            {
+                'name': 'entry-1',
+                'region': _REGION,
+                'domain': _DOMAINS[0],
+                'listen': values['listen'],
+                'admin_listen': '127.0.0.1:0',
+                'peer_listen': '127.0.0.1:0',
+                'control': f'127.0.0.1:{feed_port}',
+                'probe_bytes_s': units.MIB,
+                'drain_ms': _DRAIN_MS,
+                'stop_timeout_ms': _STOP_TIMEOUT_MS,
+            },
+        ),
         kernel,
     )
     entry.start()
--- a/src/mulberryquay/control/api.py
+++ b/src/mulberryquay/control/api.py
@@ -14,7 +14,6 @@
     directory,
     host_protocol,
     kinds,
-    orders,
 )
 from mulberryquay.coordination import errors, history, schema, store, units
 from mulberryquay.kernel import registry
@@ -121,7 +120,7 @@
                 },
             )
         self._kinds.get(kind)
-        self._wait_for_newest()
+        self._cluster.wait_for_newest()
         return web.to_json(
             {
                 'revision': self._store.revision,
@@ -136,7 +135,7 @@
         if kind == kinds.TARGET:
             return web.to_json(target_to_json(self._directory.get(name)))
         self._kinds.get(kind)
-        self._wait_for_newest()
+        self._cluster.wait_for_newest()
         return web.to_json(resource_to_json(self._store.get(kind, name)))
 
     def _put(self, kind: str, name: str) -> str:
@@ -158,7 +157,7 @@
         return web.to_json(resource_to_json(resource))
 
     def _get_configuration(self) -> str:
-        self._wait_for_newest()
+        self._cluster.wait_for_newest()
         held = self._store.configuration
         if not held.version:
             raise errors.NotFoundError('no whole configuration was put yet')
@@ -169,10 +168,6 @@
             },
         )
 
-    def _wait_for_newest(self) -> None:
-        """Makes the answer show all that was acknowledged before."""
-        self._cluster.replica.read_barrier(timeout=orders.ORDER_MS)
-
     def _put_configuration(self) -> str:
         body = web.read_json()
         if not isinstance(body, dict) or set(body) != {'version', 'resources'}:
--- a/src/mulberryquay/control/cluster.py
+++ b/src/mulberryquay/control/cluster.py
@@ -161,21 +161,6 @@
         """Tells all other control hosts."""
         self._broadcast.publish(message)
 
-    def _watch_lead(self) -> None:
-        while True:
-            self.follow_leader()
-            self._clock.sleep(_LEAD_MS)
-
-    def follow_leader(self) -> None:
-        """Takes or gives up the decision on entry lists with the lead."""
-        leads = self.replica.is_settled
-        if self.replica.is_leader and not leads:
-            return
-        self.entries.lead(self.replica.term if leads else 0)
-        if leads:
-            self.entries.update()
-            self._publish_lists()
-
     def wait_for_newest(self) -> None:
         """Returns once this host has all that was acknowledged before.
 
@@ -232,22 +217,32 @@
         """Returns what differs after each start of another host."""
         return answer.boot
 
+    def _watch_lead(self) -> None:
+        while True:
+            self._follow_leader()
+            self._clock.sleep(_LEAD_MS)
+
+    def _follow_leader(self) -> None:
+        """Takes or gives up the decision on entry lists with the lead."""
+        leads = self.replica.is_settled
+        if self.replica.is_leader and not leads:
+            return
+        self.entries.lead(self.replica.term if leads else 0)
+        if leads:
+            self.entries.update()
+            self._publish_lists()
+
     def _handle(self, request: typing.Any) -> Message:
         match request:
             case host_protocol.Bulletin():
                 return self._take_bulletin(request)
             case host_protocol.EntriesReported():
                 return self.reports.take(request)
-            case (
-                host_protocol.PutResource()
-                | host_protocol.PutConfiguration()
-                | host_protocol.SetDomainState()
-                | host_protocol.EndTarget()
-            ):
-                deadline = self._clock.now() + orders.ORDER_MS
-                return host_protocol.OrderDone(
-                    self.orders.decide(request, deadline),
-                )
+        if isinstance(request, host_protocol.ORDERS):
+            deadline = self._clock.now() + orders.ORDER_MS
+            return host_protocol.OrderDone(
+                self.orders.decide(request, deadline),
+            )
         answer: Message = self.replica.handle(request)
         return answer
 
--- a/src/mulberryquay/control/daemon.py
+++ b/src/mulberryquay/control/daemon.py
@@ -154,13 +154,15 @@
         self._api_listener = sockets.listen(values['api_listen'])
         self._feed_listener = sockets.listen(values['feed_listen'])
         self._host_listener = sockets.listen(values['host_listen'])
-        address = _address_of(values['host_listen'], self._host_listener)
+        address = sockets.address_of(values['host_listen'], self._host_listener)
         contacts = tuple(filter(None, values['hosts'].split(',')))
         self._cluster = cluster.Cluster(
             cluster.Placement(
                 host_protocol.HostInfo(
                     address,
-                    _address_of(values['feed_listen'], self._feed_listener),
+                    sockets.address_of(
+                        values['feed_listen'], self._feed_listener
+                    ),
                     values['region'],
                     values['domain'],
                 ),
@@ -257,9 +259,3 @@
         gauge('mulberryquay_control_feed_bytes_total', received, 'in')
         sent = self._cluster.feed.bytes_sent
         gauge('mulberryquay_control_feed_bytes_total', sent, 'out')
-
-
-def _address_of(setting: str, listener: typing.Any) -> str:
-    """Returns where a listener can be reached, its real port included."""
-    host = settings.parse_address(setting)[0]
-    return f'{host}:{sockets.port_of(listener)}'
--- a/src/mulberryquay/control/target_cache.py
+++ b/src/mulberryquay/control/target_cache.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import logging
-import os
 import pathlib
 import typing
 
@@ -17,7 +16,7 @@
 
 from mulberryquay import protocol
 from mulberryquay.control import directory
-from mulberryquay.coordination import clock, journal, units
+from mulberryquay.coordination import clock, journal
 
 #: Changes are written this often at the most.
 WRITE_MS: typing.Final = 1500.0
@@ -89,22 +88,5 @@
             written = revision
 
     def _replace(self, body: bytes) -> None:
-        folder = self._path.parent
-        folder.mkdir(exist_ok=True)
-        partial = folder / 'rows.partial'
-        descriptor = os.open(
-            partial,
-            os.O_WRONLY | os.O_CREAT | os.O_TRUNC,
-            units.PRIVATE_FILE_MODE,
-        )
-        try:
-            self._file_system.write(descriptor, body)
-            self._file_system.sync(descriptor)
-        finally:
-            os.close(descriptor)
-        partial.rename(self._path)
-        opened = os.open(folder, os.O_RDONLY)
-        try:
-            self._file_system.sync(opened)
-        finally:
-            os.close(opened)
+        self._path.parent.mkdir(exist_ok=True)
+        self._file_system.replace(self._path, body)
--- a/src/mulberryquay/coordination/journal.py
+++ b/src/mulberryquay/coordination/journal.py
@@ -72,6 +72,33 @@
         """Syncs a file or folder; raises OSError."""
         os.fsync(descriptor)
 
+    def sync_folder(self, folder: pathlib.Path) -> None:
+        """Makes created, renamed and removed names last; raises OSError."""
+        descriptor = os.open(folder, os.O_RDONLY)
+        try:
+            self.sync(descriptor)
+        finally:
+            os.close(descriptor)
+
+    def replace(self, path: pathlib.Path, body: bytes) -> None:
+        """Makes ``body`` the whole content of a file, or leaves it as it was.
+
+        Raises OSError.
+        """
+        partial = path.with_suffix('.partial')
+        descriptor = os.open(
+            partial,
+            os.O_WRONLY | os.O_CREAT | os.O_TRUNC,
+            units.PRIVATE_FILE_MODE,
+        )
+        try:
+            self.write(descriptor, body)
+            self.sync(descriptor)
+        finally:
+            os.close(descriptor)
+        partial.rename(path)
+        self.sync_folder(path.parent)
+
     def run(self, work: typing.Callable[[], None]) -> None:
         """Runs ``work``, which may block on the disk, off the hub."""
         gevent.get_hub().threadpool.apply(work)
@@ -150,7 +177,8 @@
         self._failed = False
 
     def _replace(self, base: int, snapshot: Record) -> None:
-        self._write_snapshot(self._path(_SNAPSHOT_PREFIX, base), snapshot)
+        path = self._path(_SNAPSHOT_PREFIX, base)
+        self._file_system.replace(path, _frame(snapshot))
         if self._descriptor >= 0:
             os.close(self._descriptor)
             self._descriptor = -1
@@ -193,29 +221,7 @@
     def _open_journal(self, path: pathlib.Path) -> None:
         mode = os.O_RDWR | os.O_CREAT | os.O_APPEND
         self._descriptor = os.open(path, mode, units.PRIVATE_FILE_MODE)
-        self._sync_folder()
-
-    def _sync_folder(self) -> None:
-        descriptor = os.open(self._folder, os.O_RDONLY)
-        try:
-            self._file_system.sync(descriptor)
-        finally:
-            os.close(descriptor)
-
-    def _write_snapshot(self, final: pathlib.Path, snapshot: Record) -> None:
-        partial = final.with_suffix('.partial')
-        descriptor = os.open(
-            partial,
-            os.O_WRONLY | os.O_CREAT | os.O_TRUNC,
-            units.PRIVATE_FILE_MODE,
-        )
-        try:
-            self._file_system.write(descriptor, _frame(snapshot))
-            self._file_system.sync(descriptor)
-        finally:
-            os.close(descriptor)
-        partial.rename(final)
-        self._sync_folder()
+        self._file_system.sync_folder(self._folder)
 
     def _read_snapshot(self) -> tuple[int, Record | None]:
         numbers = sorted(
--- a/src/mulberryquay/coordination/store.py
+++ b/src/mulberryquay/coordination/store.py
@@ -125,11 +125,6 @@
         held = self._configuration
         return held._replace(document=zlib.decompress(held.document))
 
-    @property
-    def configuration_version(self) -> int:
-        """The version of the newest whole configuration, 0 if none."""
-        return self._configuration.version
-
     def get(self, kind: str, name: str) -> Resource:
         """Returns a live resource; raises NotFoundError."""
         resource = self._resources.get((kind, name))
--- a/src/mulberryquay/entry/caller.py
+++ b/src/mulberryquay/entry/caller.py
@@ -54,7 +54,7 @@
         self._socket = connection
         self._reader = messages.RequestReader(
             connection,
-            shared.dialect.names,
+            shared.header_names,
         )
         #: Whether no request is being served.
         self.is_idle = True
--- a/src/mulberryquay/entry/control_link.py
+++ b/src/mulberryquay/entry/control_link.py
@@ -53,11 +53,6 @@
         """The revision of the configuration in force here."""
         return self._knowledge.replica.revision
 
-    @property
-    def has_configuration(self) -> bool:
-        """Whether a whole configuration has arrived since the start."""
-        return self._knowledge.replica.is_complete
-
     def start(self) -> None:
         """Begins to connect; stays connected until `stop`."""
         for stream in self._streams:
--- a/src/mulberryquay/entry/daemon.py
+++ b/src/mulberryquay/entry/daemon.py
@@ -75,8 +75,14 @@
         self._link = control_link.ControlLink(
             self._state,
             values['control'].split(','),
-            admin_address=self._address_of('admin_listen', self.admin_port),
-            peer_address=self._address_of('peer_listen', self.peer_port),
+            admin_address=sockets.address_of(
+                values['admin_listen'],
+                self._admin_listener,
+            ),
+            peer_address=sockets.address_of(
+                values['peer_listen'],
+                self._peer_listener,
+            ),
             domain=values['domain'],
         )
         self._state.reporter = self._link
@@ -207,10 +213,6 @@
             self._callers.discard(task)
             self._quiet_callers.release(task)
 
-    def _address_of(self, setting: str, port: int) -> str:
-        host = settings.parse_address(self._values[setting])[0]
-        return f'{host}:{port}'
-
     def _is_ready(self) -> bool:
         shared = self._state
         is_usable = shared.is_fresh or (
--- a/src/mulberryquay/entry/policies/expected_time.py
+++ b/src/mulberryquay/entry/policies/expected_time.py
@@ -21,10 +21,6 @@
 #: Weight of the newest report in the average slowness.
 _SLOWNESS_WEIGHT: typing.Final = 0.05
 
-#: Targets with this many calls a slot are not chosen: calls would wait there
-#: for long, or be dropped without a word.
-MAX_LOAD: typing.Final = 2.0
-
 #: Above this share of busy slots a target's calls slow each other down.
 _KNEE: typing.Final = 0.8
 _KNEE_FACTOR: typing.Final = 1.6
--- a/src/mulberryquay/entry/routing.py
+++ b/src/mulberryquay/entry/routing.py
@@ -5,7 +5,7 @@
 import typing
 
 from mulberryquay.control import kinds
-from mulberryquay.coordination import schema, store, units
+from mulberryquay.coordination import schema, store
 from mulberryquay.entry import outcomes
 
 
@@ -74,13 +74,6 @@
     max_attempts: int
 
 
-class CallerLimits(typing.NamedTuple):
-    """What callers have to keep."""
-
-    max_body_bytes: int = units.MAX_BODY_BYTES
-    idle_timeout_ms: int = 75_000
-
-
 Keyed = dict[tuple[str, str], store.Resource]
 
 
@@ -108,8 +101,6 @@
             for route in self._make_routes(specs[kinds.ROUTE])
         }
         self._hosts = frozenset(host for host, _ in self._routes)
-        limits = specs[kinds.LIMITS].get(kinds.CALLER_LIMITS)
-        self._limits = _make_limits(limits) if limits else CallerLimits()
         self._found: dict[tuple[bytes, bytes], Route] = {}
         self._domains_out = frozenset(
             name
@@ -127,11 +118,6 @@
         """Whether anything was declared; the first table is empty."""
         return bool(self._services or self._routes)
 
-    @property
-    def limits(self) -> CallerLimits:
-        """What callers have to keep."""
-        return self._limits
-
     @property
     def services(self) -> dict[str, Service]:
         """The declared services by name."""
@@ -238,7 +224,6 @@
             kinds.ROUTE,
             kinds.CLIENT_ACCOUNT,
             kinds.SERVICE_CLASS,
-            kinds.LIMITS,
         )
     }
     for resource in resources.values():
@@ -269,10 +254,6 @@
     )
 
 
-def _make_limits(spec: schema.Spec) -> CallerLimits:
-    return CallerLimits(spec['max_body_bytes'], spec['idle_timeout_ms'])
-
-
 def _make_account(name: str, spec: schema.Spec) -> ClientAccount:
     return ClientAccount(
         name,
--- a/src/mulberryquay/entry/state.py
+++ b/src/mulberryquay/entry/state.py
@@ -149,7 +149,8 @@
         """Starts without configuration and targets."""
         self.name = name
         self.conduct = conduct or Conduct()
-        self.dialect = self.conduct.dialect
+        #: The headers of callers' requests that are kept.
+        self.header_names = self.dialect.names
         self.region = region
         self.clock = time or clock.Clock()
         self.metrics = metrics.Metrics(METRICS)
@@ -190,6 +191,11 @@
         self._request_prefix = f'{name}-{started:x}-'
         self._request_numbers = itertools.count(1)
 
+    @property
+    def dialect(self) -> dialect.Dialect:
+        """The headers by which callers and targets speak."""
+        return self.conduct.dialect
+
     def next_request_id(self) -> str:
         """Returns an id that no other entry and no restart repeats."""
         return f'{self._request_prefix}{next(self._request_numbers):x}'
--- a/src/mulberryquay/sockets.py
+++ b/src/mulberryquay/sockets.py
@@ -36,6 +36,12 @@
     return listener
 
 
+def address_of(setting: str, listener: typing.Any) -> str:
+    """Returns where a listener can be reached, its real port included."""
+    host = settings.parse_address(setting)[0]
+    return f'{host}:{port_of(listener)}'
+
+
 def port_of(listener: typing.Any) -> int:
     """Returns the port that a socket listens on."""
     return int(listener.getsockname()[1])
