Write a line for each decision; block a request after three broken targets

Cause: on-call engineers had lines for changes of state only, so a failed request could not be explained.

--- a/src/mulberryquay/commands/daemons.py
+++ b/src/mulberryquay/commands/daemons.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import typing
 
 import mulberryquay
@@ -13,6 +14,9 @@
 from mulberryquay.ledger import daemon as ledger_daemon
 
 
+_LOG: typing.Final = logging.getLogger(__name__)
+
+
 def mulberryquay_register(kernel: plugins.Kernel) -> None:
     """Registers ``control``, ``entry`` and ``version``."""
     kernel.commands.add(
@@ -79,7 +83,11 @@
     kernel: plugins.Kernel,
 ) -> int:
     """Runs an entry until a signal, then stops it gracefully."""
-    logs.configure(level=values['log_level'], role='entry')
+    logs.configure(
+        level=values['log_level'],
+        role='entry',
+        node=values['name'],
+    )
     daemon = entry_daemon.EntryDaemon(values, kernel)
     ports = f'port {daemon.port}, admin port {daemon.admin_port}'
     return run_until_signal(daemon, ports)
@@ -103,9 +111,12 @@
     stopping = command.catch_stop()
     daemon.start()
     command.say(ports)
+    _LOG.info('started', extra={'ports': ports})
     runner.freeze_start_objects()
     stopping.wait()
     daemon.stop()
+    _LOG.info('stopped')
+    logs.close()
     return 0
 
 
--- a/src/mulberryquay/commands/showcase.py
+++ b/src/mulberryquay/commands/showcase.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 import tempfile
 import typing
 
@@ -83,7 +84,11 @@
     kernel: plugins.Kernel,
 ) -> int:
     """Runs the demo until a signal."""
-    logs.configure(level=values['log_level'], role='demo')
+    logs.configure(
+        level=values['log_level'],
+        role='demo',
+        stream=sys.stderr,
+    )
     stopping = command.catch_stop()
     with tempfile.TemporaryDirectory() as folder:
         control = _start_control(values, kernel, folder)
--- a/src/mulberryquay/control/daemon.py
+++ b/src/mulberryquay/control/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import pathlib
 import typing
 
@@ -132,6 +133,8 @@
     ),
 )
 
+_LOG: typing.Final = logging.getLogger(__name__)
+
 
 @typing.final
 class ControlDaemon:
@@ -225,6 +228,7 @@
 
     def stop(self) -> None:
         """Stops serving and releases the data folder."""
+        _LOG.info('stopping')
         self._server.stop(timeout=1)
         self._cluster.stop()
 
--- a/src/mulberryquay/control/directory.py
+++ b/src/mulberryquay/control/directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import typing
 
 from mulberryquay import protocol
@@ -19,6 +20,8 @@
 #: A smaller change of the time for which a target stays cold is no news.
 _COLD_STEP_MS: typing.Final = 700
 
+_LOG: typing.Final = logging.getLogger(__name__)
+
 
 @typing.final
 class UnknownTargetError(errors.NotFoundError):
@@ -228,7 +231,7 @@
             row = known.row
             self._targets.pop(row.name)
             reason = 'left' if row.is_leaving else 'expired'
-            self._changes.append(TargetChange(row, reason, is_removed=True))
+            self._note_change(TargetChange(row, reason, is_removed=True))
 
     def record_served(self, name: str, answers: int) -> None:
         """Grows a target's allowance by good answers."""
@@ -331,7 +334,7 @@
         known.renewed_at = self._clock.now()
         known.cold_until = known.renewed_at + max(0, row.cold_ms)
         self._targets[row.name] = known
-        self._changes.append(TargetChange(known.row, reason, is_removed=False))
+        self._note_change(TargetChange(known.row, reason, is_removed=False))
 
     def _row_of(self, known: _Entry) -> protocol.TargetRow:
         """Returns a row with the time for which the target stays cold."""
@@ -340,6 +343,21 @@
         remaining = max(0, known.cold_until - self._clock.now())
         return known.row._replace(cold_ms=int(remaining))
 
+    def _note_change(self, change: TargetChange) -> None:
+        row = change.target
+        _LOG.info(
+            f'target {change.reason}',
+            extra={
+                'target': row.name,
+                'incarnation': row.incarnation,
+                'service': row.service,
+                'domain': row.domain,
+                'sequence': row.sequence,
+                'cold_ms': row.cold_ms,
+            },
+        )
+        self._changes.append(change)
+
     def _note_ended(self, name: str, incarnation: int) -> None:
         known = self._targets.get(name)
         if known is None or known.row.is_leaving:
@@ -363,7 +381,7 @@
         **fields: typing.Any,
     ) -> None:
         known.row = known.row._replace(**fields)
-        self._changes.append(TargetChange(known.row, reason, is_removed=False))
+        self._note_change(TargetChange(known.row, reason, is_removed=False))
 
 
 def _stale(name: str, got: int, expected: int) -> StaleIncarnationError:
--- a/src/mulberryquay/control/orders.py
+++ b/src/mulberryquay/control/orders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import typing
 
 from gevent import lock
@@ -29,6 +30,8 @@
     | host_protocol.EndTarget
 )
 
+_LOG: typing.Final = logging.getLogger(__name__)
+
 
 @typing.final
 class Orders:
@@ -80,7 +83,13 @@
             raise state.NoQuorumError('earlier orders are not decided yet')
         try:
             self._replica.settle(timeout=deadline - self._clock.now())
-            return self._run(order)
+            done = self._run(order)
+        except errors.MulberryquayError as error:
+            _log_order(order, error.code, self._replica.term)
+            raise
+        else:
+            _log_order(order, 'in force', self._replica.term)
+            return done
         finally:
             self._deciding.release()
 
@@ -149,3 +158,22 @@
             version=version,
             spec={'region': order.region, 'state': order.state},
         )
+
+
+def _log_order(order: Order, decision: str, term: int) -> None:
+    """Writes what was decided; documents and specs are left out."""
+    told = {
+        name: field
+        for name, field in order._asdict().items()
+        if isinstance(field, (str, int)) and name != 'name'
+    }
+    _LOG.info(
+        'order decided',
+        extra={
+            'order': type(order).__name__,
+            'decision': decision,
+            'term': term,
+            'subject': getattr(order, 'name', ''),
+            **told,
+        },
+    )
--- a/src/mulberryquay/coordination/crash_guard.py
+++ b/src/mulberryquay/coordination/crash_guard.py
@@ -1,9 +1,10 @@
 """Stops requests that break each target that runs them.
 
-A request is blocked after it broke two targets one after the other: the
-second run must have begun after the first target broke, so that targets
-that fail together (a rack) do not block the requests they ran. A good
-answer clears the request.
+A request is blocked after it broke three targets one after the other: each
+run must have begun after the target before it broke, so that targets that
+fail together (a rack) do not block the requests they ran. Two are not enough:
+where answers are lost on their way, many good requests lose two in a row. A
+good answer clears the request.
 """
 
 from __future__ import annotations
@@ -13,7 +14,7 @@
 from mulberryquay.coordination import clock
 
 #: Targets broken one after the other, after which a request is refused.
-MAX_BROKEN_TARGETS: typing.Final = 2
+MAX_BROKEN_TARGETS: typing.Final = 3
 
 #: How long a request stays refused, and how long a breakage counts.
 BLOCK_MS: typing.Final = 60_000
--- a/src/mulberryquay/entry/balancer.py
+++ b/src/mulberryquay/entry/balancer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import math
 import typing
 
@@ -14,6 +15,8 @@
 #: target.
 OVERCOMMIT: typing.Final = 2.0
 
+_LOG: typing.Final = logging.getLogger(__name__)
+
 
 class Room(typing.NamedTuple):
     """What an entry may send to a warm target."""
@@ -161,11 +164,14 @@
             and known.row.service == row.service
         )
         if known is not None and is_same_process:
+            if row.is_leaving != known.row.is_leaving:
+                _log_target('target leaves', row)
             known.row = row
             known.note_cold(row.cold_ms)
             return
         if known is not None:
             self._remove(row.name)
+        _log_target('target known', row)
         target = targets.TargetState(row, self._clock, self._dialect)
         target.tier = self._tier(row)
         target.note_cold(row.cold_ms)
@@ -175,6 +181,7 @@
     def _remove(self, name: str) -> None:
         target = self._targets.pop(name, None)
         if target is not None:
+            _log_target('target forgotten', target.row)
             target.limit = 0
             target.pool.close_idle()
             self.queue_for(target.row.service).targets.pop(name, None)
@@ -218,3 +225,17 @@
             return 1
         whole = max(1, int(declared.cold_per_s))
         return self._view.share(row.name, whole)
+
+
+def _log_target(event: str, row: protocol.TargetRow) -> None:
+    _LOG.info(
+        event,
+        extra={
+            'target': row.name,
+            'incarnation': row.incarnation,
+            'service': row.service,
+            'domain': row.domain,
+            'address': row.address,
+            'cold_ms': row.cold_ms,
+        },
+    )
--- a/src/mulberryquay/entry/caller.py
+++ b/src/mulberryquay/entry/caller.py
@@ -118,6 +118,10 @@
             outcomes.Outcome.NOT_RUN.value,
             reason.value,
         )
+        _LOG.info(
+            'message refused',
+            extra={'reason': reason.value, 'cause': str(error)},
+        )
         refusal = outcomes.not_run(
             reason,
             str(error),
--- a/src/mulberryquay/entry/config_replica.py
+++ b/src/mulberryquay/entry/config_replica.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import logging
 import typing
 
 from mulberryquay.coordination import errors, store, wire
 from mulberryquay.entry import routing, state
 
 
+_LOG: typing.Final = logging.getLogger(__name__)
+
+
 @typing.final
 class StaleControlError(errors.MulberryquayError):
     """A control host offers an older configuration than is in force."""
@@ -73,8 +77,19 @@
 
     def _put_in_force(self, revision: int) -> None:
         shared = self._shared
-        shared.table = routing.RoutingTable(self._resources)
+        shared.table = routing.RoutingTable(
+            self._resources,
+            revision=revision,
+        )
         shared.balancer.configure(shared.table.services)
         shared.balancer.take_out_domains(shared.table.domains_out)
         self._revision = revision
         self._is_complete = True
+        _LOG.info(
+            'configuration in force',
+            extra={
+                'revision': revision,
+                'services': len(shared.table.services),
+                'domains_out': sorted(shared.table.domains_out),
+            },
+        )
--- a/src/mulberryquay/entry/control_stream.py
+++ b/src/mulberryquay/entry/control_stream.py
@@ -112,6 +112,7 @@
         self._slices = []
         stream.send(self._introduce())
         self._stream = stream
+        _LOG.info('following control host', extra={'host': address})
         while True:
             self._take(stream.receive())
 
--- a/src/mulberryquay/entry/exchange.py
+++ b/src/mulberryquay/entry/exchange.py
@@ -20,6 +20,7 @@
     messages,
     outcomes,
     request_body,
+    request_log,
     routing,
     service_queue,
     state,
@@ -55,6 +56,8 @@
         self._forwarder: forwarder.Forwarder | None = None
         self._keyed: keyed.KeyedRequest | None = None
         self._status = 0
+        self._cause = ''
+        self._timeout_ms = 0.0
         self._task = gevent.getcurrent()
 
     @property
@@ -100,6 +103,7 @@
         except outcomes.RefusedError as refusal:
             outcome = refusal.outcome
             reason = refusal.reason
+            self._cause = str(refusal)
             keeps_alive = self._send_refusal(refusal)
         except answers.AnswerCutShortError:
             reason = outcomes.Reason.ANSWER_CUT_SHORT
@@ -182,6 +186,7 @@
     def _prepare(self) -> forwarder.Call:
         admitted = admission.admit(self._shared, self._head)
         self._route = admitted.route
+        self._timeout_ms = admitted.timeout_ms
         self._enter_account(admitted.account)
         service = admitted.service
         body = self._body.read_beginning(service)
@@ -290,20 +295,30 @@
         )
         route = self._route
         account = self._account
-        shared.accounts.add(
-            accounts.RequestAccount(
-                self._request_id,
-                shared.clock.wall(),
-                self._head.method,
-                self._head.path,
-                account.name if account else '',
-                route.name if route else '',
-                route.service_class.name if route else '',
-                outcome.value,
-                reason.value,
-                self._status,
-                shared.clock.now() - self._started,
-                self._forwarder.tries if self._forwarder else [],
+        forwarding = self._forwarder
+        kept = accounts.RequestAccount(
+            self._request_id,
+            shared.clock.wall(),
+            self._head.method,
+            self._head.path,
+            account.name if account else '',
+            route.name if route else '',
+            route.service_class.name if route else '',
+            outcome.value,
+            reason.value,
+            self._status,
+            shared.clock.now() - self._started,
+            forwarding.tries if forwarding else [],
+        )
+        shared.accounts.add(kept)
+        request_log.log_request(
+            shared,
+            kept,
+            request_log.Context(
+                self._cause,
+                bool(route and route.service_class.idempotent),
+                self._timeout_ms,
+                forwarding.bases if forwarding else (),
             ),
         )
 
--- a/src/mulberryquay/entry/forwarder.py
+++ b/src/mulberryquay/entry/forwarder.py
@@ -12,6 +12,7 @@
     header_names,
     http_heads,
     outcomes,
+    request_log,
     service_queue,
     state,
     targets,
@@ -40,6 +41,8 @@
         self._target: targets.TargetState | None = None
         self._attempt: attempt.Attempt | None = None
         self.tries: list[accounts.Try] = []
+        #: What was known of the target of each try.
+        self.bases: list[request_log.Basis] = []
         #: Whether some try may have run the request.
         self.may_have_run = False
         self._is_caller_gone = False
@@ -108,6 +111,7 @@
         """Runs one try; a target without an answer is released."""
         started = self._shared.clock.now()
         self._target = target
+        self.bases.append(request_log.basis_of(target, started))
         self._attempt = attempt.Attempt(
             target,
             self._call.outgoing,
@@ -177,7 +181,13 @@
         if not self._is_repeatable(ended) or not self._has_tries_left():
             return False
         reason = _describe(ended)[1].value
-        if not self._budget.withdraw():
+        is_granted = self._budget.withdraw()
+        request_log.log_retry(
+            self._call.outgoing.request_id,
+            self.tries[-1],
+            is_granted=is_granted,
+        )
+        if not is_granted:
             self._shared.metrics.count(
                 'mulberryquay_retries_denied_total',
                 reason,
--- a/src/mulberryquay/entry/knowledge.py
+++ b/src/mulberryquay/entry/knowledge.py
@@ -87,6 +87,14 @@
 
     def commit(self, entries: shares.EntryList) -> None:
         """Takes an entry list that all entries confirmed."""
+        if entries.epoch > self._shared.view.committed.epoch:
+            _LOG.info(
+                'entry list in force',
+                extra={
+                    'epoch': entries.epoch,
+                    'members': len(entries.members),
+                },
+            )
         self._shared.view.commit(entries)
         self._shared.balancer.refresh_limits()
 
@@ -96,6 +104,10 @@
 
     def block(self, fingerprint: bytes, duration: float) -> None:
         """Refuses a request that breaks targets for a while."""
+        _LOG.warning(
+            'request blocked',
+            extra={'fingerprint': fingerprint.hex(), 'for_ms': duration},
+        )
         self._shared.guard.block(fingerprint, duration=duration)
 
     def confirmable(self) -> tuple[int, int]:
--- a/src/mulberryquay/entry/routing.py
+++ b/src/mulberryquay/entry/routing.py
@@ -81,8 +81,9 @@
 class RoutingTable:
     """An immutable view of the configuration at one revision."""
 
-    def __init__(self, resources: Keyed) -> None:
+    def __init__(self, resources: Keyed, *, revision: int = 0) -> None:
         """Builds the table; incomplete routes are left out."""
+        self._revision = revision
         specs = _specs_by_kind(resources)
         self._classes = {
             name: _make_class(name, spec)
@@ -108,6 +109,11 @@
             if spec['state'] == kinds.STATE_OUT
         )
 
+    @property
+    def revision(self) -> int:
+        """The revision of the configuration that this is a view of."""
+        return self._revision
+
     @property
     def domains_out(self) -> frozenset[str]:
         """The failure domains that operators have taken out."""
--- a/src/mulberryquay/entry/targets.py
+++ b/src/mulberryquay/entry/targets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import math
 import typing
 
@@ -47,6 +48,8 @@
 _FIRST_SUSPENSION_MS: typing.Final = 100.0
 _MAX_SUSPENSION_MS: typing.Final = 5000.0
 
+_LOG: typing.Final = logging.getLogger(__name__)
+
 
 @typing.final
 class TargetState:
@@ -234,9 +237,8 @@
 
         ``reported`` counts this call, too.
         """
-        self._failures = 0
+        self._clear_failures('answered')
         self._timeouts = 0
-        self.suspended_until = 0
         if not self.row.is_warm:
             self.served += 1
         if reported is not None:
@@ -258,16 +260,22 @@
 
     def record_probe(self) -> None:
         """Takes a probe's answer: the target may be used again."""
-        self._failures = 0
-        self.suspended_until = 0
+        self._clear_failures('probe answered')
 
     def record_failure(self) -> None:
         """Suspends the target for a growing while."""
         pause = _FIRST_SUSPENSION_MS * 2**self._failures
         self._failures = min(self._failures + 1, 10)
-        self.suspended_until = self._clock.now() + min(
-            pause,
-            _MAX_SUSPENSION_MS,
+        pause = min(pause, _MAX_SUSPENSION_MS)
+        self.suspended_until = self._clock.now() + pause
+        _LOG.info(
+            'target suspended',
+            extra={
+                'target': self.row.name,
+                'incarnation': self.row.incarnation,
+                'failures': self._failures,
+                'for_ms': pause,
+            },
         )
 
     def record_timeout(self, waited: float) -> None:
@@ -285,6 +293,15 @@
         if report is not None:
             self.record_report(report, age=0)
 
+    def _clear_failures(self, cause: str) -> None:
+        if self._failures:
+            _LOG.info(
+                'target is back',
+                extra={'target': self.row.name, 'cause': cause},
+            )
+        self._failures = 0
+        self.suspended_until = 0
+
     def _average(self, latency: float) -> None:
         self._answered_at = self._clock.now()
         if not self._slow_ms:
--- a/src/mulberryquay/web.py
+++ b/src/mulberryquay/web.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import logging
 import typing
 
 import bottle
@@ -21,6 +22,8 @@
     405: 'method-not-allowed',
 }
 
+_LOG: typing.Final = logging.getLogger(__name__)
+
 
 @typing.final
 class NotPatchedError(errors.MulberryquayError):
@@ -125,6 +128,16 @@
             return handler(**parameters)
         except errors.MulberryquayError as error:
             bottle.response.status = error.http_status
+            _LOG.info(
+                'call refused',
+                extra={
+                    'method': bottle.request.method,
+                    'path': bottle.request.path,
+                    'code': error.code,
+                    'status': error.http_status,
+                    'cause': str(error),
+                },
+            )
             return to_json(errors.to_body(error.code, str(error)))
 
     return wrapped
--- a/testing/fixtures.py
+++ b/testing/fixtures.py
@@ -362,7 +362,7 @@
     )
     assert running.stdout is not None
     try:
-        yield running, running.stdout.readline().strip()
+        yield running, _first_words(running.stdout)
     finally:
         if running.poll() is None:
             running.send_signal(signal.SIGKILL)
@@ -370,6 +370,14 @@
         running.stdout.close()
 
 
+def _first_words(printed: typing.IO[str]) -> str:
+    """Returns the first line that is no log line."""
+    for line in printed:
+        if not line.startswith('{'):
+            return line.strip()
+    return ''
+
+
 def ports_in(line: str) -> list[int]:
     """Returns the port numbers that a daemon printed."""
     return [int(word.strip(',')) for word in line.split() if word[0].isdigit()]
