Put the limits of callers in force; explain a request from logs

Change: limits in the routing table; a caller's head has its own deadline and gets 408; explain; no try with less than 20 ms left; a target that is another one is suspended for 5 s.

--- a/src/mulberryquay/commands/command.py
+++ b/src/mulberryquay/commands/command.py
@@ -12,6 +12,9 @@
 from mulberryquay import settings
 from mulberryquay.kernel import plugins
 
+#: Ends the name of an argument that may be given several times.
+SEVERAL: typing.Final = '...'
+
 Run = typing.Callable[[settings.Values, list[str], plugins.Kernel], int]
 
 
--- a/src/mulberryquay/entry/attempt.py
+++ b/src/mulberryquay/entry/attempt.py
@@ -213,7 +213,7 @@
         spoken = self._target.dialect
         report = _reported_load(head, spoken)
         if head.status in spoken.refusal_statuses:
-            self._target.record_failure()
+            self._target.record_gone()
             return outcomes.Shed(outcomes.Reason.MISDIRECTED)
         if self._is_shed(head):
             self._target.record_shed(report)
--- a/src/mulberryquay/entry/caller.py
+++ b/src/mulberryquay/entry/caller.py
@@ -19,9 +19,6 @@
     state,
 )
 
-#: A connection may wait this long for the whole head of its next request.
-IDLE_TIMEOUT_MS: typing.Final = 75_000.0
-
 #: Each further part of a request must arrive this soon, and the caller must
 #: take some of the answer this often.
 STALL_TIMEOUT_S: typing.Final = 30.0
@@ -55,7 +52,10 @@
         self._reader = messages.RequestReader(
             connection,
             shared.header_names,
+            self._begin_head,
         )
+        self._awaits_head = False
+        self._is_overdue = False
         #: Whether no request is being served.
         self.is_idle = True
         #: When the connection has been quiet for too long.
@@ -75,6 +75,7 @@
 
     def expire(self) -> None:
         """Ends a connection that was quiet for too long."""
+        self._is_overdue = True
         self._socket.shutdown(socket.SHUT_RD)
 
     def close_if_idle(self) -> None:
@@ -83,13 +84,25 @@
             self._socket.shutdown(socket.SHUT_RD)
 
     def _serve_next(self) -> bool:
-        self.deadline = self._shared.clock.now() + IDLE_TIMEOUT_MS
+        limits = self._shared.table.limits
+        self._reader.max_head_bytes = limits.max_head_bytes
+        patience = limits.idle_timeout_ms
+        if not self._reader.is_clean:
+            patience = limits.head_timeout_ms
+        self.deadline = self._shared.clock.now() + patience
         self._socket.settimeout(None)
+        self._awaits_head = True
         try:
             head = self._reader.read_head()
         except http_heads.MessageError as error:
             self._refuse_message(error)
             return False
+        except http_heads.CutShortError:
+            if self._is_overdue:
+                self._refuse_slow_head()
+            raise
+        finally:
+            self._awaits_head = False
         if head is None:
             return False
         self.deadline = math.inf
@@ -108,6 +121,24 @@
             self._shared.in_flight -= 1
             self.is_idle = True
 
+    def _begin_head(self) -> None:
+        """Notes that the first byte of a request came."""
+        if self._awaits_head:
+            limits = self._shared.table.limits
+            self.deadline = self._shared.clock.now() + limits.head_timeout_ms
+
+    def _refuse_slow_head(self) -> None:
+        refusal = outcomes.not_run(
+            outcomes.Reason.REQUEST_TIMEOUT,
+            'the head of the request did not arrive in time',
+        )
+        self._shared.metrics.count(
+            'mulberryquay_requests_total',
+            refusal.outcome.value,
+            refusal.reason.value,
+        )
+        self._socket.sendall(answers.encode_refusal(None, refusal))
+
     def _refuse_message(self, error: http_heads.MessageError) -> None:
         """Answers what cannot be read as a request, then closes."""
         reason = outcomes.Reason.MALFORMED_REQUEST
--- a/src/mulberryquay/entry/forwarder.py
+++ b/src/mulberryquay/entry/forwarder.py
@@ -19,6 +19,10 @@
 )
 
 
+#: No target answers in less, so with less time left no further one is tried.
+MIN_TRY_MS: typing.Final = 20.0
+
+
 class Call(typing.NamedTuple):
     """A request that has passed admission."""
 
@@ -222,7 +226,8 @@
             self._call.may_retry
             and not self._is_caller_gone
             and len(self.tries) < self._call.demand.max_attempts
-            and self._shared.clock.now() < self._call.demand.deadline
+            and self._call.demand.deadline - self._shared.clock.now()
+            >= MIN_TRY_MS
         )
 
     def _conclude(self, ended: outcomes.Attempt) -> outcomes.Received:
--- a/src/mulberryquay/entry/messages.py
+++ b/src/mulberryquay/entry/messages.py
@@ -27,6 +27,10 @@
 _SWITCHING_PROTOCOLS: typing.Final = 101
 
 
+def _ignore_begin() -> None:
+    """Nobody asks for the begin of requests."""
+
+
 class _Reader:
     """Feeds a parser from a socket and queues its events in order.
 
@@ -49,6 +53,8 @@
         self._in_message = False
         self._in_head = True
         self._parser: typing.Any = None
+        #: The largest head that is taken.
+        self.max_head_bytes = MAX_HEAD_BYTES
 
     @property
     def is_clean(self) -> bool:
@@ -123,9 +129,9 @@
         if not self._in_head:
             return
         self._head_bytes += received
-        if self._head_bytes > MAX_HEAD_BYTES + READ_BYTES:
+        if self._head_bytes > self.max_head_bytes + READ_BYTES:
             raise http_heads.HeadTooLargeError(
-                f'expected a head of at most {MAX_HEAD_BYTES} bytes',
+                f'expected a head of at most {self.max_head_bytes} bytes',
             )
 
     def _push_head(
@@ -153,16 +159,16 @@
         return [pair for pair in self._kept if pair[0] not in named]
 
     def _check_head_size(self, start_line: int) -> None:
-        if self._head_bytes <= MAX_HEAD_BYTES:
+        if self._head_bytes <= self.max_head_bytes:
             return
         size = start_line + sum(
             len(name) + len(header)
             for name, header in (*self._kept, *self._noted)
         )
-        if size > MAX_HEAD_BYTES:
+        if size > self.max_head_bytes:
             raise http_heads.HeadTooLargeError(
                 f'got a head of {size} bytes, expected at most '
-                f'{MAX_HEAD_BYTES}',
+                f'{self.max_head_bytes}',
             )
 
 
@@ -174,16 +180,22 @@
         self,
         connection: typing.Any,
         names: header_names.Names = header_names.OWN,
+        on_begin: typing.Callable[[], None] = _ignore_begin,
     ) -> None:
-        """Reads from ``connection``, a gevent socket."""
+        """Reads from ``connection``, a gevent socket.
+
+        ``on_begin`` is called with the first byte of each request.
+        """
         super().__init__(connection, names)
         self._parser = httptools.HttpRequestParser(self)
         self._url = b''
+        self._on_begin = on_begin
 
     def on_message_begin(self) -> None:
         """Called by the parser."""
         super().on_message_begin()
         self._url = b''
+        self._on_begin()
 
     def on_url(self, url: bytes) -> None:
         """Called by the parser, possibly once per part."""
--- a/src/mulberryquay/entry/prober.py
+++ b/src/mulberryquay/entry/prober.py
@@ -112,7 +112,10 @@
             _LOG.debug('probe failed', extra={'cause': str(error)})
             target.record_failure()
             return
-        if head.status >= _FIRST_BAD_STATUS or not self._is_meant(target, head):
+        if not self._is_meant(target, head):
+            target.record_gone()
+            return
+        if head.status >= _FIRST_BAD_STATUS:
             target.record_failure()
             return
         self._take_reports(target, head)
--- a/src/mulberryquay/entry/routing.py
+++ b/src/mulberryquay/entry/routing.py
@@ -5,8 +5,8 @@
 import typing
 
 from mulberryquay.control import kinds
-from mulberryquay.coordination import schema, store
-from mulberryquay.entry import outcomes
+from mulberryquay.coordination import schema, store, units
+from mulberryquay.entry import messages, outcomes
 
 
 #: Paths whose routes are remembered; all are forgotten when it is full.
@@ -42,6 +42,17 @@
     cold_per_s: float = 0
 
 
+class CallerLimits(typing.NamedTuple):
+    """What all callers have to keep, where nothing else is declared."""
+
+    max_head_bytes: int = messages.MAX_HEAD_BYTES
+    max_body_bytes: int = units.MAX_BODY_BYTES
+    #: From the first byte of a request to the end of its head.
+    head_timeout_ms: int = kinds.DEFAULT_HEAD_MS
+    #: For how long a connection may wait for its next request.
+    idle_timeout_ms: int = kinds.DEFAULT_IDLE_MS
+
+
 class ClientAccount(typing.NamedTuple):
     """The limits of a client account."""
 
@@ -89,8 +100,9 @@
             name: _make_class(name, spec)
             for name, spec in specs[kinds.SERVICE_CLASS].items()
         }
+        self._limits = _make_limits(specs[kinds.LIMITS])
         self._services = {
-            name: _make_service(name, spec)
+            name: _make_service(name, spec, self._limits)
             for name, spec in specs[kinds.SERVICE].items()
         }
         self._accounts = {
@@ -114,6 +126,11 @@
         """The revision of the configuration that this is a view of."""
         return self._revision
 
+    @property
+    def limits(self) -> CallerLimits:
+        """What all callers have to keep."""
+        return self._limits
+
     @property
     def domains_out(self) -> frozenset[str]:
         """The failure domains that operators have taken out."""
@@ -230,6 +247,7 @@
             kinds.ROUTE,
             kinds.CLIENT_ACCOUNT,
             kinds.SERVICE_CLASS,
+            kinds.LIMITS,
         )
     }
     for resource in resources.values():
@@ -248,11 +266,27 @@
     )
 
 
-def _make_service(name: str, spec: schema.Spec) -> Service:
+def _make_limits(declared: dict[str, schema.Spec]) -> CallerLimits:
+    spec = declared.get(kinds.CALLER_LIMITS)
+    if spec is None:
+        return CallerLimits()
+    return CallerLimits(
+        min(spec['max_head_bytes'], messages.MAX_HEAD_BYTES),
+        spec['max_body_bytes'],
+        spec['head_timeout_ms'],
+        spec['idle_timeout_ms'],
+    )
+
+
+def _make_service(
+    name: str,
+    spec: schema.Spec,
+    limits: CallerLimits,
+) -> Service:
     return Service(
         name,
         spec['timeout_ms'],
-        spec['max_body_bytes'],
+        min(spec['max_body_bytes'], limits.max_body_bytes),
         spec['max_queue'],
         spec['health_path'],
         spec['max_connections'],
--- a/src/mulberryquay/entry/targets.py
+++ b/src/mulberryquay/entry/targets.py
@@ -48,6 +48,9 @@
 _FIRST_SUSPENSION_MS: typing.Final = 100.0
 _MAX_SUSPENSION_MS: typing.Final = 5000.0
 
+#: Failures in a row that are counted; the pause has long been the longest.
+_MAX_FAILURES: typing.Final = 10
+
 _LOG: typing.Final = logging.getLogger(__name__)
 
 
@@ -262,10 +265,15 @@
         """Takes a probe's answer: the target may be used again."""
         self._clear_failures('probe answered')
 
+    def record_gone(self) -> None:
+        """Suspends a target whose address belongs to another one now."""
+        self._failures = _MAX_FAILURES
+        self.record_failure()
+
     def record_failure(self) -> None:
         """Suspends the target for a growing while."""
         pause = _FIRST_SUSPENSION_MS * 2**self._failures
-        self._failures = min(self._failures + 1, 10)
+        self._failures = min(self._failures + 1, _MAX_FAILURES)
         pause = min(pause, _MAX_SUSPENSION_MS)
         self.suspended_until = self._clock.now() + pause
         _LOG.info(
--- a/src/mulberryquay/kernel/plugins.py
+++ b/src/mulberryquay/kernel/plugins.py
@@ -22,6 +22,7 @@
     'mulberryquay.entry.policies.expected_time',
     'mulberryquay.commands.daemons',
     'mulberryquay.commands.clients',
+    'mulberryquay.commands.explain',
     'mulberryquay.commands.showcase',
 )
 
--- a/src/mulberryquay/main.py
+++ b/src/mulberryquay/main.py
@@ -71,7 +71,9 @@
 
 def _check_arguments(chosen: command.Command, got: list[str]) -> None:
     required = [name for name in chosen.arguments if not name.startswith('[')]
-    if not len(required) <= len(got) <= len(chosen.arguments):
+    is_open = bool(required) and required[-1].endswith(command.SEVERAL)
+    maximum = len(got) if is_open else len(chosen.arguments)
+    if not len(required) <= len(got) <= maximum:
         expected = ' '.join(chosen.arguments) or 'none'
         raise BadUsageError(
             f'{chosen.name}: got arguments {got!r}, expected: {expected}',
--- a/testing/entry/test_admission.py
+++ b/testing/entry/test_admission.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import contextlib
 import typing
 import unittest
 
 import gevent
+from gevent import socket
 
 from mulberryquay.standin import target
 from testing import fixtures
@@ -222,3 +224,36 @@
                     fixtures.ask(serving, '/stock/x').outcome,
                     'answered/none',
                 )
+
+
+_LIMITS: typing.Final = {
+    'max_head_bytes': 400,
+    'max_body_bytes': 10,
+    'head_timeout_ms': 300,
+    'idle_timeout_ms': 30_000,
+}
+
+
+def test_declared_limits_of_callers_hold() -> None:
+    """A head too large, a body too large, a head that does not end."""
+    with fixtures.control() as control, fixtures.entry(control) as entry:
+        control.declare()
+        control.put('limits', 'callers', **_LIMITS)
+        control.wait_in_force()
+        with fixtures.target_of(control, 'stock-a'):
+            fixtures.wait_for_targets(entry, 'stock-a')
+            large = fixtures.ask(
+                entry, '/stock/x', body=b'b' * 11, method='PUT'
+            )
+            CASE.assertEqual(large.status, 413)
+            head = fixtures.ask(entry, f'/stock/{"x" * 500}')
+            CASE.assertEqual(head.status, 431)
+            fits = fixtures.ask(entry, '/stock/x', body=b'b' * 10, method='PUT')
+            CASE.assertEqual(fits.status, 200)
+        with contextlib.closing(
+            socket.create_connection(('127.0.0.1', entry.port)),
+        ) as caller:
+            caller.sendall(b'GET /stock/x HTTP/1.1\r\nhost: a')
+            answer = caller.recv(65536)
+            CASE.assertIn(b' 408 ', answer.partition(b'\r\n')[0])
+            CASE.assertEqual(caller.recv(65536), b'')
--- a/testing/entry/test_expected_time.py
+++ b/testing/entry/test_expected_time.py
@@ -151,3 +151,14 @@
     time.advance(500)
     scouting.look([far])
     CASE.assertEqual(asking.asked[3:], ['far'])
+
+
+def test_target_whose_address_went_to_another_is_left_at_once() -> None:
+    """It is no target that failed once; nothing listens under its name."""
+    time = clock.ManualClock(start=1000)
+    gone = _target(time, 'gone')
+    gone.record_gone()
+    time.advance(4000)
+    CASE.assertGreater(gone.suspended_until, time.now())
+    gone.record_answer(5, reported=None)
+    CASE.assertFalse(gone.has_failed)
