Let a relay that reaches nobody cost no retry; end idle callers with a FIN

Cause: test_rolling_restarts failed once in the full run (not-run with connect-failed).

Change: a try that reached no entry takes no token. test_forwarder fails on the old code. The wait of a gevent socket that is shut down raises, so idle callers got a reset; they get a FIN now, and an unfinished head its 408.

--- a/src/mulberryquay/entry/caller.py
+++ b/src/mulberryquay/entry/caller.py
@@ -55,7 +55,8 @@
             self._begin_head,
         )
         self._awaits_head = False
-        self._is_overdue = False
+        #: Whether this side has ended the wait for the next request.
+        self._is_ending = False
         #: Whether no request is being served.
         self.is_idle = True
         #: When the connection has been quiet for too long.
@@ -75,12 +76,13 @@
 
     def expire(self) -> None:
         """Ends a connection that was quiet for too long."""
-        self._is_overdue = True
+        self._is_ending = True
         self._socket.shutdown(socket.SHUT_RD)
 
     def close_if_idle(self) -> None:
         """Ends a connection on which no request has begun."""
         if self.is_idle and self._reader.is_clean:
+            self._is_ending = True
             self._socket.shutdown(socket.SHUT_RD)
 
     def _serve_next(self) -> bool:
@@ -97,10 +99,13 @@
         except http_heads.MessageError as error:
             self._refuse_message(error)
             return False
-        except http_heads.CutShortError:
-            if self._is_overdue:
+        except (http_heads.CutShortError, OSError):
+            # Ending the wait of a gevent socket makes it raise, too.
+            if not self._is_ending:
+                raise
+            if not self._reader.is_clean:
                 self._refuse_slow_head()
-            raise
+            return False
         finally:
             self._awaits_head = False
         if head is None:
--- a/src/mulberryquay/entry/forwarder.py
+++ b/src/mulberryquay/entry/forwarder.py
@@ -50,6 +50,8 @@
         #: Whether some try may have run the request.
         self.may_have_run = False
         self._is_caller_gone = False
+        #: Whether the last try went to another entry.
+        self._was_relayed = False
 
     @property
     def is_sent(self) -> bool:
@@ -115,6 +117,7 @@
         """Runs one try; a target without an answer is released."""
         started = self._shared.clock.now()
         self._target = target
+        self._was_relayed = target.is_peer
         self.bases.append(request_log.basis_of(target, started))
         self._attempt = attempt.Attempt(
             target,
@@ -185,7 +188,9 @@
         if not self._is_repeatable(ended) or not self._has_tries_left():
             return False
         reason = _describe(ended)[1].value
-        is_granted = self._budget.withdraw()
+        # An entry that could not be reached has cost no target anything.
+        is_free = self._was_relayed and isinstance(ended, outcomes.NotSent)
+        is_granted = is_free or self._budget.withdraw()
         request_log.log_retry(
             self._call.outgoing.request_id,
             self.tries[-1],
