--- a/src/mulberryquay/entry/request_log.py
+++ b/src/mulberryquay/entry/request_log.py
@@ -15,6 +15,9 @@
 #: Decimal places of figures.
 _DIGITS: typing.Final = 2
 
+#: From here on, an answer of a target is no success.
+_FIRST_FAILURE_STATUS: typing.Final = 300
+
 _LOG: typing.Final = logging.getLogger(__name__)
 
 
@@ -102,4 +105,5 @@
 
 
 def _is_plain(account: accounts.RequestAccount) -> bool:
-    return account.reason == 'none' and len(account.tries) == 1
+    is_first = account.reason == 'none' and len(account.tries) == 1
+    return is_first and account.status < _FIRST_FAILURE_STATUS
