Refuse what is no request yet in one place; look at each log line once

Cause: reading the whole change. The refusal of a head that does not end repeated count, encoding and sending of the refusal of a malformed message, and had no log line, though docs/OPERATIONS.md says that every refusal has one. explain compared the end of a request in two ways and parsed it again for each line; it parses a line's time only if the line is about the request now.

Ruled out: merging the constants and error classes that look alike by shape only; they mean different things.

Nothing else changes but the added line.

--- a/src/mulberryquay/commands/explain.py
+++ b/src/mulberryquay/commands/explain.py
@@ -181,18 +181,17 @@
         attempt['target'] for line in own for attempt in line.get('tries', ())
     }
     nodes = {line.get('node') for line in own}
-    end = _time_of(own[-1])
     start = min(_started_at(line) for line in own) - BEFORE_MS
+    end = _ms_of(own[-1])
     surrounding = [
         line
         for line in lines
         if 'request_id' not in line
-        and start <= _ms_of(line) <= _ms_of(own[-1])
         and (
             line.get('target') in met
             or (line['message'] in _BELIEFS and _is_near(line, nodes))
         )
-        and _time_of(line) <= end
+        and start <= _ms_of(line) <= end
     ]
     surrounding.sort(key=_time_of)
     return _Explained(own, surrounding[-MAX_SURROUNDING:])
--- a/src/mulberryquay/entry/caller.py
+++ b/src/mulberryquay/entry/caller.py
@@ -133,35 +133,33 @@
             self.deadline = self._shared.clock.now() + limits.head_timeout_ms
 
     def _refuse_slow_head(self) -> None:
-        refusal = outcomes.not_run(
-            outcomes.Reason.REQUEST_TIMEOUT,
-            'the head of the request did not arrive in time',
+        """Answers a request whose head did not end in time."""
+        self._refuse(
+            outcomes.not_run(
+                outcomes.Reason.REQUEST_TIMEOUT,
+                'the head of the request did not arrive in time',
+            ),
         )
-        self._shared.metrics.count(
-            'mulberryquay_requests_total',
-            refusal.outcome.value,
-            refusal.reason.value,
-        )
-        self._socket.sendall(answers.encode_refusal(None, refusal))
 
     def _refuse_message(self, error: http_heads.MessageError) -> None:
         """Answers what cannot be read as a request, then closes."""
         reason = outcomes.Reason.MALFORMED_REQUEST
         if isinstance(error, http_heads.HeadTooLargeError):
             reason = outcomes.Reason.HEAD_TOO_LARGE
+        self._refuse(
+            outcomes.not_run(reason, str(error), status=error.http_status),
+        )
+
+    def _refuse(self, refusal: outcomes.RefusedError) -> None:
+        """Answers before there is a request that could have an account."""
         self._shared.metrics.count(
             'mulberryquay_requests_total',
-            outcomes.Outcome.NOT_RUN.value,
-            reason.value,
+            refusal.outcome.value,
+            refusal.reason.value,
         )
         _LOG.info(
             'message refused',
-            extra={'reason': reason.value, 'cause': str(error)},
-        )
-        refusal = outcomes.not_run(
-            reason,
-            str(error),
-            status=error.http_status,
+            extra={'reason': refusal.reason.value, 'cause': str(refusal)},
         )
         self._socket.sendall(answers.encode_refusal(None, refusal))
 
