--- a/src/mulberryquay/coordination/wire.py
+++ b/src/mulberryquay/coordination/wire.py
@@ -12,7 +12,7 @@
 import msgpack
 from gevent import lock, socket
 
-from mulberryquay.coordination import clock, errors, units
+from mulberryquay.coordination import clock, errors, read_turn, units
 
 _READ_BYTES: typing.Final = 65536
 _MAX_MESSAGE_BYTES: typing.Final = units.MAX_BODY_BYTES
@@ -20,6 +20,10 @@
 #: Length from which messages are compressed; shorter ones gain little.
 _COMPRESS_BYTES: typing.Final = 512
 
+#: Limits of the elements that an array or map may announce: memory for them
+#: is reserved before they arrive.
+_MAX_ELEMENTS: typing.Final = 1_000_000
+
 #: The msgpack extension type of a compressed message.
 _COMPRESSED: typing.Final = 1
 
@@ -67,12 +71,17 @@
         compressed: bytes = msgpack.packb(packed)
         return compressed
 
+    def _type_of(self, tag: int) -> type:
+        if tag < 0:
+            raise ProtocolError(f'got message tag {tag}, expected 0 or more')
+        return self._types[tag]
+
     def decode(self, fields: typing.Any) -> typing.Any:
         """Returns the typed message; raises ProtocolError."""
         if isinstance(fields, msgpack.ExtType):
             fields = _decompress(fields)
         try:
-            return self._types[fields[0]](*fields[1:])
+            return self._type_of(fields[0])(*fields[1:])
         except (TypeError, IndexError, KeyError) as error:
             raise ProtocolError(
                 f'got a message that this version cannot decode: {error}',
@@ -89,7 +98,7 @@
                 f'got a message of more than {_MAX_MESSAGE_BYTES} bytes',
             )
         return msgpack.unpackb(body)
-    except (zlib.error, ValueError) as error:
+    except (zlib.error, ValueError, msgpack.UnpackException) as error:
         raise ProtocolError(f'got a damaged message: {error}') from error
 
 
@@ -133,7 +142,12 @@
         self._socket = connection
         self._codec = codec
         self._send_lock = lock.BoundedSemaphore(1)
-        self._unpacker = msgpack.Unpacker(max_buffer_size=_MAX_MESSAGE_BYTES)
+        self._turn = read_turn.ReadTurn()
+        self._unpacker = msgpack.Unpacker(
+            max_buffer_size=_MAX_MESSAGE_BYTES,
+            max_array_len=_MAX_ELEMENTS,
+            max_map_len=_MAX_ELEMENTS,
+        )
         self.bytes_sent = 0
         self.bytes_received = 0
 
@@ -153,17 +167,33 @@
         Raises StreamClosedError and ProtocolError.
         """
         while True:
-            fields = next(self._unpacker, None)
-            if fields is not None:
-                return self._codec.decode(fields)
             try:
-                chunk = self._socket.recv(_READ_BYTES)
-            except OSError as error:
-                raise StreamClosedError(f'receive failed: {error}') from error
-            if not chunk:
-                raise StreamClosedError('the peer closed the stream')
-            self.bytes_received += len(chunk)
+                fields = self._unpacker.unpack()
+            except msgpack.OutOfData:
+                self._feed_unpacker()
+            except (msgpack.UnpackException, ValueError) as error:
+                raise ProtocolError(
+                    f'got bytes that are not a message: {error}'
+                ) from error
+            else:
+                return self._codec.decode(fields)
+
+    def _feed_unpacker(self) -> None:
+        self._turn.begin_read()
+        try:
+            chunk = self._socket.recv(_READ_BYTES)
+        except OSError as error:
+            raise StreamClosedError(f'receive failed: {error}') from error
+        if not chunk:
+            raise StreamClosedError('the peer closed the stream')
+        self._turn.end_read(len(chunk))
+        self.bytes_received += len(chunk)
+        try:
             self._unpacker.feed(chunk)
+        except msgpack.UnpackException as error:
+            raise ProtocolError(
+                f'got a message of more than {_MAX_MESSAGE_BYTES} bytes',
+            ) from error
 
     def set_timeout(self, duration: float | None) -> None:
         """Sets the timeout of each later call in ms; None for no timeout."""
--- a/src/mulberryquay/entry/answers.py
+++ b/src/mulberryquay/entry/answers.py
@@ -7,7 +7,7 @@
 import typing
 from http import HTTPStatus
 
-from mulberryquay.coordination import errors
+from mulberryquay.coordination import errors, wait_limit
 from mulberryquay.entry import (
     header_names,
     keyed,
@@ -29,10 +29,23 @@
 
 @typing.final
 class AnswerCutShortError(errors.MulberryquayError):
-    """The target's answer ended early, after its head had been forwarded."""
+    """The answer could not be sent to its end; its head had been sent."""
 
     code = 'answer-cut-short'
 
+    def __init__(
+        self,
+        message: str,
+        reason: outcomes.Reason = outcomes.Reason.ANSWER_CUT_SHORT,
+        *,
+        is_by_caller: bool = False,
+    ) -> None:
+        """``is_by_caller`` says that the caller did not read in time."""
+        super().__init__(message)
+        #: Recorded with the request, and with the target if it failed.
+        self.reason = reason
+        self.is_by_caller = is_by_caller
+
 
 class AnswerContext(typing.NamedTuple):
     """The parts of the caller's request that shape the answer."""
@@ -54,11 +67,12 @@
     connection: typing.Any,
     context: AnswerContext,
     received: outcomes.Received,
+    limit: wait_limit.WaitLimit,
 ) -> bool:
     """Sends a target's answer; returns whether to keep the connection.
 
     Raises OSError when the caller is gone and AnswerCutShortError when the
-    target's answer ended early.
+    target's answer ended early or the deadline passed before its end.
     """
     framing = _framing_for(context.head, received.head)
     keeps_alive = context.keeps_alive
@@ -71,7 +85,7 @@
         return keeps_alive
     http_heads.send_all(connection, encoded_head)
     if framing is not http_heads.Framing.NONE:
-        _send_body(connection, received, framing)
+        _send_body(connection, received, framing, limit)
     return keeps_alive
 
 
@@ -184,20 +198,41 @@
     connection: typing.Any,
     received: outcomes.Received,
     framing: http_heads.Framing,
+    limit: wait_limit.WaitLimit,
 ) -> None:
     is_chunked = framing is http_heads.Framing.CHUNKED
-    for part in _body_parts(received):
-        connection.sendall(
-            http_heads.encode_chunk(part) if is_chunked else part
+    for part in _body_parts(received, limit):
+        _send_part(
+            connection,
+            http_heads.encode_chunk(part) if is_chunked else part,
+            limit,
         )
     if is_chunked:
         connection.sendall(http_heads.LAST_CHUNK)
 
 
-def _body_parts(received: outcomes.Received) -> typing.Iterator[bytes]:
+def _send_part(
+    connection: typing.Any,
+    part: bytes,
+    limit: wait_limit.WaitLimit,
+) -> None:
+    try:
+        limit.apply(connection)
+        connection.sendall(part)
+    except TimeoutError as error:
+        raise AnswerCutShortError(
+            'the caller read no more of its answer in time',
+            outcomes.Reason.DEADLINE,
+            is_by_caller=True,
+        ) from error
+
+
+def _body_parts(
+    received: outcomes.Received, limit: wait_limit.WaitLimit
+) -> typing.Iterator[bytes]:
     """Yields the body of an answer.
 
-    Raises AnswerCutShortError if the target ends it early.
+    Raises AnswerCutShortError if the target ends it early or too late.
     """
     reader = received.connection.reader
     read = reader.read_part
@@ -205,7 +240,13 @@
         read = reader.read_until_close
     while True:
         try:
+            limit.apply(received.connection.socket)
             part = read()
+        except TimeoutError as error:
+            raise AnswerCutShortError(
+                'the target sent no more of its answer in time',
+                outcomes.Reason.DEADLINE,
+            ) from error
         except (OSError, errors.MulberryquayError) as error:
             raise AnswerCutShortError(str(error)) from error
         if part is None:
--- a/src/mulberryquay/entry/attempt.py
+++ b/src/mulberryquay/entry/attempt.py
@@ -20,9 +20,6 @@
 #: caller gets the first byte, so that a truncated one is never forwarded.
 MAX_BUFFERED_ANSWER_BYTES: typing.Final = 65536
 
-#: Timeout of each read from the rest of a longer answer.
-_READ_TIMEOUT_S: typing.Final = 60.0
-
 #: Maximum number of answers read from a connection to find the one to the
 #: request; the others are late answers to earlier requests.
 _MAX_ANSWERS_READ: typing.Final = 3
@@ -78,7 +75,7 @@
                 limit=self._target.connection_limit
             )
         except connections.ConnectFailedError:
-            self._target.record_failure()
+            self._target.record_failure(outcomes.Reason.CONNECT_FAILED)
             return outcomes.NotSent(outcomes.Reason.CONNECT_FAILED)
         except connections.ConnectionBudgetError:
             return outcomes.NotSent(outcomes.Reason.CONNECTION_BUDGET)
@@ -133,7 +130,7 @@
             sent = connection.socket.send(request)
         except OSError:
             # The first send failed, so no byte was sent.
-            self._target.record_failure()
+            self._target.record_failure(outcomes.Reason.CONNECT_FAILED)
             return outcomes.NotSent(outcomes.Reason.CONNECT_FAILED)
         try:
             received = self._send_and_receive(connection, request[sent:])
@@ -162,7 +159,6 @@
         self._check_signature(head)
         if self._is_bufferable(head):
             return self._read_whole_answer(head, connection)
-        connection.socket.settimeout(_READ_TIMEOUT_S)
         return outcomes.Received(head, connection, None)
 
     def _read_matching_head(
@@ -239,7 +235,7 @@
             return outcomes.Shed(outcomes.Reason.TARGET_SHED)
         if head.status in header_dialect.not_run_statuses:
             # Without the not-run header the target may have run the request.
-            self._target.record_failure()
+            self._target.record_failure(outcomes.Reason.TARGET_UNAVAILABLE)
             return outcomes.Lost(outcomes.Reason.TARGET_UNAVAILABLE)
         self._target.record_answer(latency, reported=report)
         return received
@@ -260,7 +256,7 @@
         body_error = self._body_error
         if isinstance(body_error, outcomes.RefusedError):
             return outcomes.Lost(body_error.reason)
-        self._target.record_failure()
+        self._target.record_failure(reason)
         return outcomes.Lost(reason)
 
     def _encode(self, headers: http_heads.Headers) -> bytes:
--- a/src/mulberryquay/entry/balancer.py
+++ b/src/mulberryquay/entry/balancer.py
@@ -8,7 +8,7 @@
 
 from mulberryquay import protocol
 from mulberryquay.coordination import clock, shares
-from mulberryquay.entry import dialect, relays, routing, service_queue, targets
+from mulberryquay.entry import relays, routing, service_queue, targets
 
 #: Calls per slot that all entries together may send to a warm target. Above
 #: 1, a target has its next call queued when one ends; far above 1, calls
@@ -45,12 +45,12 @@
         region: str,
         domain: str,
         peers: relays.Relays,
-        header_dialect: dialect.HeaderDialect = dialect.OWN,
+        target_context: targets.TargetContext | None = None,
         target_limits: TargetLimits | None = None,
     ) -> None:
         """Starts without targets; ``share_view`` has this entry's shares."""
         self._target_limits = target_limits or TargetLimits()
-        self._dialect = header_dialect
+        self._target_context = target_context or targets.TargetContext()
         self._share_view = share_view
         self._relays = peers
         self._new_policy = new_policy
@@ -183,7 +183,7 @@
         if known is not None:
             self._remove(row.name)
         _log_target('target added', row)
-        target = targets.TargetState(row, self._clock, self._dialect)
+        target = targets.TargetState(row, self._clock, self._target_context)
         target.tier = self._tier(row)
         target.record_cold_period(row.cold_ms)
         self._targets[row.name] = target
--- a/src/mulberryquay/entry/caller.py
+++ b/src/mulberryquay/entry/caller.py
@@ -9,7 +9,7 @@
 
 from gevent import socket
 
-from mulberryquay.coordination import errors, units
+from mulberryquay.coordination import errors, read_turn, units, wait_limit
 from mulberryquay.entry import (
     answers,
     exchange,
@@ -19,10 +19,7 @@
     state,
 )
 
-#: Timeout of each read of a request's body and each write of an answer.
-STALL_TIMEOUT_S: typing.Final = 30.0
-
-_DISCARD_TIMEOUT_S: typing.Final = 1.0
+_DISCARD_TIMEOUT_MS: typing.Final = 1000.0
 _MAX_DISCARDED_BYTES: typing.Final = 8 * units.MIB
 
 _LOG: typing.Final = logging.getLogger(__name__)
@@ -67,7 +64,9 @@
         is_graceful = False
         try:
             while self._serve_next():
-                """Serves the next request on the connection."""
+                if not self._reader.is_between_messages:
+                    # The next request is here already, so nothing waits.
+                    read_turn.yield_now()
             is_graceful = True
         except (OSError, errors.MulberryquayError):
             is_graceful = False
@@ -111,7 +110,7 @@
         if head is None:
             return False
         self.deadline = math.inf
-        self._socket.settimeout(STALL_TIMEOUT_S)
+        self._socket.settimeout(wait_limit.STALL_TIMEOUT_S)
         self.is_idle = False
         self._state.in_flight += 1
         try:
@@ -172,9 +171,12 @@
         self._socket.shutdown(socket.SHUT_WR)
         if self._reader.is_between_messages:
             return
-        self._socket.settimeout(_DISCARD_TIMEOUT_S)
+        limit = wait_limit.WaitLimit(
+            self._state.clock, self._state.clock.now() + _DISCARD_TIMEOUT_MS
+        )
         remaining = _MAX_DISCARDED_BYTES
         while remaining > 0:
+            limit.apply(self._socket)
             chunk = self._socket.recv(messages.READ_BYTES)
             if not chunk:
                 return
--- a/src/mulberryquay/entry/exchange.py
+++ b/src/mulberryquay/entry/exchange.py
@@ -7,6 +7,7 @@
 
 import gevent
 
+from mulberryquay.coordination import wait_limit
 from mulberryquay.entry import (
     admission,
     answers,
@@ -106,8 +107,9 @@
             reason = refusal.reason
             self._cause = str(refusal)
             keeps_alive = self._send_refusal(refusal)
-        except answers.AnswerCutShortError:
-            reason = outcomes.Reason.ANSWER_CUT_SHORT
+        except answers.AnswerCutShortError as error:
+            reason = error.reason
+            self._cause = str(error)
             raise
         finally:
             self._release_account_slot()
@@ -186,24 +188,36 @@
                 self._socket,
                 self._answer_context(is_reusable=True),
                 received,
+                self._wait_limit(),
             )
+        except answers.AnswerCutShortError as error:
+            if not error.is_by_caller:
+                active_forwarder.record_broken_answer(error.reason)
+            active_forwarder.abandon(received)
+            raise
         except BaseException:
             active_forwarder.abandon(received)
             raise
         active_forwarder.finish(received)
         return keeps_alive and self._body.is_read
 
+    def _wait_limit(self) -> wait_limit.WaitLimit:
+        return wait_limit.WaitLimit(
+            self._state.clock, self._started + self._timeout_ms
+        )
+
     def _admit(self) -> forwarder.AdmittedRequest:
         admitted = admission.admit(self._state, self._head)
         self._route = admitted.route
         self._timeout_ms = admitted.timeout_ms
         self._acquire_account_slot(admitted.account)
         service = admitted.service
-        body = self._body.read_replayable(service)
+        limit = self._wait_limit()
+        body = self._body.read_replayable(service, limit)
         remaining_body = None
         if not self._body.is_read:
-            remaining_body = self._body.read_remaining(service)
-        deadline = self._started + admitted.timeout_ms
+            remaining_body = self._body.read_remaining(service, limit)
+        deadline = limit.deadline
         return forwarder.AdmittedRequest(
             service_queue.TargetCriteria(
                 service,
--- a/src/mulberryquay/entry/forwarder.py
+++ b/src/mulberryquay/entry/forwarder.py
@@ -50,6 +50,7 @@
         )
         self._target: targets.TargetState | None = None
         self._attempt: attempt.Attempt | None = None
+        self._attempt_started = 0.0
         self.attempts: list[request_records.AttemptRecord] = []
         #: What was known of the target of each attempt.
         self.target_snapshots: list[request_log.TargetSnapshot] = []
@@ -107,6 +108,17 @@
             self._attempt.abandon(received)
         self._release_target()
 
+    def record_broken_answer(self, reason: outcomes.Reason) -> None:
+        """Records a target that did not send its answer to the end."""
+        target = self._target
+        if target is None:
+            return
+        if reason is outcomes.Reason.DEADLINE:
+            waited = self._state.clock.now() - self._attempt_started
+            target.record_timeout(waited)
+        else:
+            target.record_failure(reason)
+
     def _refusal_after_failure(
         self,
         result: outcomes.AttemptResult,
@@ -126,6 +138,7 @@
     ) -> outcomes.AttemptResult:
         """Makes one attempt; releases the target unless it answered."""
         started = self._state.clock.now()
+        self._attempt_started = started
         self._target = target
         self._was_relayed = target.is_peer
         self.target_snapshots.append(request_log.snapshot_of(target, started))
--- a/src/mulberryquay/entry/messages.py
+++ b/src/mulberryquay/entry/messages.py
@@ -1,8 +1,9 @@
 """Reads HTTP/1.1 messages from gevent sockets.
 
-The parser is `httptools` (llhttp in strict mode). This module adds the size
-limit of heads, the framing rules against request smuggling, and the queue of
-events of a connection.
+The parser is `httptools` (llhttp in strict mode). This module adds the framing
+rules against request smuggling, the queue of events of a connection, and
+limits: of a head, of the bytes between two parts of a body, of interim
+answers, and of the bytes read before other tasks run.
 """
 
 from __future__ import annotations
@@ -12,13 +13,21 @@
 
 import httptools
 
+from mulberryquay.coordination import read_turn
 from mulberryquay.entry import header_names, http_heads
 
-READ_BYTES: typing.Final = 65536
+READ_BYTES: typing.Final = read_turn.MAX_TURN_BYTES
 
 #: Default limit of a head (start line and headers), in bytes.
 MAX_HEAD_BYTES: typing.Final = 32768
 
+#: Limit of what is read without a part of the body or the end of the message:
+#: chunk sizes with extensions, and trailers.
+MAX_FRAMING_BYTES: typing.Final = 65536
+
+#: Limit of the interim (1xx) answers before an answer.
+MAX_INTERIM_ANSWERS: typing.Final = 16
+
 #: Statuses of answers that never have a body.
 NO_BODY_STATUSES: typing.Final = frozenset((204, 304))
 _STANDARD_CONNECTION_TOKENS: typing.Final = frozenset((b'close', b'keep-alive'))
@@ -49,6 +58,8 @@
         self._forwarded_headers: http_heads.Headers = []
         self._known_headers: http_heads.Headers = []
         self._head_bytes = 0
+        self._framing_bytes = 0
+        self._turn = read_turn.ReadTurn()
         self._error: http_heads.MessageError | None = None
         self._in_message = False
         self._in_head = True
@@ -68,7 +79,9 @@
         self._in_message = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Called by the parser."""
+        """Called by the parser, also for trailers, which are dropped."""
+        if not self._in_head:
+            return
         name = name.lower()
         if name in self._header_filter.known_headers:
             self._known_headers.append((name, value))
@@ -85,6 +98,7 @@
         self._in_message = False
         self._in_head = True
         self._head_bytes = 0
+        self._framing_bytes = 0
 
     def read_part(self) -> bytes | None:
         """Returns the next part of the body, None at its end.
@@ -92,7 +106,17 @@
         Raises http_heads.MessageError, http_heads.CutShortError and OSError.
         """
         part: bytes | None = self._next_event()
-        return part
+        return self._with_following_parts(part)
+
+    def _with_following_parts(self, part: bytes | None) -> bytes | None:
+        """Returns ``part`` together with the parts received after it."""
+        events = self._events
+        if part is None or not events or events[0] is None:
+            return part
+        parts = [part]
+        while events and events[0] is not None:
+            parts.append(events.popleft())
+        return b''.join(parts)
 
     def _next_event(self) -> typing.Any:
         while not self._events:
@@ -106,11 +130,14 @@
         """Receives and parses bytes; returns False if the peer closed."""
         if self._error:
             raise self._error
+        self._turn.begin_read()
         chunk = self._socket.recv(READ_BYTES)
         if not chunk:
             return False
+        self._turn.end_read(len(chunk))
         if not self._events:
             self._check_received_head_size(len(chunk))
+        event_count = len(self._events)
         try:
             self._parser.feed_data(chunk)
         except httptools.HttpParserUpgrade:
@@ -123,6 +150,10 @@
             self._error = http_heads.MessageError(
                 f'malformed HTTP message: {error}'
             )
+        if len(self._events) > event_count:
+            self._framing_bytes = 0
+        elif not self._in_head:
+            self._check_framing_size(len(chunk))
         if self._error and not self._events:
             raise self._error
         return True
@@ -137,14 +168,19 @@
                 f'{self.max_head_bytes} bytes',
             )
 
+    def _check_framing_size(self, received: int) -> None:
+        self._framing_bytes += received
+        if self._framing_bytes > MAX_FRAMING_BYTES:
+            self._error = http_heads.MessageError(
+                f'got {self._framing_bytes} bytes of chunk extensions or '
+                f'trailers, expected at most {MAX_FRAMING_BYTES}',
+            )
+
     def _queue_head(
         self, head: http_heads.RequestHead | http_heads.ResponseHead
     ) -> None:
         self._events.append(head)
         self._in_head = False
-        # Trailers must not be merged with the headers (RFC 9110, 6.5.1).
-        self._forwarded_headers = []
-        self._known_headers = []
 
     def _end_to_end_headers(self) -> http_heads.Headers:
         """Returns the headers to forward, less those Connection lists."""
@@ -262,11 +298,13 @@
         """Reads from ``connection``, a gevent socket."""
         super().__init__(connection, header_filter)
         self._parser = httptools.HttpResponseParser(self)
+        self._interim_answers = 0
 
     def on_headers_complete(self) -> None:
         """Called by the parser."""
         self._check_head_size(0)
         status = self._parser.get_status_code()
+        self._count_interim_answers(status)
         framing, length = http_heads.body_framing(self._known_headers)
         if status in NO_BODY_STATUSES or status < _FIRST_FINAL_STATUS:
             framing = http_heads.Framing.NONE
@@ -283,6 +321,16 @@
             ),
         )
 
+    def _count_interim_answers(self, status: int) -> None:
+        if status >= _FIRST_FINAL_STATUS:
+            self._interim_answers = 0
+            return
+        self._interim_answers += 1
+        if self._interim_answers > MAX_INTERIM_ANSWERS:
+            raise http_heads.MessageError(
+                f'got more than {MAX_INTERIM_ANSWERS} interim answers',
+            )
+
     def read_head(self) -> http_heads.ResponseHead:
         """Returns the final response head; skips interim (1xx) responses.
 
@@ -307,8 +355,7 @@
         while not self._events:
             if not self._receive():
                 return None
-        part: bytes | None = self._events.popleft()
-        return part
+        return self._with_following_parts(self._events.popleft())
 
 
 def _as_message_error(cause: BaseException | None) -> http_heads.MessageError:
--- a/src/mulberryquay/entry/outcomes.py
+++ b/src/mulberryquay/entry/outcomes.py
@@ -60,6 +60,7 @@
     CONNECTION_LOST = 'connection-lost'
     MALFORMED_ANSWER = 'malformed-answer'
     ANSWER_CUT_SHORT = 'answer-cut-short'
+    PROBE_FAILED = 'probe-failed'
     DEADLINE = 'deadline'
     CALLER_GONE = 'caller-gone'
     KEY_IN_USE = 'key-in-use'
--- a/src/mulberryquay/entry/prober.py
+++ b/src/mulberryquay/entry/prober.py
@@ -14,13 +14,22 @@
 import gevent
 
 from mulberryquay.coordination import errors, token_bucket
-from mulberryquay.entry import connections, http_heads, state, targets
+from mulberryquay.entry import (
+    connections,
+    http_heads,
+    outcomes,
+    state,
+    targets,
+)
 
 #: Assumed size of a probe with its answer, including TCP headers.
 PROBE_BYTES: typing.Final = 600
 
 _CHECK_INTERVAL_MS: typing.Final = 100.0
 _PROBE_TIMEOUT_S: typing.Final = 1.0
+
+#: Limit of the body of the answer to a probe.
+_MAX_PROBE_BODY_BYTES: typing.Final = 65536
 _LOG: typing.Final = logging.getLogger(__name__)
 _FIRST_SERVER_ERROR_STATUS: typing.Final = 500
 
@@ -114,13 +123,13 @@
             head = self._fetch_head(target)
         except (OSError, errors.MulberryquayError) as error:
             _LOG.debug('probe failed', extra={'cause': str(error)})
-            target.record_failure()
+            target.record_failure(outcomes.Reason.PROBE_FAILED)
             return
         if not self._is_expected_target(target, head):
             target.record_address_reused()
             return
         if head.status >= _FIRST_SERVER_ERROR_STATUS:
-            target.record_failure()
+            target.record_failure(outcomes.Reason.PROBE_FAILED)
             return
         self._record_reports(target, head)
         target.record_probe()
@@ -160,7 +169,8 @@
         connection = target.pool.take(limit=target.connection_limit)
         head = None
         try:
-            head = self._send_probe(connection, self._probe_path(target))
+            with gevent.Timeout(_PROBE_TIMEOUT_S, TimeoutError):
+                head = self._send_probe(connection, self._probe_path(target))
         finally:
             if (
                 head is not None
@@ -183,7 +193,6 @@
         connection: connections.TargetConnection,
         path: str,
     ) -> http_heads.ResponseHead:
-        connection.socket.settimeout(_PROBE_TIMEOUT_S)
         request = http_heads.encode_head(
             f'GET {path} HTTP/1.1'.encode(),
             [(b'host', b'mulberryquay-probe')],
@@ -192,6 +201,12 @@
         head = connection.reader.read_head()
         if head.framing is http_heads.Framing.UNTIL_CLOSE:
             return head
-        while connection.reader.read_part() is not None:
-            """Reads the body to its end."""
+        body_size = 0
+        for part in iter(connection.reader.read_part, None):
+            body_size += len(part)
+            if body_size > _MAX_PROBE_BODY_BYTES:
+                raise http_heads.MessageError(
+                    'got a probe answer with a body of more than '
+                    f'{_MAX_PROBE_BODY_BYTES} bytes',
+                )
         return head
--- a/src/mulberryquay/entry/relays.py
+++ b/src/mulberryquay/entry/relays.py
@@ -13,7 +13,7 @@
 
 from mulberryquay import protocol
 from mulberryquay.coordination import clock, shares
-from mulberryquay.entry import dialect, targets
+from mulberryquay.entry import targets
 
 #: Concurrent requests that an entry may relay to another one.
 MAX_RELAYED: typing.Final = 64
@@ -31,10 +31,10 @@
         share_view: shares.ShareView,
         time_source: clock.Clock,
         rng: random.Random,
-        header_dialect: dialect.HeaderDialect = dialect.OWN,
+        target_context: targets.TargetContext | None = None,
     ) -> None:
         """Starts without peers; ``entry`` is this entry's own name."""
-        self._dialect = header_dialect
+        self._target_context = target_context or targets.TargetContext()
         self._entry = entry
         self._share_view = share_view
         self._clock = time_source
@@ -91,7 +91,7 @@
         ]
 
     def _new_peer(self, row: protocol.TargetRow) -> targets.TargetState:
-        peer = targets.TargetState(row, self._clock, self._dialect)
+        peer = targets.TargetState(row, self._clock, self._target_context)
         peer.is_peer = True
         peer.limit = MAX_RELAYED
         peer.connection_limit = MAX_RELAYED
--- a/src/mulberryquay/entry/request_body.py
+++ b/src/mulberryquay/entry/request_body.py
@@ -4,6 +4,7 @@
 
 import typing
 
+from mulberryquay.coordination import wait_limit
 from mulberryquay.entry import (
     admission,
     http_heads,
@@ -43,7 +44,9 @@
         """Whether the request was read to its end."""
         return self._is_read
 
-    def read_replayable(self, service: routing.Service) -> bytes:
+    def read_replayable(
+        self, service: routing.Service, limit: wait_limit.WaitLimit
+    ) -> bytes:
         """Returns the whole body, or the beginning that fits the buffer.
 
         Raises RefusedError, with the outcome not-run, and OSError.
@@ -54,7 +57,7 @@
             self._socket.sendall(_CONTINUE)
         parts = []
         while self._size < REPLAY_BYTES:
-            part = self._read_part()
+            part = self._read_part(limit)
             if part is None:
                 break
             parts.append(part)
@@ -62,14 +65,14 @@
         return b''.join(parts)
 
     def read_remaining(
-        self, service: routing.Service
+        self, service: routing.Service, limit: wait_limit.WaitLimit
     ) -> typing.Iterator[bytes]:
         """Yields the parts of the body after the buffered beginning.
 
         Raises RefusedError, possibly after a target received some of it.
         """
         while True:
-            part = self._read_part()
+            part = self._read_part(limit)
             if part is None:
                 return
             if self._size > service.max_body_bytes:
@@ -79,8 +82,9 @@
                 )
             yield part
 
-    def _read_part(self) -> bytes | None:
+    def _read_part(self, limit: wait_limit.WaitLimit) -> bytes | None:
         try:
+            limit.apply(self._socket)
             part = self._reader.read_part()
         except http_heads.MessageError as error:
             raise outcomes.not_run(
@@ -101,6 +105,7 @@
             ) from error
         if part is None:
             self._is_read = True
+            self._socket.settimeout(wait_limit.STALL_TIMEOUT_S)
         else:
             self._size += len(part)
         return part
--- a/src/mulberryquay/entry/state.py
+++ b/src/mulberryquay/entry/state.py
@@ -19,6 +19,7 @@
     caller_watch,
     claim_client,
     dialect,
+    outcomes,
     relays,
     request_records,
     routing,
@@ -53,6 +54,11 @@
         'Attempts on targets by result and reason.',
         labels=('result', 'reason'),
     ),
+    metrics.MetricDeclaration(
+        'mulberryquay_suspensions_total',
+        'Suspensions of targets and entries by reason.',
+        labels=_REASON,
+    ),
     metrics.MetricDeclaration(
         'mulberryquay_cross_region_bytes_total',
         'Body bytes sent to and received from targets of other regions.',
@@ -161,12 +167,15 @@
         self.metrics = metrics.Metrics(METRICS)
         self.routing_table = routing.RoutingTable({})
         self.share_view = shares.ShareView(name)
+        target_context = targets.TargetContext(
+            self.dialect, self._count_suspension
+        )
         self.relays = relays.Relays(
             name,
             self.share_view,
             self.clock,
             random.Random(name),
-            self.dialect,
+            target_context,
         )
         self.balancer = balancer.Balancer(
             self.share_view,
@@ -175,7 +184,7 @@
             region=region,
             domain=domain,
             peers=self.relays,
-            header_dialect=self.dialect,
+            target_context=target_context,
             target_limits=self.options.target_limits,
         )
         self.watchdog = watchdog.Watchdog(self.clock)
@@ -213,6 +222,9 @@
             self._retry_budgets[service] = budget
         return budget
 
+    def _count_suspension(self, reason: outcomes.Reason) -> None:
+        self.metrics.count('mulberryquay_suspensions_total', reason.value)
+
     def _new_budget(self) -> retry_budget.RetryBudget:
         ratio = self.options.retry_ratio
         if not self.options.retry_reserve:
--- a/src/mulberryquay/entry/targets.py
+++ b/src/mulberryquay/entry/targets.py
@@ -8,7 +8,7 @@
 
 from mulberryquay import protocol, settings
 from mulberryquay.coordination import clock
-from mulberryquay.entry import connections, dialect
+from mulberryquay.entry import connections, dialect, outcomes
 
 #: Time constant: a load report decays to 1/e of its value in this time.
 REPORT_DECAY_MS: typing.Final = 100.0
@@ -57,6 +57,20 @@
 
 _LOG: typing.Final = logging.getLogger(__name__)
 
+#: Counts a suspension by its reason.
+SuspensionCounter = typing.Callable[[outcomes.Reason], None]
+
+
+def count_nothing(_reason: outcomes.Reason) -> None:
+    """Ignores a suspension."""
+
+
+class TargetContext(typing.NamedTuple):
+    """What all targets of an entry have in common."""
+
+    dialect: dialect.HeaderDialect = dialect.OWN
+    count_suspension: SuspensionCounter = count_nothing
+
 
 @typing.final
 class TargetState:
@@ -75,6 +89,7 @@
         '_slowness',
         '_timeouts_in_row',
         '_next_cold_call_at',
+        '_count_suspension',
         'cold_rate',
         'cold_until',
         'dialect',
@@ -96,15 +111,17 @@
         self,
         row: protocol.TargetRow,
         time_source: clock.Clock,
-        header_dialect: dialect.HeaderDialect = dialect.OWN,
+        context: TargetContext | None = None,
     ) -> None:
         """Starts without observations and with a call limit of 0."""
+        context = context or TargetContext()
+        self._count_suspension = context.count_suspension
         self.row = row
-        self.dialect = header_dialect
+        self.dialect = context.dialect
         self.pool = connections.ConnectionPool(
             settings.parse_address(row.address),
             time_source,
-            header_dialect.header_filter,
+            self.dialect.header_filter,
         )
         #: Calls from this entry that the target is running.
         self.in_flight = 0
@@ -287,10 +304,11 @@
     def record_address_reused(self) -> None:
         """Suspends the target because another one now has its address."""
         self._failures_in_row = _MAX_COUNTED_FAILURES
-        self.record_failure()
+        self.record_failure(outcomes.Reason.MISDIRECTED)
 
-    def record_failure(self) -> None:
+    def record_failure(self, reason: outcomes.Reason) -> None:
         """Suspends the target, longer after each failure in a row."""
+        self._count_suspension(reason)
         suspension = _FIRST_SUSPENSION_MS * 2**self._failures_in_row
         self._failures_in_row = min(
             self._failures_in_row + 1, _MAX_COUNTED_FAILURES
@@ -302,6 +320,7 @@
             extra={
                 'target': self.row.name,
                 'incarnation': self.row.incarnation,
+                'reason': reason.value,
                 'failures': self._failures_in_row,
                 'for_ms': suspension,
             },
@@ -313,12 +332,12 @@
         self._timeouts_in_row += 1
         if self._timeouts_in_row >= _MAX_TIMEOUTS:
             self._timeouts_in_row = 0
-            self.record_failure()
+            self.record_failure(outcomes.Reason.DEADLINE)
 
     def record_shed(self, report: dialect.LoadReport | None = None) -> None:
         """Suspends a target that shed a call and marks it as overloaded."""
         self.was_overloaded = True
-        self.record_failure()
+        self.record_failure(outcomes.Reason.TARGET_SHED)
         if report is not None:
             self.record_report(report, age=0)
 
--- a/src/mulberryquay/web.py
+++ b/src/mulberryquay/web.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import io
 import json
 import logging
 import typing
@@ -10,11 +11,21 @@
 from gevent import monkey, pywsgi
 
 from mulberryquay import metrics as metrics_module
-from mulberryquay.coordination import errors, units
+from mulberryquay.coordination import errors, read_turn, units
 
 #: Limit on request bodies of the resource and admin APIs.
 MAX_API_BODY_BYTES: typing.Final = units.MIB
 
+#: Limit of the head, the framing and an unread body of one request.
+_MAX_OVERHEAD_BYTES: typing.Final = units.MIB
+
+#: Key of a request's `_BoundedInput` in its environment.
+_INPUT_KEY: typing.Final = 'mulberryquay.input'
+
+#: Bytes read from one connection before other tasks run; parsing them in
+#: Python takes some milliseconds at most.
+_TURN_BYTES: typing.Final = 8192
+
 JSON_TYPE: typing.Final = 'application/json'
 
 _CODES_BY_STATUS: typing.Final = {
@@ -87,15 +98,23 @@
     return json.dumps(content) + '\n'
 
 
-def read_json_body() -> typing.Any:
-    """Returns the request's JSON body; raises InvalidInputError."""
-    length = bottle.request.content_length
-    if length > MAX_API_BODY_BYTES:
+def read_body(max_bytes: int) -> bytes:
+    """Returns the request's body; raises InvalidInputError if it is longer."""
+    environ = bottle.request.environ
+    environ[_INPUT_KEY].allow(max_bytes)
+    # Not bottle's own body, which would decode chunks a second time.
+    body: bytes = environ['wsgi.input'].read(max_bytes + 1)
+    if len(body) > max_bytes:
         raise errors.InvalidInputError(
-            f'got a body of {length} bytes, '
-            f'expected at most {MAX_API_BODY_BYTES}',
+            f'got a body of more than {max_bytes} bytes, expected at most '
+            'that; split the request',
         )
-    body = bottle.request.body.read(MAX_API_BODY_BYTES)
+    return body
+
+
+def read_json_body() -> typing.Any:
+    """Returns the request's JSON body; raises InvalidInputError."""
+    body = read_body(MAX_API_BODY_BYTES)
     try:
         return json.loads(body)
     except ValueError as error:
@@ -118,11 +137,81 @@
 
 def start_server(listener: typing.Any, app: bottle.Bottle) -> pywsgi.WSGIServer:
     """Starts a server for ``app`` on a listening gevent socket."""
-    server = pywsgi.WSGIServer(listener, app, log=None)
+    server = pywsgi.WSGIServer(
+        listener, app, log=None, handler_class=_BoundedHandler
+    )
     server.start()
     return server
 
 
+@typing.final
+class RequestTooLargeError(OSError):
+    """A peer sent more bytes than a request may have."""
+
+
+@typing.final
+class _BoundedInput(io.RawIOBase):
+    """Reads a connection in turns and limits the bytes of each request."""
+
+    def __init__(self, connection: typing.Any) -> None:
+        super().__init__()
+        self._socket = connection
+        self._turn = read_turn.ReadTurn(_TURN_BYTES)
+        self._remaining = _MAX_OVERHEAD_BYTES
+
+    def begin_request(self) -> None:
+        """Starts the limit of the next request and lets other tasks run."""
+        self._remaining = _MAX_OVERHEAD_BYTES
+        read_turn.yield_now()
+
+    def allow(self, body_bytes: int) -> None:
+        """Raises the limit of this request for a body that will be read."""
+        self._remaining += body_bytes
+
+    def readable(self) -> bool:
+        """Whether the stream can be read; always true."""
+        return True
+
+    def readinto(self, buffer: typing.Any) -> int:
+        """Reads some bytes; raises RequestTooLargeError and OSError."""
+        if self._remaining <= 0:
+            raise RequestTooLargeError(
+                'got more bytes than a request of this kind may have',
+            )
+        self._turn.begin_read()
+        size = int(self._socket.recv_into(buffer))
+        self._turn.end_read(size)
+        self._remaining -= size
+        return size
+
+
+@typing.final
+class _BoundedHandler(pywsgi.WSGIHandler):
+    """Serves a connection whose peer may send without end."""
+
+    def __init__(
+        self, connection: typing.Any, address: typing.Any, server: typing.Any
+    ) -> None:
+        self._input = _BoundedInput(connection)
+        super().__init__(
+            connection,
+            address,
+            server,
+            io.BufferedReader(self._input, _TURN_BYTES),
+        )
+
+    def get_environ(self) -> typing.Any:
+        """Returns the environment of the request, for WSGI."""
+        environ = super().get_environ()
+        environ[_INPUT_KEY] = self._input
+        return environ
+
+    def handle_one_request(self) -> typing.Any:
+        """Serves one request; returns what pywsgi expects."""
+        self._input.begin_request()
+        return super().handle_one_request()
+
+
 def _map_errors(
     handler: typing.Callable[..., typing.Any],
 ) -> typing.Callable[..., typing.Any]:
--- a/testing/coordination/test_wire.py
+++ b/testing/coordination/test_wire.py
@@ -6,6 +6,7 @@
 import unittest
 import zlib
 
+import gevent
 import hypothesis
 import msgpack
 from hypothesis import strategies
@@ -67,3 +68,64 @@
         protocol.CODEC.decode(fields)
     except wire.ProtocolError:
         return
+
+
+class EndlessSocket:
+    """A socket that always has the same bytes to read."""
+
+    def __init__(self, block: bytes) -> None:
+        """Returns ``block`` from each read, up to a number of reads."""
+        self._block = block
+        self.reads = 0
+
+    def setsockopt(self, *_option: int) -> None:
+        """Accepts all options."""
+
+    def recv(self, _size: int) -> bytes:
+        """Returns the block; ends the test after very many reads."""
+        self.reads += 1
+        if self.reads > _MAX_READS:
+            raise ConnectionResetError('the reader did not stop')
+        return self._block
+
+
+_MAX_READS: typing.Final = 4000
+_BLOCK_BYTES: typing.Final = 65536
+
+
+def test_stream_of_bytes_that_are_no_message_is_ended() -> None:
+    """Endless nils, openings or lengths must end the stream, in few bytes."""
+    for name, block in (
+        ('nils', b'\xc0' * _BLOCK_BYTES),
+        ('numbers', b'\x01' * _BLOCK_BYTES),
+        ('openings', b'\x91' * _BLOCK_BYTES),
+        ('huge array', b'\xdd\xff\xff\xff\xff' + b'\x00' * _BLOCK_BYTES),
+        ('reserved', b'\xc1' * _BLOCK_BYTES),
+        ('negative tag', b'\x91\xff' * _BLOCK_BYTES),
+        ('long text', b'\xdb\xff\xff\xff\xff' + b'x' * _BLOCK_BYTES),
+    ):
+        with CASE.subTest(name):
+            connection = EndlessSocket(block)
+            stream = wire.Stream(connection, protocol.CODEC)
+            with CASE.assertRaises(wire.ProtocolError):
+                stream.receive()
+            CASE.assertLess(connection.reads, _MAX_READS)
+
+
+def test_peer_that_sends_without_pause_does_not_stop_other_tasks() -> None:
+    """A task that receives endless valid messages must let others run."""
+    message = protocol.CODEC.encode(protocol.HeartbeatAnswer(7, 3000))
+    block = message * (_BLOCK_BYTES // len(message))
+    connection = EndlessSocket(block)
+    stream = wire.Stream(connection, protocol.CODEC)
+
+    def receive_all() -> None:
+        while True:
+            stream.receive()
+
+    receiver = gevent.spawn(receive_all)
+    gevent.sleep(0.001)
+    reads = connection.reads
+    receiver.kill()
+    CASE.assertGreater(reads, 0)
+    CASE.assertLess(reads, _MAX_READS)
--- a/testing/entry/test_limits.py
+++ b/testing/entry/test_limits.py
@@ -11,7 +11,7 @@
 import gevent
 
 from mulberryquay.coordination import clock, token_bucket
-from mulberryquay.entry import daemon, prober
+from mulberryquay.entry import daemon, outcomes, prober
 from mulberryquay.standin import target
 from testing import fixtures
 
@@ -63,7 +63,9 @@
         ]
         for entry in entries:
             fixtures.wait_for_targets(entry, 'a')
-            entry.state.balancer.all_targets['a'].record_failure()
+            entry.state.balancer.all_targets['a'].record_failure(
+                outcomes.Reason.CONNECTION_LOST
+            )
         fixtures.wait_until(lambda: stock.runs['GET /healthz'] > 12)
         elapsed = time.monotonic() - began
         probes = stock.runs['GET /healthz']
@@ -93,7 +95,7 @@
         fixtures.wait_for_targets(entry, 'a')
         target_state = entry.state.balancer.all_targets['a']
         for _failure in range(8):
-            target_state.record_failure()
+            target_state.record_failure(outcomes.Reason.CONNECTION_LOST)
         fixtures.wait_until(lambda: not target_state.has_failed)
         CASE.assertEqual(target_state.suspended_until, 0)
 
--- /dev/null
+++ b/testing/entry/test_messages.py
@@ -0,0 +1,185 @@
+"""Tests of reading messages whose bytes come in any pieces, or without end."""
+
+from __future__ import annotations
+
+import itertools
+import typing
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from mulberryquay.entry import http_heads, messages
+from testing import fixtures
+
+CASE: typing.Final = unittest.TestCase()
+
+_OK: typing.Final = b'HTTP/1.1 200 OK\r\n'
+_CHUNKED: typing.Final = _OK + b'transfer-encoding: chunked\r\n\r\n'
+_BLOCK_BYTES: typing.Final = 65536
+_MAX_READS: typing.Final = 1000
+
+
+class ScriptedSocket:
+    """Returns the given pieces one by one, then the end of the stream."""
+
+    def __init__(self, pieces: typing.Iterable[bytes]) -> None:
+        """Empty pieces are left out."""
+        self._pieces = (piece for piece in pieces if piece)
+        self.reads = 0
+
+    def recv(self, _size: int) -> bytes:
+        """Returns the next piece."""
+        self.reads += 1
+        if self.reads > _MAX_READS:
+            raise ConnectionResetError('the reader did not stop')
+        return next(self._pieces, b'')
+
+
+def _endless(beginning: bytes, repeated: bytes) -> ScriptedSocket:
+    block = repeated * (_BLOCK_BYTES // len(repeated) + 1)
+    return ScriptedSocket(
+        itertools.chain([beginning], itertools.repeat(block)),
+    )
+
+
+def _read_all(reader: messages.ResponseReader) -> fixtures.Response:
+    return fixtures.receive(reader)
+
+
+def test_answer_without_end_is_malformed_after_bounded_bytes() -> None:
+    """Heads, chunk sizes and trailers without end must not be read on."""
+    for name, beginning, repeated in (
+        ('interim heads', b'', b'HTTP/1.1 103 Early Hints\r\n\r\n'),
+        ('head line', _OK + b'x: ', b'x'),
+        ('head fields', _OK, b'a: b\r\n'),
+        ('empty lines', b'', b'\r\n'),
+        ('chunk size', _CHUNKED, b'0'),
+        ('chunk extension', _CHUNKED + b'5;', b'x'),
+        ('trailers', _CHUNKED + b'0\r\n', b'a: b\r\n'),
+        ('trailer line', _CHUNKED + b'0\r\na: ', b'x'),
+    ):
+        with CASE.subTest(name):
+            connection = _endless(beginning, repeated)
+            with CASE.assertRaises(http_heads.MessageError):
+                _read_all(messages.ResponseReader(connection))
+            CASE.assertLess(connection.reads, 8)
+
+
+def test_request_without_end_is_malformed_after_bounded_bytes() -> None:
+    """A caller must not be read on either."""
+    chunked = (
+        b'POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n'
+    )
+    for name, beginning, repeated in (
+        ('line', b'GET /', b'x'),
+        ('fields', b'GET / HTTP/1.1\r\n', b'a: b\r\n'),
+        ('chunk size', chunked, b'0'),
+        ('chunk extension', chunked + b'5;', b'x'),
+        ('trailers', chunked + b'0\r\n', b'a: b\r\n'),
+    ):
+        with CASE.subTest(name):
+            connection = _endless(beginning, repeated)
+            reader = messages.RequestReader(connection)
+            with CASE.assertRaises(http_heads.MessageError):
+                reader.read_head()
+                while reader.read_part() is not None:
+                    """Reads to the end of the request."""
+            CASE.assertLess(connection.reads, 8)
+
+
+def test_few_interim_answers_are_skipped() -> None:
+    """A target may send 100 and 103 before its answer."""
+    interim = b'HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n'
+    for _ in range(2):
+        connection = ScriptedSocket(
+            [interim * 8, _OK + b'content-length: 2\r\n\r\nok']
+        )
+        response = _read_all(messages.ResponseReader(connection))
+        CASE.assertEqual((response.status, response.body), (200, b'ok'))
+
+
+def test_trailers_are_dropped() -> None:
+    """Fields after the body must not become headers of the next answer."""
+    connection = ScriptedSocket(
+        [
+            _CHUNKED + b'2\r\nok\r\n0\r\nx-late: 1\r\n\r\n',
+            _OK + b'content-length: 2\r\n\r\nok',
+        ],
+    )
+    reader = messages.ResponseReader(connection)
+    _read_all(reader)
+    CASE.assertNotIn('x-late', _read_all(reader).headers)
+
+
+def _split(body: bytes, cuts: typing.Sequence[int]) -> typing.Iterator[bytes]:
+    positions = sorted({0, len(body), *(cut % (len(body) + 1) for cut in cuts)})
+    for start, end in itertools.pairwise(positions):
+        yield body[start:end]
+
+
+_FRAGMENTS: typing.Final = strategies.sampled_from(
+    (
+        _OK,
+        _CHUNKED,
+        b'content-length: 5\r\n',
+        b'content-length: 99999999999999999999\r\n',
+        b'transfer-encoding: chunked\r\n',
+        b'\r\n',
+        b'hello',
+        b'5\r\nhello\r\n',
+        b'5;x=y\r\nhello\r\n',
+        b'0\r\n\r\n',
+        b'0\r\nx: y\r\n\r\n',
+        b'HTTP/1.1 103 Early Hints\r\n\r\n',
+        b'HTTP/1.1 304 Not Modified\r\n\r\n',
+        b'fffffffffffffffff\r\n',
+    ),
+)
+
+
+@fixtures.hypothesis_settings(300)
+@hypothesis.given(
+    strategies.lists(_FRAGMENTS | strategies.binary(max_size=12), max_size=12),
+    strategies.lists(strategies.integers(0, 1000), max_size=8),
+)
+def test_any_bytes_in_any_pieces_are_read_alike_or_refused(
+    fragments: list[bytes], cuts: list[int]
+) -> None:
+    """No bytes may hang the reader, and pieces must not change the result."""
+    stream = b''.join(fragments)
+    results: list[tuple[int, bytes] | None] = []
+    for pieces in ([stream], list(_split(stream, cuts))):
+        reader = messages.ResponseReader(ScriptedSocket(pieces))
+        try:
+            response = fixtures.receive(reader)
+        except (http_heads.MessageError, http_heads.CutShortError):
+            results.append(None)
+        else:
+            results.append((response.status, response.body))
+    CASE.assertEqual(results[0], results[1])
+
+
+@fixtures.hypothesis_settings(200)
+@hypothesis.given(
+    strategies.lists(strategies.binary(min_size=1, max_size=300), max_size=6),
+    strategies.booleans(),
+    strategies.integers(0, 10_000),
+    strategies.lists(strategies.integers(0, 2000), max_size=8),
+)
+def test_answer_that_ends_early_is_never_complete(
+    parts: list[bytes], is_chunked: bool, end: int, cuts: list[int]
+) -> None:
+    """An answer cut off at any byte before its end must not be read whole."""
+    body = b''.join(parts)
+    if is_chunked:
+        chunks = b''.join(http_heads.encode_chunk(part) for part in parts)
+        answer = _CHUNKED + chunks + http_heads.LAST_CHUNK
+    else:
+        answer = _OK + b'content-length: %d\r\n\r\n' % len(body) + body
+    cut_short = answer[: end % len(answer)]
+    reader = messages.ResponseReader(ScriptedSocket(_split(cut_short, cuts)))
+    with CASE.assertRaises(http_heads.CutShortError):
+        fixtures.receive(reader)
+    whole = messages.ResponseReader(ScriptedSocket(_split(answer, cuts)))
+    CASE.assertEqual(fixtures.receive(whole).body, body)
--- a/testing/fixtures.py
+++ b/testing/fixtures.py
@@ -285,7 +285,13 @@
     )
 
 
-def send(port: int, raw: bytes, *, method: bytes = b'GET') -> Response:
+def send(
+    port: int,
+    raw: bytes,
+    *,
+    method: bytes = b'GET',
+    keeps_body: bool = True,
+) -> Response:
     """Sends raw bytes on a new connection and reads one answer.
 
     Raises http_heads.CutShortError and OSError as the caller would see them.
@@ -294,7 +300,11 @@
     connection.settimeout(TIMEOUT_S)
     try:
         connection.sendall(raw)
-        return receive(messages.ResponseReader(connection), method=method)
+        return receive(
+            messages.ResponseReader(connection),
+            method=method,
+            keeps_body=keeps_body,
+        )
     finally:
         connection.close()
 
@@ -303,8 +313,9 @@
     reader: messages.ResponseReader,
     *,
     method: bytes = b'GET',
+    keeps_body: bool = True,
 ) -> Response:
-    """Reads one answer."""
+    """Reads one answer; the body is empty unless it ``keeps_body``."""
     head = reader.read_head()
     parts = []
     read = reader.read_part
@@ -314,7 +325,8 @@
         part = read()
         if part is None:
             break
-        parts.append(part)
+        if keeps_body:
+            parts.append(part)
     headers = {
         name.decode(): header.decode()
         for name, header in (*head.known_headers, *head.forwarded_headers)
--- /dev/null
+++ b/testing/processes.py
@@ -0,0 +1,112 @@
+"""Fixtures that run daemons in processes of their own."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import typing
+
+from mulberryquay.commands import api_client
+from testing import fixtures
+
+
+class EntryProcess(typing.NamedTuple):
+    """An entry in a process of its own."""
+
+    process: typing.Any
+    port: int
+    admin_port: int
+
+
+def control(
+    folder: pathlib.Path,
+    api_port: int = 0,
+    feed_port: int = 0,
+) -> typing.Any:
+    """Returns a fixture of a control host, as `fixtures.process` yields it."""
+    return fixtures.process(
+        'control',
+        f'--data_folder={folder}',
+        '--target_lease_ms=6000',
+        f'--api_listen=127.0.0.1:{api_port}',
+        f'--feed_listen=127.0.0.1:{feed_port}',
+        '--host_listen=127.0.0.1:0',
+    )
+
+
+def client(port: int) -> api_client.ApiClient:
+    """Returns a client of the API at a local port."""
+    return api_client.ApiClient(f'127.0.0.1:{port}')
+
+
+@contextlib.contextmanager
+def entry(
+    feed_port: int,
+    name: str = 'entry-1',
+    *,
+    listen: int = 0,
+    drain_ms: int = 0,
+    ledger: str = '',
+    arguments: typing.Sequence[str] = (),
+) -> typing.Iterator[EntryProcess]:
+    """Yields an entry that is ready."""
+    command_line = (
+        'entry',
+        f'--name={name}',
+        '--region=north',
+        '--domain=north-1',
+        f'--listen=127.0.0.1:{listen}',
+        '--admin_listen=127.0.0.1:0',
+        '--peer_listen=127.0.0.1:0',
+        f'--control=127.0.0.1:{feed_port}',
+        f'--drain_ms={drain_ms}',
+        f'--ledger={ledger}',
+        *arguments,
+    )
+    with fixtures.process(*command_line) as (process, line):
+        port, admin_port = fixtures.parse_ports(line)
+        admin_client = client(admin_port)
+        fixtures.wait_until(lambda: _is_ready(admin_client))
+        yield EntryProcess(process, port, admin_port)
+
+
+@contextlib.contextmanager
+def flooding_target() -> typing.Iterator[int]:
+    """Yields the port of a process that runs `flooding_target`."""
+    child = subprocess.Popen(
+        [sys.executable, '-m', 'testing.flooding_target'],
+        stdout=subprocess.PIPE,
+        text=True,
+        env={**os.environ, 'PYTHONUNBUFFERED': '1'},
+    )
+    assert child.stdout is not None
+    try:
+        yield int(child.stdout.readline())
+    finally:
+        child.send_signal(signal.SIGKILL)
+        child.wait()
+        child.stdout.close()
+
+
+def _is_ready(admin_client: api_client.ApiClient) -> bool:
+    try:
+        admin_client.call('GET', '/readyz')
+    except api_client.ApiRefusedError:
+        return False
+    return True
+
+
+def put(
+    control_client: api_client.ApiClient,
+    kind: str,
+    name: str,
+    **spec: typing.Any,
+) -> int:
+    """Declares a resource and returns the revision."""
+    body = {'version': 1, 'spec': spec}
+    answer = control_client.call('PUT', f'/v1/{kind}/{name}', body)
+    return int(answer['revision'])
--- a/testing/test_processes.py
+++ b/testing/test_processes.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import pathlib
 import signal
 import typing
 import unittest
@@ -16,94 +15,23 @@
 from mulberryquay.commands import api_client
 from mulberryquay.entry import http_heads, messages
 from mulberryquay.standin import target
-from testing import fixtures
+from testing import fixtures, processes
 
 CASE: typing.Final = unittest.TestCase()
 
 _MIB: typing.Final = 1 << 20
 
 
-class EntryProcess(typing.NamedTuple):
-    """An entry in a process of its own."""
-
-    process: typing.Any
-    port: int
-    admin_port: int
-
-
-def _control(
-    folder: pathlib.Path,
-    api_port: int = 0,
-    feed_port: int = 0,
-) -> typing.Any:
-    return fixtures.process(
-        'control',
-        f'--data_folder={folder}',
-        '--target_lease_ms=6000',
-        f'--api_listen=127.0.0.1:{api_port}',
-        f'--feed_listen=127.0.0.1:{feed_port}',
-        '--host_listen=127.0.0.1:0',
-    )
-
-
-def _client(port: int) -> api_client.ApiClient:
-    return api_client.ApiClient(f'127.0.0.1:{port}')
-
-
-@contextlib.contextmanager
-def _entry(
-    feed_port: int,
-    name: str = 'entry-1',
-    *,
-    listen: int = 0,
-    drain_ms: int = 0,
-    ledger: str = '',
-) -> typing.Iterator[EntryProcess]:
-    arguments = (
-        'entry',
-        f'--name={name}',
-        '--region=north',
-        '--domain=north-1',
-        f'--listen=127.0.0.1:{listen}',
-        '--admin_listen=127.0.0.1:0',
-        '--peer_listen=127.0.0.1:0',
-        f'--control=127.0.0.1:{feed_port}',
-        f'--drain_ms={drain_ms}',
-        f'--ledger={ledger}',
-    )
-    with fixtures.process(*arguments) as (process, line):
-        port, admin_port = fixtures.parse_ports(line)
-        client = _client(admin_port)
-        fixtures.wait_until(lambda: _is_ready(client))
-        yield EntryProcess(process, port, admin_port)
-
-
-def _is_ready(client: api_client.ApiClient) -> bool:
-    try:
-        client.call('GET', '/readyz')
-    except api_client.ApiRefusedError:
-        return False
-    return True
-
-
-def _put(
-    client: api_client.ApiClient, kind: str, name: str, **spec: typing.Any
-) -> int:
-    body = {'version': 1, 'spec': spec}
-    answer = client.call('PUT', f'/v1/{kind}/{name}', body)
-    return int(answer['revision'])
-
-
 @contextlib.contextmanager
 def _stock_service(
     api_port: int,
     handler: target.Handler,
 ) -> typing.Iterator[target.StandInTarget]:
     """Declares a service at ``/stock`` and runs its one target."""
-    client = _client(api_port)
-    _put(client, 'service-classes', 'read', idempotent=True)
-    _put(client, 'services', 'stock')
-    _put(
+    client = processes.client(api_port)
+    processes.put(client, 'service-classes', 'read', idempotent=True)
+    processes.put(client, 'services', 'stock')
+    processes.put(
         client,
         'routes',
         'stock',
@@ -143,14 +71,14 @@
     """Guards against losing acknowledged changes to a kill -9 during writes."""
     with fixtures.folder() as folder:
         accepted: dict[str, int] = {}
-        with _control(folder) as (process, line):
-            client = _client(fixtures.parse_ports(line)[0])
+        with processes.control(folder) as (process, line):
+            client = processes.client(fixtures.parse_ports(line)[0])
 
             def write() -> None:
                 for number in range(10_000):
                     name = f's{number}'
                     try:
-                        accepted[name] = _put(client, 'services', name)
+                        accepted[name] = processes.put(client, 'services', name)
                     except api_client.ApiUnreachableError:
                         return
 
@@ -158,8 +86,8 @@
             fixtures.wait_until(lambda: len(accepted) > 150)
             process.send_signal(signal.SIGKILL)
             writer.join()
-        with _control(folder) as (_process, line):
-            client = _client(fixtures.parse_ports(line)[0])
+        with processes.control(folder) as (_process, line):
+            client = processes.client(fixtures.parse_ports(line)[0])
             listed = client.call('GET', '/v1/services')
         stored = {item['name']: item['revision'] for item in listed['items']}
         CASE.assertEqual(stored, {**stored, **accepted})
@@ -174,15 +102,15 @@
     """
     handler = target.echo_handler('stock-a')
     with fixtures.folder() as folder, contextlib.ExitStack() as stack:
-        process, line = stack.enter_context(_control(folder))
+        process, line = stack.enter_context(processes.control(folder))
         api_port, feed_port = fixtures.parse_ports(line)
         stack.enter_context(_stock_service(api_port, handler))
-        entry = stack.enter_context(_entry(feed_port))
+        entry = stack.enter_context(processes.entry(feed_port))
         fixtures.wait_until(lambda: _is_answered(entry.port))
         process.send_signal(signal.SIGKILL)
         process.wait()
-        stack.enter_context(_control(folder, api_port, feed_port))
-        client = _client(api_port)
+        stack.enter_context(processes.control(folder, api_port, feed_port))
+        client = processes.client(api_port)
         fixtures.wait_until(lambda: client.call('GET', '/v1/entries')['items'])
         fixtures.wait_until(lambda: _is_answered(entry.port))
         fixtures.wait_until(lambda: client.call('GET', '/v1/targets')['items'])
@@ -213,16 +141,18 @@
         fixtures.folder() as ledger_folder,
         contextlib.ExitStack() as stack,
     ):
-        _process, line = stack.enter_context(_control(folder))
+        _process, line = stack.enter_context(processes.control(folder))
         api_port, feed_port = fixtures.parse_ports(line)
         stack.enter_context(_stock_service(api_port, answer_slowly))
-        client = _client(api_port)
-        _put(client, 'routes', 'order', path_prefix='/order', service='stock')
+        client = processes.client(api_port)
+        processes.put(
+            client, 'routes', 'order', path_prefix='/order', service='stock'
+        )
         ledger = stack.enter_context(fixtures.ledger(ledger_folder))
         address = f'127.0.0.1:{ledger.port}'
-        first = stack.enter_context(_entry(feed_port, ledger=address))
+        first = stack.enter_context(processes.entry(feed_port, ledger=address))
         second = stack.enter_context(
-            _entry(feed_port, 'entry-2', ledger=address),
+            processes.entry(feed_port, 'entry-2', ledger=address),
         )
         fixtures.wait_until(lambda: _is_answered(first.port))
         fixtures.wait_until(lambda: _is_answered(second.port))
@@ -251,10 +181,10 @@
         return target.Answer(body=b'x' * (4 * _MIB))
 
     with fixtures.folder() as folder, contextlib.ExitStack() as stack:
-        _process, line = stack.enter_context(_control(folder))
+        _process, line = stack.enter_context(processes.control(folder))
         api_port, feed_port = fixtures.parse_ports(line)
         stand_in = stack.enter_context(_stock_service(api_port, answer_slowly))
-        entry = stack.enter_context(_entry(feed_port))
+        entry = stack.enter_context(processes.entry(feed_port))
         fixtures.wait_until(lambda: _is_answered(entry.port))
         request = fixtures.request_bytes('/stock/x')
         pending = gevent.spawn(fixtures.send, entry.port, request)
@@ -307,14 +237,14 @@
     """
     handler = target.echo_handler('stock-a')
     with fixtures.folder() as folder, contextlib.ExitStack() as stack:
-        _process, line = stack.enter_context(_control(folder))
+        _process, line = stack.enter_context(processes.control(folder))
         api_port, feed_port = fixtures.parse_ports(line)
         stack.enter_context(_stock_service(api_port, handler))
-        ready_entries: list[EntryProcess] = []
+        ready_entries: list[processes.EntryProcess] = []
 
         def start(name: str) -> None:
             entry = stack.enter_context(
-                _entry(feed_port, name, drain_ms=300),
+                processes.entry(feed_port, name, drain_ms=300),
             )
             fixtures.wait_until(lambda: _is_answered(entry.port))
             ready_entries.append(entry)
@@ -353,10 +283,10 @@
         return target.Answer(body=b'%d' % len(request.body))
 
     with fixtures.folder() as folder, contextlib.ExitStack() as stack:
-        _process, line = stack.enter_context(_control(folder))
+        _process, line = stack.enter_context(processes.control(folder))
         api_port, feed_port = fixtures.parse_ports(line)
         stack.enter_context(_stock_service(api_port, answer_length))
-        entry = stack.enter_context(_entry(feed_port))
+        entry = stack.enter_context(processes.entry(feed_port))
         fixtures.wait_until(lambda: _is_answered(entry.port))
         process = psutil.Process(entry.process.pid)
         before = process.memory_info().rss
