--- a/src/mulberryquay/coordination/journal.py
+++ b/src/mulberryquay/coordination/journal.py
@@ -1,8 +1,8 @@
 """An append-only, synced journal with snapshots, one per data folder.
 
 Layout: ``snapshot-N`` holds a state and ``journal-N`` the records after it. N
-grows with each snapshot. Each record is a frame: length and CRC-32 (4 bytes
-each, big-endian) followed by a msgpack body.
+grows with each snapshot. Each record is a frame: length, CRC-32 of the body
+and CRC-32 of these two (4 bytes each, big-endian), then a msgpack body.
 """
 
 from __future__ import annotations
@@ -10,18 +10,14 @@
 import fcntl
 import os
 import pathlib
-import struct
 import typing
-import zlib
 
 import gevent
-import msgpack
 
-from mulberryquay.coordination import errors, units
+from mulberryquay.coordination import errors, frames, units
 
-Record = typing.Any
+Record = frames.Record
 
-_HEADER: typing.Final = struct.Struct('>II')
 _SNAPSHOT_PREFIX: typing.Final = 'snapshot-'
 _JOURNAL_PREFIX: typing.Final = 'journal-'
 _LOCK_NAME: typing.Final = 'lock'
@@ -144,7 +140,7 @@
         self._snapshot_number = snapshot_number
         path = self._path(_JOURNAL_PREFIX, self._snapshot_number)
         body = path.read_bytes() if path.exists() else b''
-        records, good_bytes = _read_frames(body, path.name)
+        records, good_bytes = _decode_frames(body, path.name)
         self._open_journal(path)
         if good_bytes < len(body):
             os.ftruncate(self._descriptor, good_bytes)
@@ -156,7 +152,7 @@
     def append(self, records: typing.Sequence[Record]) -> None:
         """Writes and syncs ``records`` together; raises JournalFailedError."""
         self._check_usable()
-        body = b''.join(_frame(record) for record in records)
+        body = b''.join(frames.encode(record) for record in records)
         try:
             self._file_system.run(lambda: self._write_synced(body))
         except OSError as error:
@@ -180,7 +176,7 @@
 
     def _replace(self, snapshot_number: int, snapshot: Record) -> None:
         path = self._path(_SNAPSHOT_PREFIX, snapshot_number)
-        self._file_system.replace(path, _frame(snapshot))
+        self._file_system.replace(path, frames.encode(snapshot))
         if self._descriptor >= 0:
             os.close(self._descriptor)
             self._descriptor = -1
@@ -235,13 +231,13 @@
             return 0, None
         path = self._path(_SNAPSHOT_PREFIX, numbers[-1])
         body = path.read_bytes()
-        frames, good_bytes = _read_frames(body, path.name)
-        if len(frames) != 1 or good_bytes != len(body):
+        decoded = _decode_frames(body, path.name)
+        if len(decoded.records) != 1 or decoded.size != len(body):
             raise JournalCorruptError(
                 f'{path.name} is damaged; restore the data folder from an '
                 'intact copy',
             )
-        return numbers[-1], frames[0]
+        return numbers[-1], decoded.records[0]
 
     def _remove_older(self) -> None:
         kept = {
@@ -269,35 +265,12 @@
     return descriptor
 
 
-def _frame(record: Record) -> bytes:
-    body: bytes = msgpack.packb(record)
-    return _HEADER.pack(len(body), zlib.crc32(body)) + body
-
-
-def _read_frames(body: bytes, name: str) -> tuple[list[Record], int]:
-    """Returns the complete records and their total length in bytes.
-
-    An incomplete write is left out: a damaged frame that reaches the end of
-    the file, or zeros. A frame that is damaged before the end raises
-    JournalCorruptError.
-    """
-    records: list[Record] = []
-    offset = 0
-    while offset + _HEADER.size <= len(body):
-        length, checksum = _HEADER.unpack_from(body, offset)
-        start = offset + _HEADER.size
-        end = start + length
-        # No frame is empty, so zeros are blocks that a crash left unwritten.
-        if end > len(body) or not length:
-            break
-        frame = body[start:end]
-        if zlib.crc32(frame) != checksum:
-            if end == len(body):
-                break
-            raise JournalCorruptError(
-                f'{name} is damaged at byte {offset}; restore the data '
-                'folder from an intact copy',
-            )
-        records.append(msgpack.unpackb(frame))
-        offset = end
-    return records, offset
+def _decode_frames(content: bytes, name: str) -> frames.Decoded:
+    """Returns the records of a file; raises JournalCorruptError."""
+    try:
+        return frames.decode_all(content)
+    except frames.DamagedFrameError as error:
+        raise JournalCorruptError(
+            f'{name} is damaged at byte {error.offset}; restore the data '
+            'folder from an intact copy',
+        ) from error
--- a/src/mulberryquay/coordination/replication/election.py
+++ b/src/mulberryquay/coordination/replication/election.py
@@ -147,11 +147,9 @@
             votes.count(is_granted=False)
             return
         is_vote = isinstance(answer, messages.VoteAnswer)
-        if (
-            is_vote
-            and answer.term > replica_state.term
-            and not request.is_pre_vote
-        ):
+        if is_vote and answer.term > replica_state.term:
+            # Also after a pre-vote: otherwise a replica whose log is needed
+            # but whose term is behind would ask for old terms forever.
             replica_state.adopt_term(answer.term)
         votes.count(is_granted=is_vote and answer.is_granted)
 
--- a/src/mulberryquay/coordination/replication/follower.py
+++ b/src/mulberryquay/coordination/replication/follower.py
@@ -90,6 +90,9 @@
                 request.members,
                 request.state,
             )
+        else:
+            # The request may be a repeat of one whose snapshot is not synced.
+            replica_state.wait_until_synced(request.state_index)
         if replica_state.term != request.term:
             return _refusal(replica_state)
         return messages.AppendAnswer(
--- a/src/mulberryquay/coordination/replication/state.py
+++ b/src/mulberryquay/coordination/replication/state.py
@@ -191,6 +191,14 @@
             if self.log.term_at(last) == entries[-1].term:
                 self._synced_index = max(self._synced_index, last)
 
+    def wait_until_synced(self, index: int) -> None:
+        """Returns once a snapshot up to ``index``, being written, is synced.
+
+        Raises JournalFailedError.
+        """
+        if index > self._synced_index:
+            self.disk.barrier().get()
+
     def mark_synced(self, entry: log.Entry) -> None:
         """Records that the leader's own log entry is synced to its disk."""
         if self.log.term_at(entry.log_index) == entry.term:
@@ -221,7 +229,7 @@
         self.log.reset(index, term, members)
         self.commit_index = index
         self._applied_index = index
-        self._synced_index = index
+        self._synced_index = min(self._synced_index, index)
         self.changed.notify()
         self.compact()
 
--- a/testing/coordination/replication/test_replica.py
+++ b/testing/coordination/replication/test_replica.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import contextlib
+import functools
+import itertools
 import typing
 import unittest
 
 import gevent
 
+from mulberryquay.coordination.replication import messages
 from testing import fixtures
 from testing.coordination.replication import world as world_module
 
@@ -256,3 +259,46 @@
         CASE.assertEqual(last.machine.records, world.acknowledged)
         world.clock.run(1000)
         CASE.assertIsNone(world.leader)
+
+
+def _lead_from_behind(world: world_module.World, terms_ahead: int) -> None:
+    """Leaves two of three live; the shorter log has the later term."""
+    _wait_until_converged(world)
+    leader = world.leader
+    assert leader is not None
+    behind, stopped = (node for node in world.live if node is not leader)
+    stopped.stop()
+    world.cut([leader.address], [behind.address])
+    world.cut([behind.address], [leader.address])
+    gevent.spawn(world.propose, leader)
+    world.clock.run(2000)
+    assert behind.replica is not None
+    for _ in range(terms_ahead):
+        behind.replica.handle(
+            messages.HandoverRequest(
+                behind.replica.identity, behind.replica.term
+            )
+        )
+        world.clock.run(1000)
+    world.cuts.clear()
+
+
+def test_replica_several_terms_behind_is_elected() -> None:
+    """A candidate must learn the later term of a voter that refuses it.
+
+    Of two live replicas of three, the one with the shorter log may be several
+    terms ahead. Only the other one can win, in a term after those.
+    """
+    for seed, terms_ahead in itertools.product(range(1, 4), (1, 2, 3, 5)):
+        with (
+            CASE.subTest(seed=seed, terms_ahead=terms_ahead),
+            _world(seed, ADDRESSES[:3]) as world,
+        ):
+            _lead_from_behind(world, terms_ahead)
+            is_led = functools.partial(_has_leader, world)
+            CASE.assertTrue(world.clock.run_until(is_led, limit=60_000))
+            CASE.assertEqual(world.violations, [])
+
+
+def _has_leader(world: world_module.World) -> bool:
+    return world.leader is not None
--- a/testing/coordination/test_journal.py
+++ b/testing/coordination/test_journal.py
@@ -5,8 +5,12 @@
 import errno
 import os
 import pathlib
+import struct
 import typing
 import unittest
+import zlib
+
+import msgpack
 
 from mulberryquay.coordination import journal
 from testing import fixtures
@@ -88,6 +92,53 @@
             _recover(folder)
 
 
+def test_zeroed_record_before_the_end_is_reported() -> None:
+    """Zeros that other records follow are damage, not an unfinished write."""
+    with fixtures.folder() as folder:
+        path = _write(folder, [['first', 1], ['second', 2]])
+        whole = path.read_bytes()
+        half = len(whole) // 2
+        for kept in (0, 4, 8, 12):
+            damaged = whole[:kept] + bytes(half - kept) + whole[half:]
+            path.write_bytes(damaged)
+            with CASE.assertRaises(journal.JournalCorruptError):
+                _recover(folder)
+
+
+def test_any_damaged_bit_of_a_synced_record_is_reported() -> None:
+    """No damage may silently cut off synced records, of lengths least of all.
+
+    Only damage inside the body of the very last record looks like a write
+    that was not finished.
+    """
+    records = [['first', 1], ['second', 2], ['third', 3]]
+    with fixtures.folder() as folder:
+        path = _write(folder, records)
+        whole = path.read_bytes()
+        last_body = len(msgpack.packb(records[-1]))
+        for position in range(len(whole) - last_body):
+            for bit in range(8):
+                body = bytearray(whole)
+                body[position] ^= 1 << bit
+                path.write_bytes(bytes(body))
+                with CASE.assertRaises(
+                    journal.JournalCorruptError, msg=f'{position}.{bit}'
+                ):
+                    _recover(folder)
+                CASE.assertEqual(path.read_bytes(), bytes(body))
+
+
+def test_journal_of_the_first_format_is_read_and_continued() -> None:
+    """A data folder written before headers had a checksum must stay usable."""
+    with fixtures.folder() as folder:
+        path = _write(folder, [])
+        body = msgpack.packb(['old', 1])
+        header = struct.pack('>II', len(body), zlib.crc32(body))
+        path.write_bytes(header + body)
+        _write(folder, [['new', 2]])
+        CASE.assertEqual(_recover(folder).records, [['old', 1], ['new', 2]])
+
+
 def test_snapshot_replaces_the_records_before_it() -> None:
     """Records that a snapshot contains must not be replayed again."""
     with fixtures.folder() as folder:
