Serve what was accepted when an entry stops as planned

Cause: closing the port reset connections in the accept queue; the stop counted connections whose task had begun, so the process could end before the last one began; a connection without a request yet was closed at once; ending the read side of an idle connection discarded a request that had just arrived, because gevent wakes the reader with an error although bytes wait.

Change: DrainingServer accepts what waits before it closes and counts tasks from their spawning; a new connection has 500 ms for its first request; after the read side is shut down, what has arrived is read once more.

--- a/src/mulberryquay/entry/caller.py
+++ b/src/mulberryquay/entry/caller.py
@@ -20,6 +20,9 @@
 )
 
 _DISCARD_TIMEOUT_MS: typing.Final = 1000.0
+#: How long a stopping entry waits for the first request of a connection.
+_FIRST_REQUEST_MS: typing.Final = 500.0
+
 _MAX_DISCARDED_BYTES: typing.Final = 8 * units.MIB
 
 _LOG: typing.Final = logging.getLogger(__name__)
@@ -54,6 +57,8 @@
         #: Whether this entry shut down the read side, which ends the wait
         #: for the next request.
         self._is_read_shut_down = False
+        self._has_served = False
+        self._accepted_at = entry_state.clock.now()
         #: Whether no request is being served.
         self.is_idle = True
         #: When the idle or head timeout ends; infinite during a request.
@@ -79,7 +84,14 @@
         self._socket.shutdown(socket.SHUT_RD)
 
     def close_if_idle(self) -> None:
-        """Ends a connection on which no request has begun."""
+        """Ends a connection on which no request has begun.
+
+        A new connection has some time left for its first request.
+        """
+        if not self._has_served:
+            age = self._state.clock.now() - self._accepted_at
+            if age < _FIRST_REQUEST_MS:
+                return
         if self.is_idle and self._reader.is_between_messages:
             self._is_read_shut_down = True
             self._socket.shutdown(socket.SHUT_RD)
@@ -94,12 +106,11 @@
         self._socket.settimeout(None)
         self._is_awaiting_head = True
         try:
-            head = self._reader.read_head()
+            head = self._read_head()
         except http_heads.MessageError as error:
             self._refuse_message(error)
             return False
         except (http_heads.CutShortError, OSError):
-            # Shutting down the read side makes a waiting gevent socket raise.
             if not self._is_read_shut_down:
                 raise
             if not self._reader.is_between_messages:
@@ -112,6 +123,7 @@
         self.deadline = math.inf
         self._socket.settimeout(wait_limit.STALL_TIMEOUT_S)
         self.is_idle = False
+        self._has_served = True
         self._state.in_flight += 1
         try:
             return exchange.Exchange(
@@ -125,6 +137,16 @@
             self._state.in_flight -= 1
             self.is_idle = True
 
+    def _read_head(self) -> http_heads.RequestHead | None:
+        try:
+            return self._reader.read_head()
+        except OSError:
+            if not self._is_read_shut_down:
+                raise
+        # Shutting down the read side makes a waiting gevent socket raise,
+        # although a request may have arrived just before.
+        return self._reader.read_head()
+
     def _start_head_timeout(self) -> None:
         """Starts the head timeout at the first byte of a request."""
         if self._is_awaiting_head:
--- a/src/mulberryquay/entry/daemon.py
+++ b/src/mulberryquay/entry/daemon.py
@@ -7,8 +7,6 @@
 import typing
 
 import gevent
-from gevent import server
-
 from mulberryquay import settings, sockets
 from mulberryquay.coordination import clock, units, watchdog
 from mulberryquay.entry import (
@@ -117,7 +115,8 @@
             )
             for address in filter(None, [values['ready_listen']])
         ]
-        self._caller_connections: set[caller.CallerConnection] = set()
+        #: The open connections of callers and other entries.
+        self.caller_connections: set[caller.CallerConnection] = set()
 
     @property
     def port(self) -> int:
@@ -144,13 +143,12 @@
         for component in self._components():
             component.start()
         self._queue_task = gevent.spawn(self._serve_waiting_loop)
-        self._server = server.StreamServer(self._listener, self._serve_caller)
-        self._server.start()
-        self._peer_server = server.StreamServer(
-            self._peer_listener,
-            self._serve_peer,
-        )
-        self._peer_server.start()
+        self._servers = [
+            sockets.DrainingServer(self._listener, self._serve_caller),
+            sockets.DrainingServer(self._peer_listener, self._serve_peer),
+        ]
+        for server in self._servers:
+            server.start()
 
     def stop(self) -> None:
         """Stops after requests in flight have finished.
@@ -164,11 +162,11 @@
         self._state.is_stopping = True
         self._control_link.announce_leaving()
         time_source.sleep(self._values['drain_ms'])
-        self._server.close()
-        self._peer_server.close()
+        for server in self._servers:
+            server.close_port()
         deadline = time_source.now() + self._values['stop_timeout_ms']
-        while self._caller_connections and time_source.now() < deadline:
-            for connection in list(self._caller_connections):
+        while self._is_busy() and time_source.now() < deadline:
+            for connection in list(self.caller_connections):
                 connection.close_if_idle()
             time_source.sleep(_STOP_POLL_INTERVAL_MS)
         self._queue_task.kill()
@@ -179,6 +177,10 @@
         """Applies changed settings; only ``control`` may change at run time."""
         self._control_link.configure(values['control'].split(','))
 
+    def _is_busy(self) -> bool:
+        """Whether a connection of a caller or an entry is open."""
+        return any(server.is_busy for server in self._servers)
+
     def _components(self) -> list[_Component]:
         """Returns the components to start and stop with this entry."""
         return [
@@ -212,12 +214,12 @@
         )
 
     def _run_connection(self, connection: caller.CallerConnection) -> None:
-        self._caller_connections.add(connection)
+        self.caller_connections.add(connection)
         self._caller_watchdog.watch(connection)
         try:
             connection.run()
         finally:
-            self._caller_connections.discard(connection)
+            self.caller_connections.discard(connection)
             self._caller_watchdog.release(connection)
 
     def _is_ready(self) -> bool:
--- a/src/mulberryquay/sockets.py
+++ b/src/mulberryquay/sockets.py
@@ -4,13 +4,48 @@
 
 import typing
 
-from gevent import socket
+from gevent import pool, server, socket
 
 from mulberryquay import settings
 
 _BACKLOG: typing.Final = 1024
 
 
+@typing.final
+class DrainingServer(server.StreamServer):
+    """Serves each connection in a task; closing cuts off none of them."""
+
+    def __init__(
+        self,
+        listener: typing.Any,
+        handle: typing.Callable[[typing.Any, typing.Any], None],
+    ) -> None:
+        """Serves the connections of ``listener`` with ``handle``."""
+        super().__init__(listener, handle, spawn=pool.Pool())
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a task of an accepted connection runs or is about to."""
+        return bool(len(self.pool))
+
+    def close_port(self) -> None:
+        """Accepts the connections that wait in the queue, then closes.
+
+        Closing the port resets those that were not accepted. May be called
+        again.
+        """
+        if self.closed:
+            return
+        self.stop_accepting()
+        # From now on a new connection waits in the peer's system.
+        self.socket.listen(0)
+        accepted = self.do_read()
+        while accepted is not None:
+            self.do_handle(*accepted)
+            accepted = self.do_read()
+        self.close()
+
+
 def listen(address: str, *, reuse_port: bool = False) -> typing.Any:
     """Returns a gevent socket that listens on a validated ``IP:PORT``.
 
