--- a/src/mulberryquay/coordination/broadcast.py
+++ b/src/mulberryquay/coordination/broadcast.py
@@ -58,6 +58,7 @@
         #: needs a snapshot.
         self.incarnation = ''
         self.changed = signals.Signal(time_source)
+        self.task: gevent.Greenlet | None = None
 
     def add(self, message: Message) -> None:
         """Queues an update; a full queue is replaced by a snapshot."""
@@ -90,9 +91,10 @@
         self._tasks = [gevent.spawn(self._track_peers)]
 
     def stop(self) -> None:
-        """Stops sending; a call in flight may still finish."""
-        gevent.killall(self._tasks)
+        """Ends all tasks; a call in flight may still reach its peer."""
+        peers = list(self._peers.values())
         self._peers.clear()
+        gevent.killall([*self._tasks, *(peer.task for peer in peers)])
 
     def publish(self, message: Message) -> None:
         """Queues an update for all peers."""
@@ -107,7 +109,7 @@
             for address in wanted - set(self._peers):
                 peer = _Peer(self._clock)
                 self._peers[address] = peer
-                gevent.spawn(self._send_updates, address, peer)
+                peer.task = gevent.spawn(self._send_updates, address, peer)
             self._clock.sleep(_PEER_LIST_INTERVAL_MS)
 
     def _send_updates(self, address: str, peer: _Peer) -> None:
--- a/src/mulberryquay/coordination/crash_guard.py
+++ b/src/mulberryquay/coordination/crash_guard.py
@@ -46,6 +46,7 @@
     @property
     def is_idle(self) -> bool:
         """Whether no request is counted or blocked; cheap to call."""
+        self._drop_expired()
         return not (self._blocked or self._failures)
 
     @property
@@ -55,8 +56,9 @@
 
     @property
     def blocked_count(self) -> int:
-        """The number of blocks kept; an expired one is kept until checked."""
-        return len(self._blocked)
+        """The number of requests that are blocked now."""
+        now = self._clock.now()
+        return sum(until > now for until in self._blocked.values())
 
     def record(
         self,
@@ -77,6 +79,8 @@
         if now - ran_for < known.last_failed_at:
             return False
         counted = _FailureRecord(known.targets | {target}, now)
+        # Moves the request to the end, behind those that expire earlier.
+        self._failures.pop(fingerprint, None)
         self._failures[fingerprint] = counted
         _forget_oldest(self._failures)
         if len(counted.targets) < MAX_FAILED_TARGETS:
@@ -91,18 +95,28 @@
     def block(self, fingerprint: bytes, *, duration: float) -> None:
         """Blocks the request for ``duration`` milliseconds."""
         self._failures.pop(fingerprint, None)
+        self._blocked.pop(fingerprint, None)
         self._blocked[fingerprint] = self._clock.now() + duration
         _forget_oldest(self._blocked)
 
     def is_blocked(self, fingerprint: bytes) -> bool:
         """Whether the request is currently blocked."""
         until = self._blocked.get(fingerprint)
-        if until is None:
-            return False
-        if until > self._clock.now():
-            return True
-        self._blocked.pop(fingerprint)
-        return False
+        return until is not None and until > self._clock.now()
+
+    def _drop_expired(self) -> None:
+        """Forgets the oldest blocks and failures once they have expired."""
+        now = self._clock.now()
+        while self._blocked:
+            oldest = next(iter(self._blocked))
+            if self._blocked[oldest] > now:
+                break
+            self._blocked.pop(oldest)
+        while self._failures:
+            oldest = next(iter(self._failures))
+            if now - self._failures[oldest].last_failed_at <= BLOCK_MS:
+                break
+            self._failures.pop(oldest)
 
 
 def _forget_oldest(tracked: dict[bytes, typing.Any]) -> None:
--- a/src/mulberryquay/coordination/replication/replica.py
+++ b/src/mulberryquay/coordination/replication/replica.py
@@ -56,7 +56,6 @@
     ) -> None:
         """Restores the state from ``storage``; raises JournalCorruptError."""
         stored = storage.recover()
-        self._options = options
         self._has_unsaved_identity = not stored.identity
         if self._has_unsaved_identity:
             stored = _initial_state(options, stored, rng)
--- a/src/mulberryquay/entry/admission.py
+++ b/src/mulberryquay/entry/admission.py
@@ -18,6 +18,9 @@
 _MAX_TIMEOUT_MS: typing.Final = 3_600_000
 _MAX_DEPTH_HEADER: typing.Final = 1_000_000
 
+#: Bytes of a wrong header that an error quotes.
+_MAX_QUOTED: typing.Final = 64
+
 
 class Admission(typing.NamedTuple):
     """The result for an admitted request: route, service and limits."""
@@ -125,10 +128,11 @@
     text = head.find(name)
     if text is None:
         return default
-    if not text.isdigit() or int(text) > maximum:
+    number = http_heads.parse_number(text)
+    if number is None or number > maximum:
         raise outcomes.not_run(
             outcomes.Reason.MALFORMED_REQUEST,
-            f'{name.decode()}: got {text!r}, expected a whole number up to '
-            f'{maximum}',
+            f'{name.decode()}: got {text[:_MAX_QUOTED]!r}, expected a whole '
+            f'number up to {maximum}',
         )
-    return int(text)
+    return number
--- a/src/mulberryquay/entry/attempt.py
+++ b/src/mulberryquay/entry/attempt.py
@@ -25,6 +25,7 @@
 _MAX_ANSWERS_READ: typing.Final = 3
 
 _FIRST_FAILURE_STATUS: typing.Final = 300
+_FIRST_SERVER_ERROR_STATUS: typing.Final = 500
 
 
 class OutgoingRequest(typing.NamedTuple):
@@ -223,7 +224,7 @@
         latency: float,
     ) -> outcomes.AttemptResult:
         if self._target.is_peer:
-            return _classify_relayed_answer(received, self._target)
+            return self._classify_relayed_answer(received)
         head = received.head
         header_dialect = self._target.dialect
         report = _reported_load(head, header_dialect)
@@ -237,9 +238,36 @@
             # Without the not-run header the target may have run the request.
             self._target.record_failure(outcomes.Reason.TARGET_UNAVAILABLE)
             return outcomes.Lost(outcomes.Reason.TARGET_UNAVAILABLE)
-        self._target.record_answer(latency, reported=report)
+        self._target.record_answer(
+            latency,
+            reported=report,
+            is_served=head.status < _FIRST_SERVER_ERROR_STATUS,
+        )
         return received
 
+    def _classify_relayed_answer(
+        self, received: outcomes.Received
+    ) -> outcomes.AttemptResult:
+        """Returns the result that another entry reported in its headers."""
+        head = received.head
+        try:
+            outcome = outcomes.Outcome(_header_text(head, header_names.OUTCOME))
+            reason = outcomes.Reason(_header_text(head, header_names.REASON))
+        except ValueError:
+            # Another release's words, or not an entry: it may have run.
+            self._target.record_failure(outcomes.Reason.MALFORMED_ANSWER)
+            return outcomes.Lost(outcomes.Reason.MALFORMED_ANSWER)
+        if outcome is outcomes.Outcome.NOT_RUN:
+            return outcomes.Shed(reason)
+        return outcomes.Received(
+            head,
+            received.connection,
+            received.body,
+            outcome,
+            reason,
+            _header_text(head, self._target.dialect.request_id),
+        )
+
     def _is_shed(self, head: http_heads.ResponseHead) -> bool:
         if head.status in self._target.row.shed_statuses:
             return True
@@ -300,26 +328,6 @@
             self._body_sender.kill()
 
 
-def _classify_relayed_answer(
-    received: outcomes.Received,
-    target: targets.TargetState,
-) -> outcomes.AttemptResult:
-    """Returns the result that another entry reported in its headers."""
-    head = received.head
-    outcome = outcomes.Outcome(_header_text(head, header_names.OUTCOME))
-    reason = outcomes.Reason(_header_text(head, header_names.REASON))
-    if outcome is outcomes.Outcome.NOT_RUN:
-        return outcomes.Shed(reason)
-    return outcomes.Received(
-        head,
-        received.connection,
-        received.body,
-        outcome,
-        reason,
-        _header_text(head, target.dialect.request_id),
-    )
-
-
 def _header_text(head: http_heads.ResponseHead, name: bytes) -> str:
     return (head.find(name) or b'').decode('latin-1')
 
--- a/src/mulberryquay/entry/balancer.py
+++ b/src/mulberryquay/entry/balancer.py
@@ -159,6 +159,19 @@
                 target.was_overloaded = False
         return served, shed
 
+    def restore_target_reports(
+        self, served: dict[str, int], shed: dict[str, int]
+    ) -> None:
+        """Takes back reports that no control host received."""
+        for name, count in served.items():
+            target = self._targets.get(name)
+            if target is not None:
+                target.warmup_answers += count
+        for name, incarnation in shed.items():
+            target = self._targets.get(name)
+            if target is not None and target.row.incarnation == incarnation:
+                target.was_overloaded = True
+
     def fits_pending_shares(self) -> bool:
         """Whether calls in flight to cold targets fit this entry's shares."""
         return all(
--- a/src/mulberryquay/entry/control_stream.py
+++ b/src/mulberryquay/entry/control_stream.py
@@ -72,11 +72,11 @@
         gevent.killall(self._tasks)
         self._disconnect()
 
-    def send(self, message: tuple[typing.Any, ...]) -> None:
-        """Sends a message, or drops it while not connected."""
+    def send(self, message: tuple[typing.Any, ...]) -> bool:
+        """Sends a message; returns False if there is no working stream."""
         stream = self._stream
         if stream is None:
-            return
+            return False
         try:
             stream.send(message)
         except wire.StreamClosedError as error:
@@ -85,6 +85,8 @@
                 extra={'cause': str(error)},
             )
             self._disconnect()
+            return False
+        return True
 
     def _follow_hosts(self) -> None:
         while True:
@@ -201,9 +203,11 @@
         self._sent_confirmation = self._view.confirmable_versions()
         served, shed = self._view.pop_target_reports(self.address)
         revision, epoch = self._sent_confirmation
-        self.send(
+        is_sent = self.send(
             protocol.Heartbeat(self._sequence, revision, epoch, served, shed)
         )
+        if not is_sent:
+            self._view.restore_target_reports(served, shed)
 
     def _disconnect(self) -> None:
         stream = self._stream
--- a/src/mulberryquay/entry/control_view.py
+++ b/src/mulberryquay/entry/control_view.py
@@ -140,6 +140,12 @@
             return {}, {}
         return self._state.balancer.pop_target_reports()
 
+    def restore_target_reports(
+        self, served: dict[str, int], shed: dict[str, int]
+    ) -> None:
+        """Takes back reports that could not be sent."""
+        self._state.balancer.restore_target_reports(served, shed)
+
     def renew_lease(self, until: float) -> None:
         """Extends the freshness lease that a control host granted."""
         self._lease_until = max(self._lease_until, until)
--- a/src/mulberryquay/entry/daemon.py
+++ b/src/mulberryquay/entry/daemon.py
@@ -128,11 +128,6 @@
         """The port for health, metrics and request records."""
         return sockets.port_of(self._admin_listener)
 
-    @property
-    def peer_port(self) -> int:
-        """The port for requests that other entries relay."""
-        return sockets.port_of(self._peer_listener)
-
     @property
     def state(self) -> state.EntryState:
         """The state shared by the components of the entry."""
--- a/src/mulberryquay/entry/dialect.py
+++ b/src/mulberryquay/entry/dialect.py
@@ -4,7 +4,7 @@
 
 import typing
 
-from mulberryquay.entry import header_names
+from mulberryquay.entry import header_names, http_heads
 from mulberryquay.kernel import plugins
 
 
@@ -21,7 +21,8 @@
 
 def parse_count(text: bytes) -> LoadReport | None:
     """Parses a load of one whole number; returns None for anything else."""
-    return LoadReport(int(text)) if text.isdigit() else None
+    running = http_heads.parse_number(text)
+    return None if running is None else LoadReport(running)
 
 
 class HeaderDialect(typing.NamedTuple):
--- a/src/mulberryquay/entry/exchange.py
+++ b/src/mulberryquay/entry/exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import math
 import typing
 
@@ -28,6 +29,9 @@
 )
 
 
+_LOG: typing.Final = logging.getLogger(__name__)
+
+
 @typing.final
 class Exchange:
     """One request of a caller, from its head to its recorded outcome."""
@@ -111,6 +115,12 @@
             reason = error.reason
             self._cause = str(error)
             raise
+        except Exception as error:
+            if not isinstance(error, OSError):
+                reason = outcomes.Reason.INTERNAL_ERROR
+                self._cause = repr(error)
+                _LOG.exception('request ended by an unexpected error')
+            raise
         finally:
             self._release_account_slot()
             self._record_outcome(outcome, reason)
--- a/src/mulberryquay/entry/http_heads.py
+++ b/src/mulberryquay/entry/http_heads.py
@@ -9,6 +9,9 @@
 
 LAST_CHUNK: typing.Final = b'0\r\n\r\n'
 
+#: Digits of the largest number that a header may have.
+_MAX_DIGITS: typing.Final = 18
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -101,6 +104,13 @@
     return None
 
 
+def parse_number(text: bytes) -> int | None:
+    """Returns a whole number of reasonable size, None for anything else."""
+    if not text.isdigit() or len(text) > _MAX_DIGITS:
+        return None
+    return int(text)
+
+
 def body_framing(known_headers: Headers) -> tuple[Framing, int]:
     """Returns the framing and the length, -1 if no length was given.
 
@@ -120,11 +130,12 @@
         return _check_transfer_coding(transfer_codings, lengths)
     if not lengths:
         return Framing.NONE, -1
-    if len(lengths) > 1 or not lengths[0].isdigit():
+    length = parse_number(lengths[0])
+    if len(lengths) > 1 or length is None:
         raise MessageError(
             f'got Content-Length {lengths!r}, expected one whole number',
         )
-    return Framing.LENGTH, int(lengths[0])
+    return Framing.LENGTH, length
 
 
 def _check_transfer_coding(
--- a/src/mulberryquay/entry/outcomes.py
+++ b/src/mulberryquay/entry/outcomes.py
@@ -69,6 +69,7 @@
     EARLIER_RUN = 'earlier-run'
     KEYED_BODY_TOO_LARGE = 'keyed-body-too-large'
     LEDGER_UNAVAILABLE = 'ledger-unavailable'
+    INTERNAL_ERROR = 'internal-error'
 
 
 _STATUS_BY_REASON: typing.Final = {
--- a/src/mulberryquay/entry/prober.py
+++ b/src/mulberryquay/entry/prober.py
@@ -156,8 +156,9 @@
     ) -> None:
         header_dialect = self._state.dialect
         cold = head.find(header_dialect.cold) if header_dialect.cold else None
-        if cold is not None and cold.isdigit():
-            target.record_cold_period(int(cold))
+        cold_ms = None if cold is None else http_heads.parse_number(cold)
+        if cold_ms is not None:
+            target.record_cold_period(cold_ms)
         load = head.find(header_dialect.load)
         report = None if load is None else header_dialect.parse_load(load)
         if report is not None:
--- a/src/mulberryquay/entry/state.py
+++ b/src/mulberryquay/entry/state.py
@@ -59,11 +59,6 @@
         'Suspensions of targets and entries by reason.',
         labels=_REASON,
     ),
-    metrics.MetricDeclaration(
-        'mulberryquay_cross_region_bytes_total',
-        'Body bytes sent to and received from targets of other regions.',
-        labels=('direction',),
-    ),
     metrics.MetricDeclaration(
         'mulberryquay_probe_bytes_total',
         'Bytes of probes to targets, by scope (same or cross region).',
--- a/src/mulberryquay/entry/targets.py
+++ b/src/mulberryquay/entry/targets.py
@@ -271,14 +271,16 @@
         latency: float,
         *,
         reported: dialect.LoadReport | None,
+        is_served: bool = True,
     ) -> None:
         """Records an answer with its latency in ms and its load report.
 
-        ``reported`` includes this call.
+        ``reported`` includes this call. An answer that is not ``is_served``
+        is an error of the target, which does not show that it warmed up.
         """
         self._clear_failures('answered')
         self._timeouts_in_row = 0
-        if not self.row.is_warm:
+        if is_served and not self.row.is_warm:
             self.warmup_answers += 1
         if reported is not None:
             self.record_report(reported, age=0)
--- a/src/mulberryquay/logs.py
+++ b/src/mulberryquay/logs.py
@@ -80,13 +80,16 @@
             record.levelno >= logging.WARNING or self._rate_limit.take()
         )
         if not is_allowed or len(self._lines) >= MAX_QUEUED_LINES:
-            self.dropped += 1
-            self._unreported_drops += 1
+            self._count_dropped(1)
             return
         if self._unreported_drops:
             self._report_dropped()
         self._enqueue(record)
 
+    def _count_dropped(self, count: int) -> None:
+        self.dropped += count
+        self._unreported_drops += count
+
     def _enqueue(self, record: logging.LogRecord) -> None:
         self._lines.append(self.format(record).encode() + b'\n')
         self._has_lines.set()
@@ -122,7 +125,8 @@
                 unwritten = unwritten[self._write(unwritten) :]
         except OSError:
             # The reader has closed the pipe; queued lines cannot be written.
-            self.dropped += len(self._lines)
+            lost = bytes(chunk[len(chunk) - len(unwritten) :])
+            self._count_dropped(lost.count(b'\n') + len(self._lines))
             self._lines.clear()
 
     def _write(self, part: memoryview) -> int:
--- a/testing/coordination/replication/test_replica.py
+++ b/testing/coordination/replication/test_replica.py
@@ -302,3 +302,31 @@
 
 def _has_leader(world: world_module.World) -> bool:
     return world.leader is not None
+
+
+def test_repeated_snapshot_is_acknowledged_once_it_is_synced() -> None:
+    """A follower must not acknowledge a snapshot that a crash would lose."""
+    with _world(addresses=ADDRESSES[:3]) as world:
+        _wait_until_converged(world)
+        leader = world.leader
+        assert leader is not None
+        assert leader.replica is not None
+        follower = next(node for node in world.live if node is not leader)
+        assert follower.replica is not None
+        request = messages.SnapshotRequest(
+            follower.replica.identity,
+            leader.replica.identity,
+            leader.replica.term,
+            leader.replica.last_index + 100,
+            leader.replica.term,
+            leader.replica.members,
+            [1, 2, 3],
+        )
+        world.cut([leader.address], [follower.address])
+        follower.disk_stalls_until = world.clock.now() + 500
+        handle = follower.replica.handle
+        answers = [gevent.spawn(handle, request) for _ in range(2)]
+        world.clock.run(400)
+        CASE.assertEqual([task.ready() for task in answers], [False, False])
+        world.clock.run(400)
+        CASE.assertTrue(all(task.get().is_accepted for task in answers))
--- a/testing/entry/test_admission.py
+++ b/testing/entry/test_admission.py
@@ -5,10 +5,12 @@
 import contextlib
 import typing
 import unittest
+from unittest import mock
 
 import gevent
 from gevent import socket
 
+from mulberryquay.entry import admission, http_heads
 from mulberryquay.standin import target
 from testing import fixtures
 
@@ -270,3 +272,35 @@
             answer = caller.recv(65536)
             CASE.assertIn(b' 408 ', answer.partition(b'\r\n')[0])
             CASE.assertEqual(caller.recv(65536), b'')
+
+
+def test_header_of_thousands_of_digits_is_a_malformed_request() -> None:
+    """A number too long to convert must be refused, not end the connection."""
+    with fixtures.control() as control, fixtures.entry(control) as entry:
+        control.declare()
+        control.wait_in_force()
+        refused = fixtures.ask(
+            entry,
+            '/stock/x',
+            headers={'Mulberryquay-Timeout-Ms': '9' * 6000},
+        )
+        CASE.assertEqual(refused.outcome, 'not-run/malformed-request')
+
+
+def test_unexpected_error_is_recorded_as_such() -> None:
+    """A fault of the entry must not be recorded as a caller that left."""
+    with fixtures.control() as control, fixtures.entry(control) as entry:
+        control.declare()
+        control.wait_in_force()
+        with (
+            mock.patch.object(
+                admission, 'admit', side_effect=RuntimeError('a fault')
+            ),
+            CASE.assertLogs('mulberryquay.entry.exchange', 'ERROR'),
+            CASE.assertRaises((OSError, http_heads.CutShortError)),
+        ):
+            fixtures.ask(entry, '/stock/x')
+        counted = entry.state.metrics.read(
+            'mulberryquay_requests_total', 'unknown', 'internal-error'
+        )
+        CASE.assertEqual(counted, 1)
--- a/testing/entry/test_control_link.py
+++ b/testing/entry/test_control_link.py
@@ -5,9 +5,11 @@
 import contextlib
 import typing
 import unittest
+from unittest import mock
 
 import gevent
 
+from mulberryquay.coordination import wire
 from mulberryquay.standin import target
 from testing import fixtures
 
@@ -73,3 +75,42 @@
             CASE.assertEqual(refusal.outcome, 'not-run/no-target')
             CASE.assertEqual(running.get().body, b'done')
             CASE.assertNotIn('GET /stock/2', stock.runs)
+
+
+def test_reports_that_could_not_be_sent_are_sent_again() -> None:
+    """Good answers of a cold target must not be lost with a stream."""
+    with fixtures.control() as control, fixtures.entry(control) as entry:
+        control.declare()
+        with fixtures.announced_target(control, 'stock-a', warm=False):
+            fixtures.wait_for_targets(entry, 'stock-a')
+            target_state = entry.state.balancer.all_targets['stock-a']
+            with mock.patch.object(
+                wire.Stream,
+                'send',
+                side_effect=wire.StreamClosedError('cut'),
+            ):
+                target_state.warmup_answers = 3
+                target_state.was_overloaded = True
+                gevent.sleep(1)
+            CASE.assertGreaterEqual(target_state.warmup_answers, 3)
+            CASE.assertTrue(target_state.was_overloaded)
+            fixtures.wait_until(lambda: not target_state.warmup_answers)
+
+
+def test_errors_of_a_cold_target_do_not_warm_it() -> None:
+    """A target that answers 500 must not get more work for it."""
+
+    def fail(_request: target.ReceivedRequest) -> target.Answer:
+        return target.Answer(500)
+
+    with fixtures.control() as control, fixtures.entry(control) as entry:
+        control.declare()
+        with fixtures.announced_target(control, 'stock-a', fail, warm=False):
+            fixtures.wait_for_targets(entry, 'stock-a')
+            control.wait_in_force()
+            before = control.daemon.targets.get('stock-a').allowance
+            for _ in range(12):
+                CASE.assertEqual(fixtures.ask(entry, '/stock/x').status, 500)
+            gevent.sleep(1)
+            after = control.daemon.targets.get('stock-a').allowance
+            CASE.assertEqual(after, before)
--- a/testing/entry/test_forwarder.py
+++ b/testing/entry/test_forwarder.py
@@ -9,7 +9,9 @@
 from mulberryquay.coordination import clock, retry_budget
 from mulberryquay.entry import (
     attempt,
+    dialect,
     forwarder,
+    header_names,
     http_heads,
     outcomes,
     routing,
@@ -108,3 +110,46 @@
     short = forwarder.MIN_ATTEMPT_MS / 2
     consumed = _forward([_SHED] * 3, is_peer=False, tokens=9, time_left=short)
     CASE.assertEqual(len(consumed), 1)
+
+
+def _classify_relayed(headers: http_heads.Headers) -> outcomes.AttemptResult:
+    """Returns the result of an attempt at an entry that answers so."""
+    peer = mock.MagicMock(is_peer=True, dialect=dialect.OWN, connection_limit=1)
+    head = http_heads.ResponseHead(
+        200, [], headers, http_heads.Framing.LENGTH, 0, keeps_alive=True
+    )
+    connection = peer.pool.take.return_value
+    connection.socket.send.side_effect = len
+    connection.reader.read_head.return_value = head
+    connection.reader.read_part.return_value = None
+    outgoing = attempt.OutgoingRequest(
+        b'GET',
+        b'/stock/x',
+        [],
+        http_heads.Framing.NONE,
+        b'',
+        None,
+        1000,
+    )
+    return attempt.Attempt(
+        peer, outgoing, clock.ManualClock(), mock.MagicMock()
+    ).run([])
+
+
+def test_relayed_answer_with_unknown_words_may_have_run() -> None:
+    """Another release's outcome or reason must not be an unexpected error."""
+    for outcome, reason in (
+        (b'postponed', b'none'),
+        (b'answered', b'a-new-reason'),
+        (b'', b''),
+    ):
+        result = _classify_relayed(
+            [(header_names.OUTCOME, outcome), (header_names.REASON, reason)]
+        )
+        CASE.assertEqual(
+            result, outcomes.Lost(outcomes.Reason.MALFORMED_ANSWER)
+        )
+    relayed = _classify_relayed(
+        [(header_names.OUTCOME, b'answered'), (header_names.REASON, b'none')]
+    )
+    CASE.assertIsInstance(relayed, outcomes.Received)
--- a/testing/test_logs.py
+++ b/testing/test_logs.py
@@ -13,6 +13,7 @@
 
 from mulberryquay import logs
 from mulberryquay.coordination import clock
+from testing import fixtures
 
 CASE: typing.Final = unittest.TestCase()
 _LOG: typing.Final = logging.getLogger('mulberryquay.testing')
@@ -117,3 +118,23 @@
     gevent.sleep(0.01)
     handler.stop()
     os.close(write_end)
+
+
+def test_lines_that_cannot_be_written_are_counted() -> None:
+    """Each line lost to a closed pipe must count, also those being written."""
+    read_end, write_end = os.pipe()
+    handler = logs.BoundedHandler(write_end, clock.Clock())
+    os.close(read_end)
+    # gevent closes a descriptor once the event loop has run.
+    gevent.sleep(0.01)
+    for number in range(5):
+        handler.emit(
+            logging.makeLogRecord(
+                {'msg': f'line {number}', 'levelno': logging.INFO}
+            )
+        )
+    handler.start()
+    fixtures.wait_until(lambda: handler.dropped)
+    CASE.assertEqual(handler.dropped, 5)
+    handler.stop()
+    os.close(write_end)
--- a/testing/test_processes.py
+++ b/testing/test_processes.py
@@ -4,6 +4,8 @@
 
 import contextlib
 import signal
+import subprocess
+import sys
 import typing
 import unittest
 
@@ -312,15 +314,30 @@
 
 
 def test_bad_arguments_end_with_exit_code_two() -> None:
-    """Guards against bad arguments that do not end with exit code 2."""
-    for arguments in (
-        ('entry', '--name=Bad Name', '--region=r', '--domain=d'),
-        ('entry', '--name=e', '--region=r', '--domain=d', '--drain_ms=-1'),
-        ('entry', '--name=e', '--region=r', '--domain=d', '--policy=nil'),
-        ('entry', '--nonsense=1'),
-        ('control', '--api_listen=localhost:80'),
-        ('apply',),
-        ('nonsense',),
+    """Guards against bad arguments without exit code 2 and a clear error.
+
+    The error names the flag or the argument that is wrong.
+    """
+    for named, arguments in (
+        ('--name', ('entry', '--name=Bad Name', '--region=r', '--domain=d')),
+        ('--drain_ms', (*_ENTRY, '--drain_ms=-1')),
+        ('--policy', (*_ENTRY, '--policy=nil')),
+        ('--region', ('entry', '--name=e', '--domain=d')),
+        ('nonsense', ('entry', '--nonsense=1')),
+        ('--api_listen', ('control', '--api_listen=localhost:80')),
+        ('--file', ('apply',)),
+        ('nonsense', ('nonsense',)),
     ):
-        with fixtures.process(*arguments) as (process, _line):
-            CASE.assertEqual(process.wait(timeout=fixtures.TIMEOUT_S), 2)
+        ended = subprocess.run(
+            [sys.executable, '-m', 'mulberryquay', *arguments],
+            capture_output=True,
+            text=True,
+            timeout=fixtures.TIMEOUT_S,
+            check=False,
+        )
+        CASE.assertEqual(ended.returncode, 2, arguments)
+        CASE.assertIn(named, ended.stderr)
+        CASE.assertNotIn('Traceback', ended.stderr)
+
+
+_ENTRY: typing.Final = ('entry', '--name=e', '--region=r', '--domain=d')
--- a/testing/test_reload.py
+++ b/testing/test_reload.py
@@ -7,6 +7,9 @@
 import signal
 import typing
 import unittest
+from unittest import mock
+
+import gevent
 
 from mulberryquay import reload, settings
 from mulberryquay.coordination import clock
@@ -56,13 +59,20 @@
 
 
 def test_sighup_reloads_at_once() -> None:
-    """Guards against a SIGHUP that does not reload the settings."""
-    with fixtures.folder() as folder:
+    """Guards against a SIGHUP that does not reload the settings.
+
+    The file is not polled while the test runs.
+    """
+    with (
+        fixtures.folder() as folder,
+        mock.patch.object(reload, 'POLL_INTERVAL_MS', clock.MS_PER_SECOND**2),
+    ):
         path = folder / 'settings'
         path.write_text('first')
         watched = _WatchedSettings(path)
         watched.reloader.start()
         try:
+            gevent.sleep(0.01)
             path.write_text('second')
             os.kill(os.getpid(), signal.SIGHUP)
             fixtures.wait_until(lambda: watched.applied)
