Serve pipelined requests side by side and answer them in order

Answers are sent whole in their turn (answer_row). A request that must not run twice, or has a body, waits for its turn before it runs. An answer that closes cancels what stands behind it (reason behind-close); while the entry stops, only the last answer of a row closes. A buffered answer frees its target before it is sent; a streamed one waits at its target, at most until its deadline. A caller that left is seen behind unread requests (POLLRDHUP). Forwarded requests are built in a module of their own (outgoing).

--- a/src/mulberryquay/entry/answers.py
+++ b/src/mulberryquay/entry/answers.py
@@ -86,6 +86,7 @@
     http_heads.send_all(connection, encoded_head)
     if framing is not http_heads.Framing.NONE:
         _send_body(connection, received, framing, limit)
+        connection.settimeout(wait_limit.STALL_TIMEOUT_S)
     return keeps_alive
 
 
--- a/src/mulberryquay/entry/caller.py
+++ b/src/mulberryquay/entry/caller.py
@@ -1,16 +1,24 @@
-"""Serves the connection of one caller: reads requests, sends answers."""
+"""Serves the connection of one caller: reads requests, sends answers.
+
+One task reads the requests and starts a task for each. A caller may send
+requests before earlier ones are answered; they run side by side if they are
+idempotent, and are answered in order.
+"""
 
 from __future__ import annotations
 
 import logging
 import math
+import select
 import struct
 import typing
 
-from gevent import socket
+import gevent
+from gevent import event, socket
 
 from mulberryquay.coordination import errors, read_turn, units, wait_limit
 from mulberryquay.entry import (
+    answer_row,
     answers,
     exchange,
     http_heads,
@@ -20,11 +28,15 @@
 )
 
 _DISCARD_TIMEOUT_MS: typing.Final = 1000.0
+
 #: How long a stopping entry waits for the first request of a connection.
 _FIRST_REQUEST_MS: typing.Final = 500.0
 
 _MAX_DISCARDED_BYTES: typing.Final = 8 * units.MIB
 
+#: Flag of an I/O watcher: the socket can be read.
+_READABLE: typing.Final = 1
+
 _LOG: typing.Final = logging.getLogger(__name__)
 _SO_LINGER_RESET: typing.Final = struct.pack('ii', 1, 0)
 
@@ -46,6 +58,7 @@
         """
         self._is_peer = is_peer
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection.settimeout(wait_limit.STALL_TIMEOUT_S)
         self._state = entry_state
         self._socket = connection
         self._reader = messages.RequestReader(
@@ -53,35 +66,44 @@
             entry_state.header_filter,
             self._start_head_timeout,
         )
-        self._is_awaiting_head = False
-        #: Whether this entry shut down the read side, which ends the wait
-        #: for the next request.
-        self._is_read_shut_down = False
+        #: Set when bytes arrive, a request leaves the row, or the wait for
+        #: the next request must end.
+        self._woken = event.Event()
+        self._row = answer_row.AnswerRow(self._woken.set)
+        self._input_watcher = gevent.get_hub().loop.io(
+            connection.fileno(), _READABLE
+        )
+        self._poll = select.poll()
+        self._poll.register(connection.fileno(), select.POLLIN)
+        #: Whether to end once no more bytes have arrived.
+        self._is_ending = False
+        #: Whether an answer could not be sent to its end.
+        self._is_broken = False
         self._has_served = False
         self._accepted_at = entry_state.clock.now()
-        #: Whether no request is being served.
-        self.is_idle = True
+        self._head_deadline = math.inf
         #: When the idle or head timeout ends; infinite during a request.
         self.deadline = math.inf
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is being served or was read in part."""
+        return not self._row and self._reader.is_between_messages
+
     def run(self) -> None:
-        """Serves requests in order, then closes the connection."""
+        """Serves requests until the connection ends, then closes it."""
         is_graceful = False
         try:
-            while self._serve_next():
-                if not self._reader.is_between_messages:
-                    # The next request is here already, so nothing waits.
-                    read_turn.yield_now()
-            is_graceful = True
-        except (OSError, errors.MulberryquayError):
-            is_graceful = False
+            is_graceful = self._serve_requests()
+        except (OSError, errors.MulberryquayError) as error:
+            _LOG.debug('connection ended', extra={'cause': str(error)})
         finally:
-            self._close(is_graceful=is_graceful)
+            self._wait_for_row(0)
+            self._close(is_graceful=is_graceful and not self._is_broken)
 
     def expire(self) -> None:
         """Ends the wait for a request after the idle or head timeout."""
-        self._is_read_shut_down = True
-        self._socket.shutdown(socket.SHUT_RD)
+        self._end()
 
     def close_if_idle(self) -> None:
         """Ends a connection on which no request has begun.
@@ -92,69 +114,148 @@
             age = self._state.clock.now() - self._accepted_at
             if age < _FIRST_REQUEST_MS:
                 return
-        if self.is_idle and self._reader.is_between_messages:
-            self._is_read_shut_down = True
-            self._socket.shutdown(socket.SHUT_RD)
+        if self.is_idle:
+            self._end()
 
-    def _serve_next(self) -> bool:
-        limits = self._state.routing_table.limits
-        self._reader.max_head_bytes = limits.max_head_bytes
-        timeout_ms = limits.idle_timeout_ms
-        if not self._reader.is_between_messages:
-            timeout_ms = limits.head_timeout_ms
-        self.deadline = self._state.clock.now() + timeout_ms
-        self._socket.settimeout(None)
-        self._is_awaiting_head = True
-        try:
-            head = self._read_head()
-        except http_heads.MessageError as error:
-            self._refuse_message(error)
-            return False
-        except (http_heads.CutShortError, OSError):
-            if not self._is_read_shut_down:
-                raise
+    def _end(self) -> None:
+        self._is_ending = True
+        self._woken.set()
+
+    def _serve_requests(self) -> bool:
+        """Serves requests; returns whether the connection ended in order."""
+        keeps_reading = True
+        while keeps_reading and not self._row.is_closed:
+            try:
+                head = self._next_head()
+            except http_heads.MessageError as error:
+                self._refuse_message(error)
+                return True
+            if head is None:
+                return True
+            self._start_exchange(head)
+            keeps_reading = head.keeps_alive
+            options = self._state.options.pipelining
+            self._wait_for_row(options.max_requests - 1)
+            while self._row.size > options.max_bytes:
+                self._wait_for_row(len(self._row) - 1)
             if not self._reader.is_between_messages:
-                self._refuse_slow_head()
-            return False
+                # The next request is here already, so nothing waits.
+                read_turn.yield_now()
+        return True
+
+    def _next_head(self) -> http_heads.RequestHead | None:
+        """Returns the next request, None at the end of the connection.
+
+        Raises http_heads.MessageError, http_heads.CutShortError and OSError.
+        """
+        self._reader.max_head_bytes = (
+            self._state.routing_table.limits.max_head_bytes
+        )
+        while True:
+            head = self._reader.take_head()
+            if head is not None:
+                return head if self._may_serve_another() else None
+            if not self._wait_for_input():
+                return None
+            if not self._reader.receive():
+                self._check_between_messages()
+                return None
+
+    def _may_serve_another(self) -> bool:
+        """Waits, while the entry stops, until the answers ahead are sent.
+
+        Unless one of them closes the connection, returns true.
+        """
+        if self._state.is_stopping:
+            self._wait_for_row(0)
+        return not self._row.is_closed
+
+    def _wait_for_input(self) -> bool:
+        """Returns whether bytes arrived before the connection must end."""
+        self._input_watcher.start(self._woken.set)
+        try:
+            while True:
+                self._woken.clear()
+                if self._poll.poll(0):
+                    return True
+                if self._row.is_closed:
+                    return False
+                if self._is_ending:
+                    self._refuse_slow_head()
+                    return False
+                self._update_deadline()
+                self._woken.wait()
         finally:
-            self._is_awaiting_head = False
-        if head is None:
-            return False
-        self.deadline = math.inf
-        self._socket.settimeout(wait_limit.STALL_TIMEOUT_S)
-        self.is_idle = False
+            self._input_watcher.stop()
+
+    def _update_deadline(self) -> None:
+        """Sets the end of the wait for the next request, or for its rest."""
+        if not self._reader.is_between_messages:
+            self.deadline = self._head_deadline
+        elif self._row:
+            self.deadline = math.inf
+        elif self.deadline == math.inf:
+            limits = self._state.routing_table.limits
+            self.deadline = self._state.clock.now() + limits.idle_timeout_ms
+
+    def _start_exchange(self, head: http_heads.RequestHead) -> None:
+        """Starts to serve a request; returns once its body is read."""
         self._has_served = True
+        self.deadline = math.inf
+        turn = self._row.enter(head.size)
+        served = exchange.Exchange(
+            self._state,
+            self._socket,
+            self._reader,
+            head,
+            turn,
+            is_relayed=self._is_peer,
+        )
+        turn.task = gevent.spawn(self._serve, served, turn)
+        turn.task.rawlink(turn.leave_if_killed)
+        if head.framing is not http_heads.Framing.NONE:
+            served.body_ended.wait()
+
+    def _serve(self, served: exchange.Exchange, turn: answer_row.Turn) -> None:
         self._state.in_flight += 1
+        keeps_alive = False
+        is_complete = False
         try:
-            return exchange.Exchange(
-                self._state,
-                self._socket,
-                self._reader,
-                head,
-                is_relayed=self._is_peer,
-            ).serve()
+            keeps_alive = served.serve()
+            is_complete = True
+        except answer_row.BehindCloseError:
+            # The answer that closes the connection was complete.
+            is_complete = True
+        except (OSError, errors.MulberryquayError) as error:
+            _LOG.debug('answer not sent', extra={'cause': str(error)})
         finally:
             self._state.in_flight -= 1
-            self.is_idle = True
+            self._is_broken |= not is_complete
+            served.body_ended.set()
+            turn.leave(keeps_alive=keeps_alive)
 
-    def _read_head(self) -> http_heads.RequestHead | None:
-        try:
-            return self._reader.read_head()
-        except OSError:
-            if not self._is_read_shut_down:
-                raise
-        # Shutting down the read side makes a waiting gevent socket raise,
-        # although a request may have arrived just before.
-        return self._reader.read_head()
+    def _wait_for_row(self, length: int) -> None:
+        """Returns once at most ``length`` requests are not answered."""
+        while len(self._row) > length:
+            self._woken.clear()
+            self._woken.wait()
+
+    def _check_between_messages(self) -> None:
+        """Raises CutShortError if a request was read in part."""
+        if not self._reader.is_between_messages:
+            raise http_heads.CutShortError(
+                'the caller closed the connection in the middle of a request',
+            )
 
     def _start_head_timeout(self) -> None:
         """Starts the head timeout at the first byte of a request."""
-        if self._is_awaiting_head:
-            limits = self._state.routing_table.limits
-            self.deadline = self._state.clock.now() + limits.head_timeout_ms
+        limits = self._state.routing_table.limits
+        self._head_deadline = self._state.clock.now() + limits.head_timeout_ms
 
     def _refuse_slow_head(self) -> None:
-        """Answers a request whose head was not complete in time."""
+        """Answers a request whose head was not complete in time, if any."""
+        if self._reader.is_between_messages:
+            return
         self._refuse(
             outcomes.not_run(
                 outcomes.Reason.REQUEST_TIMEOUT,
@@ -172,7 +273,13 @@
         )
 
     def _refuse(self, refusal: outcomes.RefusedError) -> None:
-        """Sends an error for a message that has no request record."""
+        """Sends an error for a message that has no request record.
+
+        Sends nothing if an answer ahead closes the connection.
+        """
+        self._wait_for_row(0)
+        if self._row.is_closed:
+            return
         self._state.metrics.count(
             'mulberryquay_requests_total',
             refusal.outcome.value,
@@ -191,7 +298,7 @@
         answer before the caller has read it (RFC 9112, section 9.6).
         """
         self._socket.shutdown(socket.SHUT_WR)
-        if self._reader.is_between_messages:
+        if self._reader.is_between_messages and not self._poll.poll(0):
             return
         limit = wait_limit.WaitLimit(
             self._state.clock, self._state.clock.now() + _DISCARD_TIMEOUT_MS
@@ -206,6 +313,7 @@
 
     def _close(self, *, is_graceful: bool) -> None:
         """Closes the connection, with a reset if an answer is incomplete."""
+        self._input_watcher.close()
         try:
             if is_graceful:
                 self._discard_unread_input()
--- a/src/mulberryquay/entry/caller_watch.py
+++ b/src/mulberryquay/entry/caller_watch.py
@@ -6,7 +6,6 @@
 import typing
 
 import gevent
-from gevent import socket
 
 from mulberryquay.coordination import clock
 
@@ -59,28 +58,21 @@
 
     def check(self) -> None:
         """Notifies the requests whose callers closed the connection."""
-        by_descriptor = {
-            request.connection.fileno(): request for request in self._requests
-        }
+        by_descriptor: dict[int, list[ServedRequest]] = {}
+        for request in self._requests:
+            descriptor = request.connection.fileno()
+            by_descriptor.setdefault(descriptor, []).append(request)
         poll = select.poll()
         for descriptor in by_descriptor:
-            poll.register(descriptor, select.POLLIN)
+            # Not POLLIN: unread requests of a caller may come before its end.
+            poll.register(descriptor, select.POLLRDHUP)
         for descriptor, _ in poll.poll(0):
-            request = by_descriptor[descriptor]
-            if _is_closed(request.connection):
-                self._requests.discard(request)
-                request.handle_caller_gone()
+            for abandoned in by_descriptor[descriptor]:
+                self._requests.discard(abandoned)
+                abandoned.handle_caller_gone()
 
     def _run(self) -> None:
         while True:
             self._clock.sleep(CHECK_INTERVAL_MS)
             if self._requests:
                 self.check()
-
-
-def _is_closed(connection: typing.Any) -> bool:
-    """Whether the peer closed a readable connection; consumes no bytes."""
-    try:
-        return not connection.recv(1, socket.MSG_PEEK)
-    except OSError:
-        return True
--- a/src/mulberryquay/entry/daemon.py
+++ b/src/mulberryquay/entry/daemon.py
@@ -252,6 +252,9 @@
             values['min_calls'],
             values['load_limit_percent'] / entry_settings.PERCENT,
         ),
+        state.PipeliningLimits(
+            values['pipelined_requests'], values['pipelined_bytes']
+        ),
     )
 
 
--- a/src/mulberryquay/entry/entry_settings.py
+++ b/src/mulberryquay/entry/entry_settings.py
@@ -11,6 +11,9 @@
 SERVE_STALE: typing.Final = 'serve'
 REFUSE_STALE: typing.Final = 'refuse'
 
+#: Largest number of requests read ahead; each may hold a buffered answer.
+MAX_PIPELINED: typing.Final = 64
+
 PERCENT: typing.Final = 100
 REFUSE_OUTSIDE: typing.Final = 'refuse'
 FORWARD_OUTSIDE: typing.Final = 'forward'
@@ -172,6 +175,22 @@
         'may make at once; 0 gives each entry a reserve of its own',
         maximum=units.MAX_INT64,
     ),
+    settings.Setting(
+        'pipelined_requests',
+        state.PipeliningLimits().max_requests,
+        'requests of one connection that are read before the first of them '
+        'is answered; 1 for one at a time',
+        minimum=1,
+        maximum=MAX_PIPELINED,
+    ),
+    settings.Setting(
+        'pipelined_bytes',
+        state.PipeliningLimits().max_bytes,
+        'size of the heads of these requests in bytes, above which no other '
+        'is read',
+        minimum=1,
+        maximum=units.MIB,
+    ),
     settings.Setting(
         'drain_ms',
         2 * units.SECOND_MS,
--- a/src/mulberryquay/entry/exchange.py
+++ b/src/mulberryquay/entry/exchange.py
@@ -7,12 +7,13 @@
 import typing
 
 import gevent
+from gevent import event
 
 from mulberryquay.coordination import wait_limit
 from mulberryquay.entry import (
     admission,
+    answer_row,
     answers,
-    attempt,
     caller_watch,
     forwarder,
     header_names,
@@ -20,11 +21,11 @@
     keyed,
     messages,
     outcomes,
+    outgoing,
     request_body,
     request_log,
     request_records,
     routing,
-    service_queue,
     state,
 )
 
@@ -42,13 +43,18 @@
         connection: typing.Any,
         reader: messages.RequestReader,
         head: http_heads.RequestHead,
+        turn: answer_row.Turn,
         *,
         is_relayed: bool,
     ) -> None:
         """Prepares to serve the request whose ``head`` came from ``reader``.
 
-        ``is_relayed`` says that another entry relayed it.
+        Its answer is sent in its ``turn``. ``is_relayed`` says that another
+        entry relayed it.
         """
+        self._turn = turn
+        #: Set once the whole request was read from the connection.
+        self.body_ended = event.Event()
         self._is_relayed = is_relayed
         self._state = entry_state
         self._socket = connection
@@ -60,10 +66,11 @@
         self._account: routing.ClientAccount | None = None
         self._forwarder: forwarder.Forwarder | None = None
         self._keyed_request: keyed.KeyedRequest | None = None
+        self._outcome = outcomes.Outcome.UNKNOWN
+        self._reason = outcomes.Reason.CALLER_GONE
         self._status = 0
         self._cause = ''
         self._timeout_ms = 0.0
-        self._task = gevent.getcurrent()
 
     @property
     def connection(self) -> typing.Any:
@@ -84,48 +91,61 @@
         route = self._route
         is_idempotent = route is not None and route.service_class.idempotent
         if is_idempotent or not active_forwarder.has_target:
-            gevent.kill(self._task, caller_watch.CallerGoneError())
+            gevent.kill(self._turn.task, caller_watch.CallerGoneError())
 
     def serve(self) -> bool:
         """Answers the request; returns whether the connection is reusable.
 
-        Raises OSError when the caller is gone, and AnswerCutShortError when
-        the connection must be reset because the answer is incomplete.
+        Raises OSError when the caller is gone, AnswerCutShortError when the
+        connection must be reset because the answer is incomplete, and
+        BehindCloseError when an answer ahead closes the connection.
         """
-        outcome = outcomes.Outcome.UNKNOWN
-        reason = outcomes.Reason.CALLER_GONE
+        try:
+            return self._answer()
+        except BaseException as error:
+            self._note_failure(error)
+            raise
+        finally:
+            self._release_account_slot()
+            self._record_outcome()
+
+    def _answer(self) -> bool:
         try:
             request = self._admit()
             kept = self._claim_key(request)
-            if kept is None:
-                received = self._forward(request)
-                keeps_alive = self._send_answer(received)
-                outcome = received.outcome
-                reason = received.reason
-            else:
-                keeps_alive = self._send_kept_answer(kept)
-                outcome = outcomes.Outcome.ANSWERED
-                reason = outcomes.Reason.KEPT_ANSWER
+            if kept is not None:
+                return self._send_kept_answer(kept)
+            received = self._forward(request)
+            keeps_alive = self._send_answer(received)
         except outcomes.RefusedError as refusal:
-            outcome = refusal.outcome
-            reason = refusal.reason
+            self._outcome = refusal.outcome
+            self._reason = refusal.reason
             self._cause = str(refusal)
-            keeps_alive = self._send_refusal(refusal)
-        except answers.AnswerCutShortError as error:
-            reason = error.reason
-            self._cause = str(error)
-            raise
-        except Exception as error:
-            if not isinstance(error, OSError):
-                reason = outcomes.Reason.INTERNAL_ERROR
-                self._cause = repr(error)
-                _LOG.exception('request ended by an unexpected error')
-            raise
-        finally:
-            self._release_account_slot()
-            self._record_outcome(outcome, reason)
+            return self._send_refusal(refusal)
+        self._outcome = received.outcome
+        self._reason = received.reason
         return keeps_alive
 
+    def _note_failure(self, error: BaseException) -> None:
+        """Notes why no answer, or not all of it, was sent."""
+        self._outcome = outcomes.Outcome.UNKNOWN
+        self._cause = str(error)
+        match error:
+            case answers.AnswerCutShortError():
+                self._reason = error.reason
+            case answer_row.BehindCloseError():
+                self._reason = outcomes.Reason.BEHIND_CLOSE
+                if self._forwarder is None or not self._forwarder.has_sent:
+                    self._outcome = outcomes.Outcome.NOT_RUN
+            case OSError() | gevent.GreenletExit():
+                self._reason = outcomes.Reason.CALLER_GONE
+            case _:
+                self._reason = outcomes.Reason.INTERNAL_ERROR
+                self._cause = repr(error)
+                _LOG.error(
+                    'request ended by an unexpected error', exc_info=error
+                )
+
     def _claim_key(
         self, request: forwarder.AdmittedRequest
     ) -> keyed.KeptAnswer | None:
@@ -182,17 +202,24 @@
         return received
 
     def _send_kept_answer(self, kept: keyed.KeptAnswer) -> bool:
+        self._turn.wait()
         self._status = kept.status
         context = self._answer_context(is_reusable=True)
         http_heads.send_all(
             self._socket, answers.encode_kept_answer(context, kept)
         )
+        self._outcome = outcomes.Outcome.ANSWERED
+        self._reason = outcomes.Reason.KEPT_ANSWER
         return context.keeps_alive
 
     def _send_answer(self, received: outcomes.Received) -> bool:
         """Sends a target's answer; returns whether to keep the connection."""
-        self._status = received.head.status
         active_forwarder = typing.cast(forwarder.Forwarder, self._forwarder)
+        if received.body is not None:
+            # The target is free again however slowly the caller reads.
+            active_forwarder.finish(received)
+        self._wait_for_turn(received)
+        self._status = received.head.status
         try:
             keeps_alive = answers.send_answer(
                 self._socket,
@@ -206,11 +233,38 @@
             active_forwarder.abandon(received)
             raise
         except BaseException:
-            active_forwarder.abandon(received)
+            self._abandon(received)
             raise
-        active_forwarder.finish(received)
+        if received.body is None:
+            active_forwarder.finish(received)
         return keeps_alive and self._body.is_read
 
+    def _wait_for_turn(self, received: outcomes.Received) -> None:
+        """Returns once all answers ahead are sent.
+
+        A streamed answer waits at its target, at most until its deadline;
+        then this raises RefusedError.
+        """
+        if received.body is not None:
+            self._turn.wait()
+            return
+        limit = self._wait_limit()
+        try:
+            self._turn.wait(timeout=limit.deadline - self._state.clock.now())
+        except answer_row.TurnTimeoutError as error:
+            self._abandon(received)
+            raise outcomes.unknown(
+                outcomes.Reason.DEADLINE, str(error)
+            ) from error
+        except BaseException:
+            self._abandon(received)
+            raise
+
+    def _abandon(self, received: outcomes.Received) -> None:
+        """Releases the target of an answer that is not sent to its end."""
+        if self._forwarder is not None and received.body is None:
+            self._forwarder.abandon(received)
+
     def _wait_limit(self) -> wait_limit.WaitLimit:
         return wait_limit.WaitLimit(
             self._state.clock, self._started + self._timeout_ms
@@ -223,54 +277,51 @@
         self._acquire_account_slot(admitted.account)
         service = admitted.service
         limit = self._wait_limit()
+        self._wait_before_run(admitted, limit)
         body = self._body.read_replayable(service, limit)
+        if self._body.is_read:
+            self.body_ended.set()
         remaining_body = None
         if not self._body.is_read:
             remaining_body = self._body.read_remaining(service, limit)
-        deadline = limit.deadline
-        return forwarder.AdmittedRequest(
-            service_queue.TargetCriteria(
-                service,
-                admitted.route.service_class,
-                admitted.regions,
-                deadline,
-                admitted.route.max_attempts,
-                may_relay=not self._is_relayed,
-            ),
-            attempt.OutgoingRequest(
-                self._head.method,
-                self._head.path,
-                self._outgoing_headers(admitted.depth + (not self._is_relayed)),
-                self._head.framing,
+        return outgoing.build(
+            self._state,
+            self._head,
+            admitted,
+            outgoing.Incoming(
+                self._request_id,
                 body,
                 remaining_body,
-                deadline,
-                self._request_id.encode('latin-1'),
+                limit.deadline,
+                is_relayed=self._is_relayed,
             ),
-            self._head.find(header_names.NO_RETRY) is None,
         )
 
-    def _outgoing_headers(self, depth: int) -> http_heads.Headers:
-        head = self._head
-        header_dialect = self._state.dialect
-        headers = [
-            *head.forwarded_headers,
-            (header_dialect.request_id, self._request_id.encode('latin-1')),
-        ]
-        if header_dialect.sends_depth:
-            headers.append((header_names.DEPTH, b'%d' % depth))
-        match head.framing:
-            case http_heads.Framing.CHUNKED:
-                headers.append((b'transfer-encoding', b'chunked'))
-            case http_heads.Framing.LENGTH:
-                headers.append((b'content-length', b'%d' % head.length))
-        return headers
+    def _wait_before_run(
+        self,
+        admitted: admission.Admission,
+        limit: wait_limit.WaitLimit,
+    ) -> None:
+        """Waits for the answers ahead if the request must not run beside.
+
+        What stands behind an answer that closes the connection is sent again,
+        so a request that must not run twice runs once none can.
+        """
+        is_idempotent = admitted.route.service_class.idempotent
+        if is_idempotent and self._body.is_read:
+            return
+        try:
+            self._turn.wait(timeout=limit.deadline - self._state.clock.now())
+        except answer_row.TurnTimeoutError as error:
+            raise outcomes.not_run(
+                outcomes.Reason.DEADLINE, str(error)
+            ) from error
 
     def _answer_context(self, *, is_reusable: bool) -> answers.AnswerContext:
         keeps_alive = (
             is_reusable
             and self._head.keeps_alive
-            and not self._state.is_stopping
+            and not (self._state.is_stopping and self._turn.is_last)
         )
         return answers.AnswerContext(
             self._head,
@@ -281,6 +332,7 @@
 
     def _send_refusal(self, refusal: outcomes.RefusedError) -> bool:
         """Sends an error; returns whether to keep the connection."""
+        self._turn.wait()
         self._status = refusal.status
         context = self._answer_context(is_reusable=self._body.is_read)
         if self._forwarder is not None:
@@ -318,16 +370,12 @@
         if self._account is not None:
             self._state.account_in_flight[self._account.name] -= 1
 
-    def _record_outcome(
-        self,
-        outcome: outcomes.Outcome,
-        reason: outcomes.Reason,
-    ) -> None:
+    def _record_outcome(self) -> None:
         entry_state = self._state
         entry_state.metrics.count(
             'mulberryquay_requests_total',
-            outcome.value,
-            reason.value,
+            self._outcome.value,
+            self._reason.value,
         )
         route = self._route
         account = self._account
@@ -340,8 +388,8 @@
             account.name if account else '',
             route.name if route else '',
             route.service_class.name if route else '',
-            outcome.value,
-            reason.value,
+            self._outcome.value,
+            self._reason.value,
             self._status,
             entry_state.clock.now() - self._started,
             active_forwarder.attempts if active_forwarder else [],
--- a/src/mulberryquay/entry/forwarder.py
+++ b/src/mulberryquay/entry/forwarder.py
@@ -65,6 +65,11 @@
         """Whether the request holds a target, which may be running it."""
         return self._target is not None
 
+    @property
+    def has_sent(self) -> bool:
+        """Whether an attempt was begun, so that the request may have run."""
+        return self._attempt is not None
+
     def stop_retrying(self) -> None:
         """Prevents further attempts, because the caller is gone."""
         self._is_caller_gone = True
--- a/src/mulberryquay/entry/http_heads.py
+++ b/src/mulberryquay/entry/http_heads.py
@@ -9,6 +9,9 @@
 
 LAST_CHUNK: typing.Final = b'0\r\n\r\n'
 
+#: Memory of a header field beside its name and value.
+_FIELD_BYTES: typing.Final = 64
+
 #: Digits of the largest number that a header may have.
 _MAX_DIGITS: typing.Final = 18
 
@@ -76,6 +79,14 @@
     keeps_alive: bool
     is_http_one_zero: bool
 
+    @property
+    def size(self) -> int:
+        """The approximate size of the head in memory, in bytes."""
+        return len(self.path) + sum(
+            len(name) + len(value) + _FIELD_BYTES
+            for name, value in self.forwarded_headers
+        )
+
     def find(self, name: bytes) -> bytes | None:
         """Returns the first known header's value; ``name`` is in lower case."""
         return find_header(self.known_headers, name)
--- a/src/mulberryquay/entry/messages.py
+++ b/src/mulberryquay/entry/messages.py
@@ -120,14 +120,17 @@
 
     def _next_event(self) -> typing.Any:
         while not self._events:
-            if not self._receive():
+            if not self.receive():
                 raise http_heads.CutShortError(
                     'the peer closed the connection in the middle of a message'
                 )
         return self._events.popleft()
 
-    def _receive(self) -> bool:
-        """Receives and parses bytes; returns False if the peer closed."""
+    def receive(self) -> bool:
+        """Receives and parses bytes; returns False if the peer closed.
+
+        Raises http_heads.MessageError and OSError.
+        """
         if self._error:
             raise self._error
         self._turn.begin_read()
@@ -269,13 +272,25 @@
         )
         self._queue_head(head)
 
+    def take_head(self) -> http_heads.RequestHead | None:
+        """Returns the next request if all of its head was received.
+
+        Raises http_heads.MessageError if what follows is malformed.
+        """
+        if not self._events:
+            if self._error:
+                raise self._error
+            return None
+        head: http_heads.RequestHead = self._events.popleft()
+        return head
+
     def read_head(self) -> http_heads.RequestHead | None:
         """Returns the next request, None if the caller closed cleanly.
 
         Raises http_heads.MessageError, http_heads.CutShortError and OSError.
         """
         while not self._events:
-            if not self._receive():
+            if not self.receive():
                 if self._in_message:
                     raise http_heads.CutShortError(
                         'the caller closed the connection in the middle of '
@@ -353,7 +368,7 @@
         connection.
         """
         while not self._events:
-            if not self._receive():
+            if not self.receive():
                 return None
         return self._with_following_parts(self._events.popleft())
 
--- a/src/mulberryquay/entry/outcomes.py
+++ b/src/mulberryquay/entry/outcomes.py
@@ -63,6 +63,7 @@
     PROBE_FAILED = 'probe-failed'
     DEADLINE = 'deadline'
     CALLER_GONE = 'caller-gone'
+    BEHIND_CLOSE = 'behind-close'
     KEY_IN_USE = 'key-in-use'
     KEY_MISMATCH = 'key-mismatch'
     KEPT_ANSWER = 'kept-answer'
--- /dev/null
+++ b/src/mulberryquay/entry/outgoing.py
@@ -0,0 +1,82 @@
+"""Builds the request that is forwarded from the one that was admitted."""
+
+from __future__ import annotations
+
+import typing
+
+from mulberryquay.entry import (
+    admission,
+    attempt,
+    forwarder,
+    header_names,
+    http_heads,
+    service_queue,
+    state,
+)
+
+
+class Incoming(typing.NamedTuple):
+    """What was read of a request beside its head."""
+
+    request_id: str
+    #: The body read so far; complete unless ``remaining_body`` is given.
+    body: bytes
+    #: Reads and yields the rest of the body.
+    remaining_body: typing.Iterator[bytes] | None
+    #: When the caller stops waiting for the answer, on the entry's clock.
+    deadline: float
+    #: Whether another entry relayed the request.
+    is_relayed: bool
+
+
+def build(
+    entry_state: state.EntryState,
+    head: http_heads.RequestHead,
+    admitted: admission.Admission,
+    incoming: Incoming,
+) -> forwarder.AdmittedRequest:
+    """Returns the request with all that the choice of a target needs."""
+    criteria = service_queue.TargetCriteria(
+        admitted.service,
+        admitted.route.service_class,
+        admitted.regions,
+        incoming.deadline,
+        admitted.route.max_attempts,
+        may_relay=not incoming.is_relayed,
+    )
+    depth = admitted.depth + (not incoming.is_relayed)
+    return forwarder.AdmittedRequest(
+        criteria,
+        attempt.OutgoingRequest(
+            head.method,
+            head.path,
+            _headers(entry_state, head, incoming, depth),
+            head.framing,
+            incoming.body,
+            incoming.remaining_body,
+            incoming.deadline,
+            incoming.request_id.encode('latin-1'),
+        ),
+        head.find(header_names.NO_RETRY) is None,
+    )
+
+
+def _headers(
+    entry_state: state.EntryState,
+    head: http_heads.RequestHead,
+    incoming: Incoming,
+    depth: int,
+) -> http_heads.Headers:
+    header_dialect = entry_state.dialect
+    headers = [
+        *head.forwarded_headers,
+        (header_dialect.request_id, incoming.request_id.encode('latin-1')),
+    ]
+    if header_dialect.sends_depth:
+        headers.append((header_names.DEPTH, b'%d' % depth))
+    match head.framing:
+        case http_heads.Framing.CHUNKED:
+            headers.append((b'transfer-encoding', b'chunked'))
+        case http_heads.Framing.LENGTH:
+            headers.append((b'content-length', b'%d' % head.length))
+    return headers
--- a/src/mulberryquay/entry/state.py
+++ b/src/mulberryquay/entry/state.py
@@ -120,6 +120,15 @@
         """Probes candidates with old reports and waits briefly for answers."""
 
 
+class PipeliningLimits(typing.NamedTuple):
+    """How far a connection is read ahead of its answers."""
+
+    #: Requests of a connection that are served at once; 1 for no pipelining.
+    max_requests: int = 8
+    #: Size of the heads of these requests, in bytes.
+    max_bytes: int = 65536
+
+
 class EntryOptions(typing.NamedTuple):
     """The behavior of an entry that its settings select."""
 
@@ -135,6 +144,7 @@
     #: 0 gives each entry its own reserve.
     retry_reserve: float = 0
     target_limits: balancer.TargetLimits = balancer.TargetLimits()
+    pipelining: PipeliningLimits = PipeliningLimits()
 
 
 @typing.final
