Keep late copies of answers from the next request and from probes

Cause: with the project's own headers the id on an answer was not compared, so a target's second copy of an answer, late, on a connection in use again, reached the next caller; and probes share connections with requests, so the answer to a probe could be taken for that to a request.

Change: an id on an answer must be that of the request, in every dialect. A connection that carried a probe is used for a request only if the target puts ids on its answers; a 2xx without id is then skipped. A probe that gets an answer with a request id fails.

--- a/src/mulberryquay/entry/attempt.py
+++ b/src/mulberryquay/entry/attempt.py
@@ -170,15 +170,9 @@
         Skips late answers to earlier requests on the connection. Raises
         MessageError, CutShortError and OSError.
         """
-        header_dialect = self._target.dialect
         for _ in range(_MAX_ANSWERS_READ):
             head = connection.reader.read_head()
-            answered_id = head.find(header_dialect.request_id)
-            is_match = (
-                not header_dialect.caller_sets_request_id
-                or answered_id in {None, self._outgoing.request_id}
-            )
-            if is_match or self._target.is_peer:
+            if self._target.is_peer or self._is_own_answer(head, connection):
                 return head
             if head.framing is http_heads.Framing.UNTIL_CLOSE:
                 break
@@ -186,6 +180,24 @@
                 """Skips the body of a late answer."""
         raise http_heads.MessageError('got only answers to other requests')
 
+    def _is_own_answer(
+        self,
+        head: http_heads.ResponseHead,
+        connection: connections.TargetConnection,
+    ) -> bool:
+        """Whether an answer is not the late copy of another one."""
+        answered_id = head.find(self._target.dialect.request_id)
+        if answered_id is not None:
+            is_own = answered_id == self._outgoing.request_id
+            self._target.pool.echoes_ids |= is_own
+            return is_own
+        is_probe_answer = (
+            connection.has_carried_probe
+            and self._target.pool.echoes_ids
+            and head.status < _FIRST_FAILURE_STATUS
+        )
+        return not is_probe_answer
+
     def _check_signature(self, head: http_heads.ResponseHead) -> None:
         """Raises MessageError for an unsigned or content-encoded success."""
         signature = self._target.dialect.signature
--- a/src/mulberryquay/entry/connections.py
+++ b/src/mulberryquay/entry/connections.py
@@ -44,7 +44,14 @@
 class TargetConnection:
     """One connection to a target."""
 
-    __slots__ = ('_poll', 'max_idle_ms', 'idle_since', 'reader', 'socket')
+    __slots__ = (
+        '_poll',
+        'has_carried_probe',
+        'max_idle_ms',
+        'idle_since',
+        'reader',
+        'socket',
+    )
 
     def __init__(
         self,
@@ -55,6 +62,8 @@
         self.socket = connected_socket
         self.reader = messages.ResponseReader(connected_socket, header_filter)
         self.idle_since = 0.0
+        #: Whether an answer without a request id was due on it.
+        self.has_carried_probe = False
         #: How long it may be idle and still be reused.
         self.max_idle_ms: float = MAX_IDLE_MS
         self._poll = select.poll()
@@ -87,6 +96,9 @@
     ) -> None:
         """Opens nothing yet; answers are read with ``header_filter``."""
         self._header_filter = header_filter
+        #: Whether the target puts the id of the request on its answers, so
+        #: that a late second copy of an answer is recognized.
+        self.echoes_ids = False
         #: Where the target listens.
         self.address = address
         self._clock = time_source
@@ -100,26 +112,64 @@
         """Connections that are open, idle or in use."""
         return self._open_count
 
-    def take(self, *, limit: int) -> TargetConnection:
+    def take(
+        self, *, limit: int, is_for_probe: bool = False
+    ) -> TargetConnection:
         """Returns a usable connection, opening one if none is idle.
 
         Raises ConnectFailedError, and ConnectionBudgetError if ``limit``
         connections are open already.
         """
+        connection = self._take_idle(is_for_probe=is_for_probe)
+        if connection is None:
+            self._make_room(limit)
+            connection = self._open()
+        connection.has_carried_probe |= is_for_probe
+        return connection
+
+    def _take_idle(self, *, is_for_probe: bool) -> TargetConnection | None:
+        """Returns the connection that was used last and fits, if any."""
         now = self._clock.now()
-        while self._idle:
+        unfit = []
+        found = None
+        while self._idle and found is None:
             connection = self._idle.pop()
             if (
-                now - connection.idle_since <= connection.max_idle_ms
-                and connection.is_usable()
+                now - connection.idle_since > connection.max_idle_ms
+                or not connection.is_usable()
             ):
-                return connection
-            self.discard(connection)
-        if self._open_count >= limit:
+                self.discard(connection)
+            elif self._fits(connection, is_for_probe=is_for_probe):
+                found = connection
+            else:
+                unfit.append(connection)
+        self._idle += reversed(unfit)
+        return found
+
+    def _fits(
+        self, connection: TargetConnection, *, is_for_probe: bool
+    ) -> bool:
+        """Whether an answer on the connection can be told from others.
+
+        Without request ids, a late copy of a probe's answer looks like the
+        answer to a request.
+        """
+        return (
+            is_for_probe or self.echoes_ids or not connection.has_carried_probe
+        )
+
+    def _make_room(self, limit: int) -> None:
+        """Closes an idle connection if ``limit`` are open.
+
+        Raises ConnectionBudgetError if none is idle.
+        """
+        if self._open_count < limit:
+            return
+        if not self._idle:
             raise ConnectionBudgetError(
                 f'all {limit} connections to the target are in use',
             )
-        return self._open()
+        self.discard(self._idle.pop(0))
 
     def give_back(
         self, connection: TargetConnection, head: http_heads.ResponseHead
--- a/src/mulberryquay/entry/prober.py
+++ b/src/mulberryquay/entry/prober.py
@@ -167,7 +167,9 @@
     def _fetch_head(
         self, target: targets.TargetState
     ) -> http_heads.ResponseHead:
-        connection = target.pool.take(limit=target.connection_limit)
+        connection = target.pool.take(
+            limit=target.connection_limit, is_for_probe=True
+        )
         head = None
         try:
             with gevent.Timeout(_PROBE_TIMEOUT_S, TimeoutError):
@@ -200,6 +202,10 @@
         )
         http_heads.send_all(connection.socket, request)
         head = connection.reader.read_head()
+        if head.find(self._state.dialect.request_id) is not None:
+            raise http_heads.MessageError(
+                'got the late answer to a request, expected that to a probe'
+            )
         if head.framing is http_heads.Framing.UNTIL_CLOSE:
             return head
         body_size = 0
--- a/src/mulberryquay/entry/targets.py
+++ b/src/mulberryquay/entry/targets.py
@@ -123,6 +123,7 @@
             time_source,
             self.dialect.header_filter,
         )
+        self.pool.echoes_ids = self.dialect.caller_sets_request_id
         #: Calls from this entry that the target is running.
         self.in_flight = 0
         #: Concurrent calls that this entry may send to the target.
