Let idle entries sleep until something is due

Cause: an idle entry with 300 targets woke 47 times a second: the queue and the prober polled every 50 and 100 ms, the latter over all targets, each control stream checked every 50 ms what was due, the caller watch every 60 ms, and the second stream looked for a host every 50 ms.

Change: the queue, the prober and the caller watch wait for the first waiting request, failed target or served request. A control stream sleeps until its heartbeat, the lease or the renewal is due, or a control host sends something, so confirmations also leave at once instead of within 50 ms. Suspensions keep the failed targets for the prober.

Test first: test_idle_entry_wakes_up_rarely (16 a second at most).

--- a/src/mulberryquay/entry/balancer.py
+++ b/src/mulberryquay/entry/balancer.py
@@ -6,6 +6,8 @@
 import math
 import typing
 
+from gevent import event
+
 from mulberryquay import protocol
 from mulberryquay.coordination import clock, shares
 from mulberryquay.entry import relays, routing, service_queue, targets
@@ -58,6 +60,8 @@
         self._region = region
         self._domain = domain
         self._queues: dict[str, service_queue.ServiceQueue] = {}
+        #: Set when a request begins to wait for a target.
+        self.has_waiting = event.Event()
         self._targets: dict[str, targets.TargetState] = {}
         self._domains_out: frozenset[str] = frozenset()
         self._declared_services: dict[str, routing.Service] = {}
@@ -81,6 +85,7 @@
                 self._new_policy(),
                 self._clock,
                 self._relays,
+                self.has_waiting.set,
             )
             self._queues[service] = queue
         return queue
--- a/src/mulberryquay/entry/caller_watch.py
+++ b/src/mulberryquay/entry/caller_watch.py
@@ -6,6 +6,7 @@
 import typing
 
 import gevent
+from gevent import event
 
 from mulberryquay.coordination import clock
 
@@ -37,6 +38,7 @@
         """Checks nothing until `start`."""
         self._clock = time_source
         self._requests: set[ServedRequest] = set()
+        self._has_requests = event.Event()
         self._task: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -51,6 +53,8 @@
     def watch(self, request: ServedRequest) -> None:
         """Starts checking a request's connection."""
         self._requests.add(request)
+        if not self._has_requests.is_set():
+            self._has_requests.set()
 
     def release(self, request: ServedRequest) -> None:
         """Stops checking it; harmless if it is not checked."""
@@ -73,6 +77,9 @@
 
     def _run(self) -> None:
         while True:
+            self._has_requests.wait()
             self._clock.sleep(CHECK_INTERVAL_MS)
             if self._requests:
                 self.check()
+            else:
+                self._has_requests.clear()
--- a/src/mulberryquay/entry/control_stream.py
+++ b/src/mulberryquay/entry/control_stream.py
@@ -17,9 +17,13 @@
 #: switches to another control host. Two heartbeats and a round trip fit.
 LEASE_RENEWAL_TIMEOUT_MS: typing.Final = 1200.0
 
-_CHECK_INTERVAL_MS: typing.Final = 50.0
+#: Shortest time between two checks of what is due.
+_MIN_CHECK_INTERVAL_MS: typing.Final = 10.0
 _RECONNECT_DELAY_MS: typing.Final = 50.0
 
+#: Interval at which a further host to follow is looked for.
+_SPARE_HOST_INTERVAL_MS: typing.Final = 250.0
+
 #: Several round trips between regions fit. It is short because a host without
 #: power does not answer and another host may be available.
 _CONNECT_TIMEOUT_MS: typing.Final = 200.0
@@ -107,7 +111,11 @@
                 )
                 self._is_switching = False
                 self.address = ''
-            self._clock.sleep(_RECONNECT_DELAY_MS)
+            self._clock.sleep(
+                _SPARE_HOST_INTERVAL_MS
+                if self._view.is_following
+                else _RECONNECT_DELAY_MS
+            )
 
     def _follow(self, address: str) -> None:
         stream = wire.connect(
@@ -121,8 +129,10 @@
         stream.send(self._make_hello())
         self._stream = stream
         _LOG.info('following control host', extra={'host': address})
+        self._view.changed.notify()
         while True:
             self._handle(stream.receive())
+            self._view.changed.notify()
 
     def _handle(self, message: typing.Any) -> None:
         view = self._view
@@ -187,7 +197,20 @@
                     self._disconnect()
                 elif self._is_heartbeat_due(now):
                     self._send_heartbeat(now)
-            self._clock.sleep(_CHECK_INTERVAL_MS)
+            self._view.changed.wait(self._next_check_in_ms(now))
+
+    def _next_check_in_ms(self, now: float) -> float:
+        """How long nothing is due unless a control host sends something."""
+        next_check = self._view.next_check_in_ms
+        if self._stream is not None:
+            next_check = min(
+                next_check,
+                self._heartbeat_at + HEARTBEAT_INTERVAL_MS - now,
+                self._lease_renewed_at + LEASE_RENEWAL_TIMEOUT_MS - now,
+            )
+        return min(
+            HEARTBEAT_INTERVAL_MS, max(_MIN_CHECK_INTERVAL_MS, next_check)
+        )
 
     def _is_heartbeat_due(self, now: float) -> bool:
         if now - self._heartbeat_at >= HEARTBEAT_INTERVAL_MS:
--- a/src/mulberryquay/entry/control_view.py
+++ b/src/mulberryquay/entry/control_view.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import logging
+import math
 import typing
 
-from mulberryquay.coordination import clock, shares
+from mulberryquay.coordination import clock, shares, signals
 from mulberryquay.entry import (
     config_replica,
     control_hosts,
@@ -16,6 +17,9 @@
 #: Shortest time between two switches to a better control host.
 MIN_SWITCH_INTERVAL_MS: typing.Final = 1000.0
 
+#: Interval at which calls in flight are compared with pending shares.
+PENDING_CHECK_INTERVAL_MS: typing.Final = 50.0
+
 _LOG: typing.Final = logging.getLogger(__name__)
 
 
@@ -34,15 +38,31 @@
         self.replica = config_replica.ConfigReplica(entry_state)
         self.targets = targets_view.TargetsView(entry_state.balancer.apply)
         self._lease_until = 0.0
+        #: Notified when a control host sent something.
+        self.changed = signals.Signal(entry_state.clock)
         self._switched_at = entry_state.clock.now()
         #: Addresses of the followed hosts in the order they were chosen.
         self._followed: list[str] = []
 
+    @property
+    def next_check_in_ms(self) -> float:
+        """How long the state holds if no control host sends anything."""
+        if self._state.share_view.pending:
+            return PENDING_CHECK_INTERVAL_MS
+        if not self._state.is_fresh:
+            return math.inf
+        return self._lease_until - self._state.clock.now()
+
     @property
     def time_source(self) -> clock.Clock:
         """The entry's clock."""
         return self._state.clock
 
+    @property
+    def is_following(self) -> bool:
+        """Whether at least one control host is followed."""
+        return bool(self._followed)
+
     def choose_host(self) -> str:
         """Returns the address to follow next, or an empty string if none."""
         address = self.hosts.choose(self._followed)
--- a/src/mulberryquay/entry/daemon.py
+++ b/src/mulberryquay/entry/daemon.py
@@ -190,9 +190,13 @@
         ]
 
     def _serve_waiting_loop(self) -> None:
+        waiting = self._state.balancer.has_waiting
         while True:
+            waiting.wait()
             self._state.clock.sleep(_SERVE_WAITING_INTERVAL_MS)
             self._state.balancer.serve_waiting()
+            if not self._state.balancer.waiting_count:
+                waiting.clear()
 
     def _serve_caller(
         self, connection: typing.Any, _address: typing.Any
--- a/src/mulberryquay/entry/prober.py
+++ b/src/mulberryquay/entry/prober.py
@@ -76,10 +76,11 @@
         known = self._state.balancer.all_targets
         for gone in set(self._target_budgets) - set(known):
             self._target_budgets.pop(gone)
+        failed = self._state.suspensions.failed_among(known)
         return [
             gevent.spawn(self._probe, target)
-            for target in known.values()
-            if target.has_failed and self._may_probe(target)
+            for target in failed
+            if self._may_probe(target)
         ]
 
     def start_load_probe(self, target: targets.TargetState) -> gevent.Greenlet:
@@ -95,6 +96,7 @@
 
     def _run(self) -> None:
         while True:
+            self._state.suspensions.has_failed.wait()
             self._state.clock.sleep(_CHECK_INTERVAL_MS)
             self.start_due_probes()
 
--- a/src/mulberryquay/entry/service_queue.py
+++ b/src/mulberryquay/entry/service_queue.py
@@ -65,6 +65,10 @@
         self.is_finished = False
 
 
+def _ignore_waiting() -> None:
+    """Ignores that a request waits."""
+
+
 _HeapItem = tuple[bool, int, int, _Waiter]
 
 
@@ -77,9 +81,11 @@
         policy: Policy,
         time_source: clock.Clock,
         peers: relays.Relays,
+        on_waiting: typing.Callable[[], None] = _ignore_waiting,
     ) -> None:
-        """Starts without targets."""
+        """Starts without targets; calls ``on_waiting`` as a wait begins."""
         self._relays = peers
+        self._on_waiting = on_waiting
         self.targets: dict[str, targets.TargetState] = {}
         self._policy = policy
         self._clock = time_source
@@ -265,6 +271,7 @@
         waiter = _Waiter(criteria, excluded)
         heapq.heappush(self._waiting, self._heap_item_of(waiter))
         self._waiting_count += 1
+        self._on_waiting()
         # A free target may be one that the earlier waiters may not use.
         self.serve_waiting()
         remaining = min(
--- a/src/mulberryquay/entry/targets.py
+++ b/src/mulberryquay/entry/targets.py
@@ -57,19 +57,21 @@
 
 _LOG: typing.Final = logging.getLogger(__name__)
 
-#: Counts a suspension by its reason.
-SuspensionCounter = typing.Callable[[outcomes.Reason], None]
 
+class SuspensionObserver(typing.Protocol):
+    """Learns which targets are suspended."""
 
-def count_nothing(_reason: outcomes.Reason) -> None:
-    """Ignores a suspension."""
+    def handle_suspension(
+        self, target: TargetState, reason: outcomes.Reason
+    ) -> None:
+        """Called each time ``target`` is suspended."""
 
 
 class TargetContext(typing.NamedTuple):
     """What all targets of an entry have in common."""
 
     dialect: dialect.HeaderDialect = dialect.OWN
-    count_suspension: SuspensionCounter = count_nothing
+    observer: SuspensionObserver | None = None
 
 
 @typing.final
@@ -89,7 +91,7 @@
         '_slowness',
         '_timeouts_in_row',
         '_next_cold_call_at',
-        '_count_suspension',
+        '_observer',
         'cold_rate',
         'cold_until',
         'dialect',
@@ -115,7 +117,7 @@
     ) -> None:
         """Starts without observations and with a call limit of 0."""
         context = context or TargetContext()
-        self._count_suspension = context.count_suspension
+        self._observer = context.observer
         self.row = row
         self.dialect = context.dialect
         self.pool = connections.ConnectionPool(
@@ -311,7 +313,8 @@
 
     def record_failure(self, reason: outcomes.Reason) -> None:
         """Suspends the target, longer after each failure in a row."""
-        self._count_suspension(reason)
+        if self._observer is not None:
+            self._observer.handle_suspension(self, reason)
         suspension = _FIRST_SUSPENSION_MS * 2**self._failures_in_row
         self._failures_in_row = min(
             self._failures_in_row + 1, _MAX_COUNTED_FAILURES
--- a/testing/test_processes.py
+++ b/testing/test_processes.py
@@ -341,3 +341,43 @@
 
 
 _ENTRY: typing.Final = ('entry', '--name=e', '--region=r', '--domain=d')
+
+
+def test_idle_entry_wakes_up_rarely() -> None:
+    """The background work of an entry must not grow with its targets.
+
+    Hundreds of entries share the processors of a test machine, and each pays
+    for its wake-ups on a small host.
+    """
+    with fixtures.control() as control:
+        control.declare()
+        for number in range(_MANY_TARGETS):
+            control.daemon.targets.announce(
+                {
+                    'name': f't{number}',
+                    'service': 'stock',
+                    'address': '127.0.0.1:9',
+                    'region': 'north',
+                    'domain': 'north-1',
+                    'slots': 6,
+                    'connections': 220,
+                    'incarnation': 1,
+                },
+            )
+        control.wait_in_force()
+        with processes.entry(
+            control.daemon.feed_port, arguments=('--ask_load',)
+        ) as entry:
+            process = psutil.Process(entry.process.pid)
+            gevent.sleep(1)
+            before = process.num_ctx_switches().voluntary
+            gevent.sleep(_IDLE_S)
+            wakes = process.num_ctx_switches().voluntary - before
+            CASE.assertLess(wakes / _IDLE_S, _MAX_IDLE_WAKES_PER_S)
+
+
+_MANY_TARGETS: typing.Final = 300
+_IDLE_S: typing.Final = 3
+
+#: Two heartbeats, their answers and the timeouts of callers, each second.
+_MAX_IDLE_WAKES_PER_S: typing.Final = 16
