Take an id on an answer for a late copy only if its connection carried it

Cause: a target may pass on headers of another installation, whose ids would all have looked like late copies with the project's own headers. Change: a connection keeps the ids of its last 8 requests; in a dialect whose callers set the ids any other id still is a late answer.

--- a/src/mulberryquay/entry/attempt.py
+++ b/src/mulberryquay/entry/attempt.py
@@ -126,6 +126,7 @@
         headers: http_heads.Headers,
     ) -> outcomes.AttemptResult:
         started = self._clock.now()
+        connection.sent_ids.append(self._outgoing.request_id)
         request = self._encode(headers)
         try:
             sent = connection.socket.send(request)
@@ -187,10 +188,13 @@
     ) -> bool:
         """Whether an answer is not the late copy of another one."""
         answered_id = head.find(self._target.dialect.request_id)
+        if answered_id == self._outgoing.request_id:
+            self._target.pool.echoes_ids = True
+            return True
         if answered_id is not None:
-            is_own = answered_id == self._outgoing.request_id
-            self._target.pool.echoes_ids |= is_own
-            return is_own
+            # Unless callers set the ids, a target may pass on those of others.
+            is_strict = self._target.dialect.caller_sets_request_id
+            return not is_strict and answered_id not in connection.sent_ids
         is_probe_answer = (
             connection.has_carried_probe
             and self._target.pool.echoes_ids
--- a/src/mulberryquay/entry/connections.py
+++ b/src/mulberryquay/entry/connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import re
 import select
 import typing
@@ -23,6 +24,9 @@
 _KEEP_ALIVE_FRACTION: typing.Final = 0.7
 _KEEP_ALIVE_TIMEOUT: typing.Final = re.compile(rb'timeout=(\d{1,6})')
 
+#: Requests of a connection whose late answers are recognized.
+_KEPT_IDS: typing.Final = 8
+
 _CONNECT_TIMEOUT_S: typing.Final = 1.0
 
 
@@ -47,9 +51,10 @@
     __slots__ = (
         '_poll',
         'has_carried_probe',
-        'max_idle_ms',
         'idle_since',
+        'max_idle_ms',
         'reader',
+        'sent_ids',
         'socket',
     )
 
@@ -64,6 +69,10 @@
         self.idle_since = 0.0
         #: Whether an answer without a request id was due on it.
         self.has_carried_probe = False
+        #: Ids of the last requests sent on it, to which answers may be late.
+        self.sent_ids: collections.deque[bytes] = collections.deque(
+            maxlen=_KEPT_IDS
+        )
         #: How long it may be idle and still be reused.
         self.max_idle_ms: float = MAX_IDLE_MS
         self._poll = select.poll()
--- a/src/mulberryquay/entry/prober.py
+++ b/src/mulberryquay/entry/prober.py
@@ -204,7 +204,7 @@
         )
         http_heads.send_all(connection.socket, request)
         head = connection.reader.read_head()
-        if head.find(self._state.dialect.request_id) is not None:
+        if head.find(self._state.dialect.request_id) in connection.sent_ids:
             raise http_heads.MessageError(
                 'got the late answer to a request, expected that to a probe'
             )
--- a/testing/entry/test_late_answers.py
+++ b/testing/entry/test_late_answers.py
@@ -14,6 +14,7 @@
 
 from mulberryquay import announcer
 from mulberryquay.entry import daemon, http_heads, messages
+from mulberryquay.standin import target
 from testing import fixtures
 
 CASE: typing.Final = unittest.TestCase()
@@ -160,3 +161,24 @@
             answer = fixtures.ask(entry, paths[-1])
             CASE.assertEqual(answer.body.decode(), paths[-1])
             gevent.sleep(0.08)
+
+
+def test_id_of_another_system_is_no_late_answer() -> None:
+    """A target may pass on headers of another installation unchanged."""
+
+    def answer(_request: target.ReceivedRequest) -> target.Answer:
+        return target.Answer(
+            body=b'done', headers=[(b'mulberryquay-request-id', b'elsewhere-1')]
+        )
+
+    with (
+        fixtures.control() as control,
+        fixtures.entry(control, arguments=['--ask_load']) as entry,
+        fixtures.announced_target(control, 'a', answer),
+    ):
+        control.declare(service_class={'idempotent': False})
+        fixtures.wait_for_targets(entry, 'a')
+        control.wait_in_force()
+        for _ in range(3):
+            CASE.assertEqual(fixtures.ask(entry, '/stock/x').body, b'done')
+            gevent.sleep(0.08)
