--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,7 @@
 
 soak: $(STAMP)
 	MULBERRYQUAY_SOAK=1 $(BIN)/python -m testing.run test_claims test_shares test_store \
-		test_search test_wire test_fuzz
+		test_search test_wire test_fuzz test_messages test_any_row
 
 clean:
 	rm -rf .venv build dist .mypy_cache .ruff_cache
