--- a/testing/test_endless_bytes.py
+++ b/testing/test_endless_bytes.py
@@ -10,9 +10,15 @@
 import psutil
 from gevent import socket
 
-from mulberryquay import announcer
-from mulberryquay.coordination import clock, units
-from mulberryquay.entry import http_heads, messages
+from mulberryquay import announcer, protocol
+from mulberryquay.coordination import clock, units, watchdog
+from mulberryquay.entry import (
+    attempt,
+    http_heads,
+    messages,
+    outcomes,
+    targets,
+)
 from mulberryquay.standin import target
 from testing import fixtures, flooding_target, processes
 
@@ -309,3 +315,48 @@
             for _ in range(5):
                 CASE.assertTrue(_is_answered(scene.entry, '/stock/ready'))
                 gevent.sleep(0.3)
+
+
+def test_relay_whose_entry_sends_without_end_ends_as_lost() -> None:
+    """An entry that answers a relay with endless bytes must be left in time."""
+    time_source = clock.Clock()
+    deadlines = watchdog.Watchdog(time_source)
+    deadlines.start()
+    with processes.flooding_target() as port:
+        for name in ('interim-heads', 'long-line', 'head-fields', 'garbage'):
+            peer = targets.TargetState(
+                protocol.TargetRow(
+                    name='entry-2',
+                    service='',
+                    address=f'127.0.0.1:{port}',
+                    region='north',
+                    domain='',
+                    slots=1,
+                    connections=1,
+                    incarnation=0,
+                    allowance=1,
+                    is_warm=True,
+                    is_leaving=False,
+                    shed_statuses=[],
+                ),
+                time_source,
+            )
+            peer.is_peer = True
+            outgoing = attempt.OutgoingRequest(
+                b'GET',
+                f'/stock/{name}'.encode(),
+                [(b'host', b'test')],
+                http_heads.Framing.NONE,
+                b'',
+                None,
+                time_source.now() + _ROUTE_TIMEOUT_MS,
+            )
+            result = attempt.Attempt(
+                peer, outgoing, time_source, deadlines
+            ).run([])
+            CASE.assertIsInstance(result, outcomes.Lost, name)
+            CASE.assertLess(
+                time_source.now(), outgoing.deadline + _MAX_LATE_MS, name
+            )
+            CASE.assertTrue(peer.has_failed, name)
+    deadlines.stop()
