Bind the opening of a connection by the request's deadline

Change: a connection is opened within the time left, including the wait for the turn to open it; a request whose time ended then is not run (504).

Measured: three requests to a port that accepts nothing, 300 ms each: refused as connect-failed after a second before, as not-run/deadline within 500 ms now (3 runs of 3).

--- a/src/mulberryquay/entry/attempt.py
+++ b/src/mulberryquay/entry/attempt.py
@@ -69,13 +69,16 @@
 
     def run(self, headers: http_heads.Headers) -> outcomes.AttemptResult:
         """Sends the request with ``headers`` added to its own."""
-        if self._clock.now() >= self.deadline:
+        remaining = self.deadline - self._clock.now()
+        if remaining <= 0:
             return outcomes.NotSent(outcomes.Reason.DEADLINE)
         try:
             connection = self._target.pool.take(
-                limit=self._target.connection_limit
+                limit=self._target.connection_limit, timeout=remaining
             )
         except connections.ConnectFailedError:
+            if self._clock.now() >= self.deadline:
+                return outcomes.NotSent(outcomes.Reason.DEADLINE)
             self._target.record_failure(outcomes.Reason.CONNECT_FAILED)
             return outcomes.NotSent(outcomes.Reason.CONNECT_FAILED)
         except connections.ConnectionBudgetError:
--- a/src/mulberryquay/entry/connections.py
+++ b/src/mulberryquay/entry/connections.py
@@ -7,6 +7,7 @@
 import select
 import typing
 
+import gevent
 from gevent import lock, socket
 
 from mulberryquay.coordination import clock, errors
@@ -27,7 +28,8 @@
 #: Requests of a connection whose late answers are recognized.
 _KEPT_IDS: typing.Final = 8
 
-_CONNECT_TIMEOUT_S: typing.Final = 1.0
+#: Longest wait for a new connection, including the turn to open it.
+CONNECT_TIMEOUT_MS: typing.Final = 1000.0
 
 
 @typing.final
@@ -122,17 +124,21 @@
         return self._open_count
 
     def take(
-        self, *, limit: int, is_for_probe: bool = False
+        self,
+        *,
+        limit: int,
+        timeout: float = CONNECT_TIMEOUT_MS,
+        is_for_probe: bool = False,
     ) -> TargetConnection:
         """Returns a usable connection, opening one if none is idle.
 
-        Raises ConnectFailedError, and ConnectionBudgetError if ``limit``
-        connections are open already.
+        Raises ConnectFailedError, also after ``timeout`` ms, and
+        ConnectionBudgetError if ``limit`` connections are open already.
         """
         connection = self._take_idle(is_for_probe=is_for_probe)
         if connection is None:
             self._make_room(limit)
-            connection = self._open()
+            connection = self._open(min(timeout, CONNECT_TIMEOUT_MS))
         connection.has_carried_probe |= is_for_probe
         return connection
 
@@ -200,15 +206,11 @@
         while self._idle:
             self.discard(self._idle.pop())
 
-    def _open(self) -> TargetConnection:
+    def _open(self, timeout: float) -> TargetConnection:
         self._open_count += 1
         try:
-            with self._open_lock:
-                self._wait_for_open_interval()
-                connected_socket = socket.create_connection(
-                    self.address,
-                    timeout=_CONNECT_TIMEOUT_S,
-                )
+            with gevent.Timeout(timeout / clock.MS_PER_SECOND, TimeoutError):
+                connected_socket = self._connect()
         except OSError as error:
             self._open_count -= 1
             raise ConnectFailedError(
@@ -221,6 +223,12 @@
         connected_socket.settimeout(None)
         return TargetConnection(connected_socket, self._header_filter)
 
+    def _connect(self) -> typing.Any:
+        """Connects once it is this task's turn; raises OSError."""
+        with self._open_lock:
+            self._wait_for_open_interval()
+            return socket.create_connection(self.address)
+
     def _wait_for_open_interval(self) -> None:
         wait = self._last_opened_at + OPEN_INTERVAL_MS - self._clock.now()
         if wait > 0:
