Use one paced task for work that is repeated only while there is any

The watchdog, the caller watch, the queue and the prober each had the same loop (wait for an event, sleep, work, clear the event). PacedTask is that loop. The set of failed targets beside the targets' own state is gone, too: the prober derives it from the known targets while one has failed. The set kept targets that had left whenever the prober was off. Behaviour is unchanged; an idle entry still wakes as rarely (test_idle_entry_wakes_up_rarely).

--- a/src/mulberryquay/coordination/watchdog.py
+++ b/src/mulberryquay/coordination/watchdog.py
@@ -8,10 +8,7 @@
 
 import typing
 
-import gevent
-from gevent import event
-
-from mulberryquay.coordination import clock
+from mulberryquay.coordination import clock, paced_task
 
 #: Interval between checks, and so the longest delay of an expiry, in ms.
 SWEEP_INTERVAL_MS: typing.Final = 20.0
@@ -39,25 +36,23 @@
     ) -> None:
         """Checks the deadlines every ``interval`` ms once started."""
         self._clock = time_source
-        self._interval = interval
         self._watched: set[Watched] = set()
-        self._has_watched = event.Event()
-        self._task: gevent.Greenlet | None = None
+        self._task = paced_task.PacedTask(
+            self._sweep_again, time_source, interval=interval
+        )
 
     def start(self) -> None:
         """Starts to check the deadlines."""
-        self._task = gevent.spawn(self._run)
+        self._task.start()
 
     def stop(self) -> None:
         """Stops checking the deadlines."""
-        if self._task is not None:
-            self._task.kill()
+        self._task.stop()
 
     def watch(self, watched: Watched) -> None:
         """Starts to watch; the deadline may be changed afterwards."""
         self._watched.add(watched)
-        if not self._has_watched.is_set():
-            self._has_watched.set()
+        self._task.wake()
 
     def release(self, watched: Watched) -> None:
         """Stops watching; has no effect if the wait is not watched."""
@@ -73,10 +68,6 @@
             self._watched.discard(watched)
             watched.expire()
 
-    def _run(self) -> None:
-        while True:
-            self._has_watched.wait()
-            self._clock.sleep(self._interval)
-            self.sweep()
-            if not self._watched:
-                self._has_watched.clear()
+    def _sweep_again(self) -> bool:
+        self.sweep()
+        return bool(self._watched)
--- a/src/mulberryquay/entry/balancer.py
+++ b/src/mulberryquay/entry/balancer.py
@@ -62,6 +62,8 @@
         self._queues: dict[str, service_queue.ServiceQueue] = {}
         #: Set when a request begins to wait for a target.
         self.has_waiting = event.Event()
+        #: Set when a target is suspended.
+        self.has_failed = event.Event()
         self._targets: dict[str, targets.TargetState] = {}
         self._domains_out: frozenset[str] = frozenset()
         self._declared_services: dict[str, routing.Service] = {}
--- a/src/mulberryquay/entry/caller_watch.py
+++ b/src/mulberryquay/entry/caller_watch.py
@@ -6,9 +6,8 @@
 import typing
 
 import gevent
-from gevent import event
 
-from mulberryquay.coordination import clock
+from mulberryquay.coordination import clock, paced_task
 
 #: Time between two checks; a closed connection is detected within it.
 CHECK_INTERVAL_MS: typing.Final = 60.0
@@ -36,25 +35,23 @@
 
     def __init__(self, time_source: clock.Clock) -> None:
         """Checks nothing until `start`."""
-        self._clock = time_source
         self._requests: set[ServedRequest] = set()
-        self._has_requests = event.Event()
-        self._task: gevent.Greenlet | None = None
+        self._task = paced_task.PacedTask(
+            self._check_again, time_source, interval=CHECK_INTERVAL_MS
+        )
 
     def start(self) -> None:
         """Starts the task."""
-        self._task = gevent.spawn(self._run)
+        self._task.start()
 
     def stop(self) -> None:
         """Stops the task."""
-        if self._task is not None:
-            self._task.kill()
+        self._task.stop()
 
     def watch(self, request: ServedRequest) -> None:
         """Starts checking a request's connection."""
         self._requests.add(request)
-        if not self._has_requests.is_set():
-            self._has_requests.set()
+        self._task.wake()
 
     def release(self, request: ServedRequest) -> None:
         """Stops checking it; harmless if it is not checked."""
@@ -75,11 +72,7 @@
                 self._requests.discard(abandoned)
                 abandoned.handle_caller_gone()
 
-    def _run(self) -> None:
-        while True:
-            self._has_requests.wait()
-            self._clock.sleep(CHECK_INTERVAL_MS)
-            if self._requests:
-                self.check()
-            else:
-                self._has_requests.clear()
+    def _check_again(self) -> bool:
+        if self._requests:
+            self.check()
+        return bool(self._requests)
--- a/src/mulberryquay/entry/daemon.py
+++ b/src/mulberryquay/entry/daemon.py
@@ -6,9 +6,8 @@
 import random
 import typing
 
-import gevent
 from mulberryquay import settings, sockets
-from mulberryquay.coordination import clock, units, watchdog
+from mulberryquay.coordination import clock, paced_task, units, watchdog
 from mulberryquay.entry import (
     admin,
     balancer,
@@ -87,6 +86,12 @@
             domain=values['domain'],
         )
         self._state.crash_reporter = self._control_link
+        self._queue_task = paced_task.PacedTask(
+            self._serve_waiting,
+            self._state.clock,
+            interval=_SERVE_WAITING_INTERVAL_MS,
+            needed=self._state.balancer.has_waiting,
+        )
         self._caller_watchdog = watchdog.Watchdog(
             self._state.clock,
             interval=units.SECOND_MS,
@@ -137,7 +142,6 @@
         """Starts to serve."""
         for component in self._components():
             component.start()
-        self._queue_task = gevent.spawn(self._serve_waiting_loop)
         self._servers = [
             sockets.DrainingServer(self._listener, self._serve_caller),
             sockets.DrainingServer(self._peer_listener, self._serve_peer),
@@ -164,7 +168,6 @@
             for connection in list(self.caller_connections):
                 connection.close_if_idle()
             time_source.sleep(_STOP_POLL_INTERVAL_MS)
-        self._queue_task.kill()
         for component in self._components():
             component.stop()
 
@@ -182,6 +185,7 @@
             self._control_link,
             self._state.claims,
             self._prober,
+            self._queue_task,
             self._state.watchdog,
             self._caller_watchdog,
             self._state.caller_watch,
@@ -189,14 +193,10 @@
             *self._ready_servers,
         ]
 
-    def _serve_waiting_loop(self) -> None:
-        waiting = self._state.balancer.has_waiting
-        while True:
-            waiting.wait()
-            self._state.clock.sleep(_SERVE_WAITING_INTERVAL_MS)
-            self._state.balancer.serve_waiting()
-            if not self._state.balancer.waiting_count:
-                waiting.clear()
+    def _serve_waiting(self) -> bool:
+        """Serves waiting requests; returns whether some still wait."""
+        self._state.balancer.serve_waiting()
+        return bool(self._state.balancer.waiting_count)
 
     def _serve_caller(
         self, connection: typing.Any, _address: typing.Any
--- a/src/mulberryquay/entry/prober.py
+++ b/src/mulberryquay/entry/prober.py
@@ -13,7 +13,7 @@
 
 import gevent
 
-from mulberryquay.coordination import errors, token_bucket
+from mulberryquay.coordination import errors, paced_task, token_bucket
 from mulberryquay.entry import (
     connections,
     http_heads,
@@ -59,28 +59,31 @@
             burst=max(bytes_rate, PROBE_BYTES),
         )
         self._target_budgets: dict[str, token_bucket.TokenBucket] = {}
-        self._task: gevent.Greenlet | None = None
+        self._task = paced_task.PacedTask(
+            self._probe_failed,
+            entry_state.clock,
+            interval=_CHECK_INTERVAL_MS,
+            needed=entry_state.balancer.has_failed,
+        )
 
     def start(self) -> None:
         """Starts probing, unless the rate is 0."""
         if self._per_target_rate > 0:
-            self._task = gevent.spawn(self._run)
+            self._task.start()
 
     def stop(self) -> None:
         """Stops probing."""
-        if self._task is not None:
-            self._task.kill()
+        self._task.stop()
 
     def start_due_probes(self) -> list[gevent.Greenlet]:
         """Starts the probes that are due and within the budget."""
         known = self._state.balancer.all_targets
         for gone in set(self._target_budgets) - set(known):
             self._target_budgets.pop(gone)
-        failed = self._state.suspensions.failed_among(known)
         return [
             gevent.spawn(self._probe, target)
-            for target in failed
-            if self._may_probe(target)
+            for target in known.values()
+            if target.has_failed and self._may_probe(target)
         ]
 
     def start_load_probe(self, target: targets.TargetState) -> gevent.Greenlet:
@@ -94,11 +97,11 @@
         finally:
             target.end_load_probe()
 
-    def _run(self) -> None:
-        while True:
-            self._state.suspensions.has_failed.wait()
-            self._state.clock.sleep(_CHECK_INTERVAL_MS)
-            self.start_due_probes()
+    def _probe_failed(self) -> bool:
+        """Starts due probes; returns whether any target has failed."""
+        self.start_due_probes()
+        known = self._state.balancer.all_targets
+        return any(target.has_failed for target in known.values())
 
     def _may_probe(self, target: targets.TargetState) -> bool:
         name = target.row.name
--- a/src/mulberryquay/entry/state.py
+++ b/src/mulberryquay/entry/state.py
@@ -19,12 +19,12 @@
     caller_watch,
     claim_client,
     dialect,
+    outcomes,
     relays,
     request_records,
     routing,
     service_queue,
     splits,
-    suspensions,
     targets,
 )
 
@@ -172,8 +172,9 @@
         self.metrics = metrics.Metrics(METRICS)
         self.routing_table = routing.RoutingTable({})
         self.share_view = shares.ShareView(name)
-        self._suspensions = suspensions.Suspensions(self.metrics)
-        target_context = targets.TargetContext(self.dialect, self._suspensions)
+        target_context = targets.TargetContext(
+            self.dialect, self._handle_suspension
+        )
         self.relays = relays.Relays(
             name,
             self.share_view,
@@ -214,11 +215,6 @@
         """The names of the headers exchanged with callers and targets."""
         return self.options.dialect
 
-    @property
-    def suspensions(self) -> suspensions.Suspensions:
-        """The targets that failed."""
-        return self._suspensions
-
     def next_request_id(self) -> str:
         """Returns an id that is unique over all entries and restarts."""
         return f'{self._request_prefix}{next(self._request_numbers):x}'
@@ -231,6 +227,10 @@
             self._retry_budgets[service] = budget
         return budget
 
+    def _handle_suspension(self, reason: outcomes.Reason) -> None:
+        self.metrics.count('mulberryquay_suspensions_total', reason.value)
+        self.balancer.has_failed.set()
+
     def _new_budget(self) -> retry_budget.RetryBudget:
         ratio = self.options.retry_ratio
         if not self.options.retry_reserve:
--- a/src/mulberryquay/entry/targets.py
+++ b/src/mulberryquay/entry/targets.py
@@ -58,20 +58,16 @@
 _LOG: typing.Final = logging.getLogger(__name__)
 
 
-class SuspensionObserver(typing.Protocol):
-    """Learns which targets are suspended."""
-
-    def handle_suspension(
-        self, target: TargetState, reason: outcomes.Reason
-    ) -> None:
-        """Called each time ``target`` is suspended."""
+def _ignore_suspension(_reason: outcomes.Reason) -> None:
+    """Ignores that a target is suspended."""
 
 
 class TargetContext(typing.NamedTuple):
     """What all targets of an entry have in common."""
 
     dialect: dialect.HeaderDialect = dialect.OWN
-    observer: SuspensionObserver | None = None
+    #: Called with the reason each time a target is suspended.
+    on_suspension: typing.Callable[[outcomes.Reason], None] = _ignore_suspension
 
 
 @typing.final
@@ -91,7 +87,7 @@
         '_slowness',
         '_timeouts_in_row',
         '_next_cold_call_at',
-        '_observer',
+        '_on_suspension',
         'cold_rate',
         'cold_until',
         'dialect',
@@ -117,7 +113,7 @@
     ) -> None:
         """Starts without observations and with a call limit of 0."""
         context = context or TargetContext()
-        self._observer = context.observer
+        self._on_suspension = context.on_suspension
         self.row = row
         self.dialect = context.dialect
         self.pool = connections.ConnectionPool(
@@ -313,8 +309,7 @@
 
     def record_failure(self, reason: outcomes.Reason) -> None:
         """Suspends the target, longer after each failure in a row."""
-        if self._observer is not None:
-            self._observer.handle_suspension(self, reason)
+        self._on_suspension(reason)
         suspension = _FIRST_SUSPENSION_MS * 2**self._failures_in_row
         self._failures_in_row = min(
             self._failures_in_row + 1, _MAX_COUNTED_FAILURES
