Read no clock per request in an idle crash guard; keep one status constant

The crash guard read the clock twice for each request to drop expired entries although it had none, and its two loops were the same. The first server error status stood in two modules. A wait limit is applied to one socket only, and tells the time that remains. Behaviour is unchanged.

--- a/src/mulberryquay/coordination/crash_guard.py
+++ b/src/mulberryquay/coordination/crash_guard.py
@@ -46,7 +46,8 @@
     @property
     def is_idle(self) -> bool:
         """Whether no request is counted or blocked; cheap to call."""
-        self._drop_expired()
+        if self._blocked or self._failures:
+            self._drop_expired()
         return not (self._blocked or self._failures)
 
     @property
@@ -107,16 +108,23 @@
     def _drop_expired(self) -> None:
         """Forgets the oldest blocks and failures once they have expired."""
         now = self._clock.now()
-        while self._blocked:
-            oldest = next(iter(self._blocked))
-            if self._blocked[oldest] > now:
-                break
-            self._blocked.pop(oldest)
-        while self._failures:
-            oldest = next(iter(self._failures))
-            if now - self._failures[oldest].last_failed_at <= BLOCK_MS:
-                break
-            self._failures.pop(oldest)
+        _drop_while(self._blocked, lambda until: until <= now)
+        _drop_while(
+            self._failures,
+            lambda record: now - record.last_failed_at > BLOCK_MS,
+        )
+
+
+def _drop_while(
+    tracked: dict[bytes, typing.Any],
+    is_expired: typing.Callable[[typing.Any], bool],
+) -> None:
+    """Removes the oldest entries as long as they have expired."""
+    while tracked:
+        oldest = next(iter(tracked))
+        if not is_expired(tracked[oldest]):
+            return
+        tracked.pop(oldest)
 
 
 def _forget_oldest(tracked: dict[bytes, typing.Any]) -> None:
--- a/src/mulberryquay/coordination/wait_limit.py
+++ b/src/mulberryquay/coordination/wait_limit.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import typing
 
 from mulberryquay.coordination import clock
@@ -16,17 +15,21 @@
 
     time_source: clock.Clock
     #: On the clock of ``time_source``, in ms.
-    deadline: float = math.inf
+    deadline: float
 
-    def apply(self, *sockets: typing.Any) -> None:
-        """Sets the timeout of the next wait of each of the ``sockets``.
+    @property
+    def remaining(self) -> float:
+        """The time left in ms; negative once the deadline has passed."""
+        return self.deadline - self.time_source.now()
+
+    def apply(self, connection: typing.Any) -> None:
+        """Sets the timeout of the next wait of a socket.
 
         Raises TimeoutError once the deadline has passed.
         """
-        remaining = self.deadline - self.time_source.now()
+        remaining = self.remaining
         if remaining <= 0:
             raise TimeoutError('the deadline passed before the end of the body')
-        for limited_socket in sockets:
-            limited_socket.settimeout(
-                min(remaining / clock.MS_PER_SECOND, STALL_TIMEOUT_S),
-            )
+        connection.settimeout(
+            min(remaining / clock.MS_PER_SECOND, STALL_TIMEOUT_S),
+        )
--- a/src/mulberryquay/entry/attempt.py
+++ b/src/mulberryquay/entry/attempt.py
@@ -25,7 +25,6 @@
 _MAX_ANSWERS_READ: typing.Final = 3
 
 _FIRST_FAILURE_STATUS: typing.Final = 300
-_FIRST_SERVER_ERROR_STATUS: typing.Final = 500
 
 
 class OutgoingRequest(typing.NamedTuple):
@@ -260,7 +259,7 @@
         self._target.record_answer(
             latency,
             reported=report,
-            is_served=head.status < _FIRST_SERVER_ERROR_STATUS,
+            is_served=head.status < http_heads.FIRST_SERVER_ERROR_STATUS,
         )
         return received
 
--- a/src/mulberryquay/entry/http_heads.py
+++ b/src/mulberryquay/entry/http_heads.py
@@ -7,6 +7,7 @@
 
 from mulberryquay.coordination import errors
 
+FIRST_SERVER_ERROR_STATUS: typing.Final = 500
 LAST_CHUNK: typing.Final = b'0\r\n\r\n'
 
 #: Memory of a header field beside its name and value.
--- a/src/mulberryquay/entry/prober.py
+++ b/src/mulberryquay/entry/prober.py
@@ -31,7 +31,6 @@
 #: Limit of the body of the answer to a probe.
 _MAX_PROBE_BODY_BYTES: typing.Final = 65536
 _LOG: typing.Final = logging.getLogger(__name__)
-_FIRST_SERVER_ERROR_STATUS: typing.Final = 500
 
 
 @typing.final
@@ -133,7 +132,7 @@
         if not self._is_expected_target(target, head):
             target.record_address_reused()
             return
-        if head.status >= _FIRST_SERVER_ERROR_STATUS:
+        if head.status >= http_heads.FIRST_SERVER_ERROR_STATUS:
             target.record_failure(outcomes.Reason.PROBE_FAILED)
             return
         self._record_reports(target, head)
