Move the limit of client accounts out of the exchange

The exchange held four jobs; counting the requests of an account is one of its own (account_slots). The route, timeout and idempotence of a request are read from its admission instead of being copied.

--- a/src/mulberryquay/entry/exchange.py
+++ b/src/mulberryquay/entry/exchange.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import math
 import typing
 
 import gevent
@@ -11,6 +10,7 @@
 
 from mulberryquay.coordination import wait_limit
 from mulberryquay.entry import (
+    account_slots,
     admission,
     answer_row,
     answers,
@@ -25,7 +25,6 @@
     request_body,
     request_log,
     request_records,
-    routing,
     state,
 )
 
@@ -62,21 +61,36 @@
         self._body = request_body.RequestBody(connection, reader, head)
         self._request_id = _request_id_of(entry_state, head)
         self._started = entry_state.clock.now()
-        self._route: routing.Route | None = None
-        self._account: routing.ClientAccount | None = None
+        self._admission: admission.Admission | None = None
+        self._account_slot: account_slots.AccountSlot | None = None
         self._forwarder: forwarder.Forwarder | None = None
         self._keyed_request: keyed.KeyedRequest | None = None
         self._outcome = outcomes.Outcome.UNKNOWN
         self._reason = outcomes.Reason.CALLER_GONE
         self._status = 0
         self._cause = ''
-        self._timeout_ms = 0.0
 
     @property
     def connection(self) -> typing.Any:
         """The caller's connection."""
         return self._socket
 
+    @property
+    def _account_name(self) -> str:
+        """Name of the client account, empty if the request has none."""
+        return self._account_slot.account if self._account_slot else ''
+
+    @property
+    def _timeout_ms(self) -> float:
+        """The time for the request, 0 before it is admitted."""
+        return self._admission.timeout_ms if self._admission else 0
+
+    @property
+    def _is_idempotent(self) -> bool:
+        """Whether the request was admitted and may run twice."""
+        admitted = self._admission
+        return admitted is not None and admitted.route.service_class.idempotent
+
     def handle_caller_gone(self) -> None:
         """Cancels the request after its caller closed the connection.
 
@@ -88,9 +102,7 @@
         if active_forwarder is None or self._keyed_request is not None:
             return
         active_forwarder.stop_retrying()
-        route = self._route
-        is_idempotent = route is not None and route.service_class.idempotent
-        if is_idempotent or not active_forwarder.has_target:
+        if self._is_idempotent or not active_forwarder.has_target:
             gevent.kill(self._turn.task, caller_watch.CallerGoneError())
 
     def serve(self) -> bool:
@@ -106,7 +118,8 @@
             self._note_failure(error)
             raise
         finally:
-            self._release_account_slot()
+            if self._account_slot is not None:
+                self._account_slot.release()
             self._record_outcome()
 
     def _answer(self) -> bool:
@@ -172,7 +185,7 @@
         self._keyed_request = keyed.KeyedRequest(
             self._state.claims,
             key,
-            self._account.name if self._account else '',
+            self._account_name,
             forwarder.fingerprint_of(request.outgoing),
         )
         remaining = request.criteria.deadline - self._state.clock.now()
@@ -248,9 +261,8 @@
         if received.body is not None:
             self._turn.wait()
             return
-        limit = self._wait_limit()
         try:
-            self._turn.wait(timeout=limit.deadline - self._state.clock.now())
+            self._turn.wait(timeout=self._wait_limit().remaining)
         except answer_row.TurnTimeoutError as error:
             self._abandon(received)
             raise outcomes.unknown(
@@ -272,12 +284,14 @@
 
     def _admit(self) -> forwarder.AdmittedRequest:
         admitted = admission.admit(self._state, self._head)
-        self._route = admitted.route
-        self._timeout_ms = admitted.timeout_ms
-        self._acquire_account_slot(admitted.account)
+        self._admission = admitted
+        if admitted.account is not None:
+            self._account_slot = self._state.account_slots.acquire(
+                admitted.account
+            )
         service = admitted.service
         limit = self._wait_limit()
-        self._wait_before_run(admitted, limit)
+        self._wait_before_run(limit)
         body = self._body.read_replayable(service, limit)
         if self._body.is_read:
             self.body_ended.set()
@@ -297,21 +311,16 @@
             ),
         )
 
-    def _wait_before_run(
-        self,
-        admitted: admission.Admission,
-        limit: wait_limit.WaitLimit,
-    ) -> None:
+    def _wait_before_run(self, limit: wait_limit.WaitLimit) -> None:
         """Waits for the answers ahead if the request must not run beside.
 
         What stands behind an answer that closes the connection is sent again,
         so a request that must not run twice runs once none can.
         """
-        is_idempotent = admitted.route.service_class.idempotent
-        if is_idempotent and self._body.is_read:
+        if self._is_idempotent and self._body.is_read:
             return
         try:
-            self._turn.wait(timeout=limit.deadline - self._state.clock.now())
+            self._turn.wait(timeout=limit.remaining)
         except answer_row.TurnTimeoutError as error:
             raise outcomes.not_run(
                 outcomes.Reason.DEADLINE, str(error)
@@ -341,35 +350,6 @@
         self._socket.sendall(answers.encode_refusal(context, refusal))
         return context.keeps_alive
 
-    def _acquire_account_slot(
-        self, account: routing.ClientAccount | None
-    ) -> None:
-        if account is None:
-            return
-        in_flight = self._state.account_in_flight
-        running = in_flight.get(account.name, 0)
-        if running >= self._account_limit(account):
-            raise outcomes.not_run(
-                outcomes.Reason.ACCOUNT_LIMIT,
-                f'client account {account.name!r} has {running} requests in '
-                'flight and has reached its limit at this entry',
-            )
-        in_flight[account.name] = running + 1
-        self._account = account
-
-    def _account_limit(self, account: routing.ClientAccount) -> int:
-        """Returns this entry's part of an account's limit, rounded up.
-
-        The platform's load balancer spreads the requests of an account over
-        the entries, so each entry gets an equal part.
-        """
-        entries = self._state.share_view.member_count
-        return math.ceil(account.max_in_flight / entries)
-
-    def _release_account_slot(self) -> None:
-        if self._account is not None:
-            self._state.account_in_flight[self._account.name] -= 1
-
     def _record_outcome(self) -> None:
         entry_state = self._state
         entry_state.metrics.count(
@@ -377,15 +357,14 @@
             self._outcome.value,
             self._reason.value,
         )
-        route = self._route
-        account = self._account
+        route = self._admission.route if self._admission else None
         active_forwarder = self._forwarder
         record = request_records.RequestRecord(
             self._request_id,
             entry_state.clock.wall(),
             self._head.method,
             self._head.path,
-            account.name if account else '',
+            self._account_name,
             route.name if route else '',
             route.service_class.name if route else '',
             self._outcome.value,
@@ -400,7 +379,7 @@
             record,
             request_log.LogContext(
                 self._cause,
-                bool(route and route.service_class.idempotent),
+                self._is_idempotent,
                 self._timeout_ms,
                 active_forwarder.target_snapshots if active_forwarder else (),
             ),
--- a/src/mulberryquay/entry/state.py
+++ b/src/mulberryquay/entry/state.py
@@ -15,6 +15,7 @@
     watchdog,
 )
 from mulberryquay.entry import (
+    account_slots,
     balancer,
     caller_watch,
     claim_client,
@@ -200,7 +201,7 @@
         self.caller_watch = caller_watch.CallerWatch(self.clock)
         #: Probes targets for their load before one is chosen; None if off.
         self.load_prober: LoadReportRefresher | None = None
-        self.account_in_flight: dict[str, int] = {}
+        self.account_slots = account_slots.AccountSlots(self.share_view)
         self.in_flight = 0
         self.is_fresh = False
         self.is_stopping = False
