Share announcements, rows, splitting and set-up among tests

Six copies of an announcement, three of a warm row, two of the same splitter, four of one set-up and a second way to start a child process stood in the tests. Each is one fixture now.

--- a/testing/control/test_restarts.py
+++ b/testing/control/test_restarts.py
@@ -20,24 +20,12 @@
 _WATCHED_S: typing.Final = 1.5
 
 
-def _announcement(name: str, incarnation: int) -> dict[str, typing.Any]:
-    return {
-        'name': name,
-        'service': 'stock',
-        'address': '127.0.0.1:9',
-        'region': 'north',
-        'domain': 'north-1',
-        'slots': 6,
-        'connections': 220,
-        'incarnation': incarnation,
-    }
-
-
 def _announcer(
     control: fixtures.Control, incarnation: int
 ) -> announcer.Announcer:
     return announcer.Announcer(
-        _announcement('gone', incarnation), [control.api]
+        fixtures.announcement('gone', '127.0.0.1:9', incarnation=incarnation),
+        [control.api],
     )
 
 
--- a/testing/entry/test_connect.py
+++ b/testing/entry/test_connect.py
@@ -53,16 +53,7 @@
             service_class={'idempotent': True},
         )
         announced = announcer.Announcer(
-            {
-                'name': 'silent',
-                'service': 'stock',
-                'address': address,
-                'region': 'north',
-                'domain': 'north-1',
-                'slots': 6,
-                'connections': 220,
-                'incarnation': 1,
-            },
+            fixtures.announcement('silent', address),
             [control.api],
         )
         announced.announce()
--- a/testing/entry/test_expected_time.py
+++ b/testing/entry/test_expected_time.py
@@ -8,10 +8,10 @@
 
 import gevent
 
-from mulberryquay import protocol
 from mulberryquay.coordination import clock
 from mulberryquay.entry import dialect, load_prober, targets
 from mulberryquay.entry.policies import expected_time
+from testing import fixtures
 
 CASE: typing.Final = unittest.TestCase()
 
@@ -24,20 +24,7 @@
     slowness: float = 1,
     running: int = 0,
 ) -> targets.TargetState:
-    row = protocol.TargetRow(
-        name=name,
-        service='stock',
-        address='127.0.0.1:1',
-        region='north',
-        domain='north-1',
-        slots=4,
-        connections=100,
-        incarnation=1,
-        allowance=4,
-        is_warm=True,
-        is_leaving=False,
-        shed_statuses=[],
-    )
+    row = fixtures.warm_row(name, '127.0.0.1:1')
     state = targets.TargetState(row, time_source)
     state.tier = tier
     state.limit = 10
--- a/testing/entry/test_late_answers.py
+++ b/testing/entry/test_late_answers.py
@@ -94,16 +94,7 @@
         stack.callback(repeating.stop)
         control.declare(service_class={'idempotent': False})
         announced = announcer.Announcer(
-            {
-                'name': 'repeating',
-                'service': 'stock',
-                'address': repeating.address,
-                'region': 'north',
-                'domain': 'north-1',
-                'slots': 6,
-                'connections': 220,
-                'incarnation': 1,
-            },
+            fixtures.announcement('repeating', repeating.address),
             [control.api],
         )
         announced.start()
--- a/testing/entry/test_messages.py
+++ b/testing/entry/test_messages.py
@@ -43,10 +43,6 @@
     )
 
 
-def _read_all(reader: messages.ResponseReader) -> fixtures.Response:
-    return fixtures.receive(reader)
-
-
 def test_answer_without_end_is_malformed_after_bounded_bytes() -> None:
     """Heads, chunk sizes and trailers without end must not be read on."""
     for name, beginning, repeated in (
@@ -62,7 +58,7 @@
         with CASE.subTest(name):
             connection = _endless(beginning, repeated)
             with CASE.assertRaises(http_heads.MessageError):
-                _read_all(messages.ResponseReader(connection))
+                fixtures.receive(messages.ResponseReader(connection))
             CASE.assertLess(connection.reads, 8)
 
 
@@ -95,7 +91,7 @@
         connection = ScriptedSocket(
             [interim * 8, _OK + b'content-length: 2\r\n\r\nok']
         )
-        response = _read_all(messages.ResponseReader(connection))
+        response = fixtures.receive(messages.ResponseReader(connection))
         CASE.assertEqual((response.status, response.body), (200, b'ok'))
 
 
@@ -108,14 +104,8 @@
         ],
     )
     reader = messages.ResponseReader(connection)
-    _read_all(reader)
-    CASE.assertNotIn('x-late', _read_all(reader).headers)
-
-
-def _split(body: bytes, cuts: typing.Sequence[int]) -> typing.Iterator[bytes]:
-    positions = sorted({0, len(body), *(cut % (len(body) + 1) for cut in cuts)})
-    for start, end in itertools.pairwise(positions):
-        yield body[start:end]
+    fixtures.receive(reader)
+    CASE.assertNotIn('x-late', fixtures.receive(reader).headers)
 
 
 _FRAGMENTS: typing.Final = strategies.sampled_from(
@@ -149,7 +139,7 @@
     """No bytes may hang the reader, and pieces must not change the result."""
     stream = b''.join(fragments)
     results: list[tuple[int, bytes] | None] = []
-    for pieces in ([stream], list(_split(stream, cuts))):
+    for pieces in ([stream], list(fixtures.split_at(stream, cuts))):
         reader = messages.ResponseReader(ScriptedSocket(pieces))
         try:
             response = fixtures.receive(reader)
@@ -178,8 +168,12 @@
     else:
         answer = _OK + b'content-length: %d\r\n\r\n' % len(body) + body
     cut_short = answer[: end % len(answer)]
-    reader = messages.ResponseReader(ScriptedSocket(_split(cut_short, cuts)))
+    reader = messages.ResponseReader(
+        ScriptedSocket(fixtures.split_at(cut_short, cuts))
+    )
     with CASE.assertRaises(http_heads.CutShortError):
         fixtures.receive(reader)
-    whole = messages.ResponseReader(ScriptedSocket(_split(answer, cuts)))
+    whole = messages.ResponseReader(
+        ScriptedSocket(fixtures.split_at(answer, cuts))
+    )
     CASE.assertEqual(fixtures.receive(whole).body, body)
--- a/testing/entry/test_pipelining.py
+++ b/testing/entry/test_pipelining.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import itertools
 import typing
 import unittest
 
@@ -322,14 +321,6 @@
         stopping.get()
 
 
-def _split(stream: bytes, cuts: typing.Sequence[int]) -> typing.Iterator[bytes]:
-    positions = sorted(
-        {0, len(stream), *(cut % (len(stream) + 1) for cut in cuts)}
-    )
-    for start, end in itertools.pairwise(positions):
-        yield stream[start:end]
-
-
 _REQUESTS: typing.Final = strategies.sampled_from(
     (
         _get('/stock/1'),
@@ -374,7 +365,9 @@
             strategies.lists(strategies.integers(0, 2000), max_size=6),
         )
         def check(requests: list[bytes], cuts: list[int]) -> None:
-            row = _ask_in_pieces(port, _split(b''.join(requests), cuts))
+            row = _ask_in_pieces(
+                port, fixtures.split_at(b''.join(requests), cuts)
+            )
             single = [
                 _ask_in_pieces(port, [request])[0] for request in requests
             ]
--- a/testing/entry/test_planned_stop.py
+++ b/testing/entry/test_planned_stop.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import typing
 import unittest
 
@@ -36,24 +37,34 @@
         wrapped.close()
 
 
-def _declare(control: fixtures.Control, entry: daemon.EntryDaemon) -> None:
-    control.declare()
-    fixtures.wait_for_targets(entry, 'a')
-    control.wait_in_force()
+class Scene(typing.NamedTuple):
+    """An entry that serves, and its control host."""
 
+    control: fixtures.Control
+    entry: daemon.EntryDaemon
 
-def test_connections_in_the_accept_queue_are_served() -> None:
-    """Closing the port must not reset what it has not accepted yet."""
+
+@contextlib.contextmanager
+def _scene() -> typing.Iterator[Scene]:
     with (
         fixtures.control() as control,
         fixtures.announced_target(control, 'a', slots=64),
         fixtures.entry(control) as entry,
     ):
-        _declare(control, entry)
+        control.declare()
+        fixtures.wait_for_targets(entry, 'a')
+        control.wait_in_force()
+        yield Scene(control, entry)
+
+
+def test_connections_in_the_accept_queue_are_served() -> None:
+    """Closing the port must not reset what it has not accepted yet."""
+    with _scene() as scene:
         waiting = [
-            _connect_blocking(entry.port, _REQUEST) for _ in range(_CONNECTIONS)
+            _connect_blocking(scene.entry.port, _REQUEST)
+            for _ in range(_CONNECTIONS)
         ]
-        stopping = gevent.spawn(entry.stop)
+        stopping = gevent.spawn(scene.entry.stop)
         for connection in waiting:
             answer = _receive(connection)
             CASE.assertEqual(answer.outcome, 'answered/none')
@@ -63,17 +74,12 @@
 
 def test_connection_accepted_at_the_last_moment_is_served() -> None:
     """A stop must see a connection whose task has not begun."""
-    with (
-        fixtures.control() as control,
-        fixtures.announced_target(control, 'a', slots=64),
-        fixtures.entry(control) as entry,
-    ):
-        _declare(control, entry)
+    with _scene() as scene:
         for delay_us in range(0, 2000, 250):
             with (
                 CASE.subTest(delay_us),
                 fixtures.entry(
-                    control, f'entry-{delay_us}', drain_ms=1
+                    scene.control, f'entry-{delay_us}', drain_ms=1
                 ) as stopping_entry,
             ):
                 fixtures.wait_for_targets(stopping_entry, 'a')
@@ -90,14 +96,9 @@
 
 def test_new_connection_may_send_its_first_request_while_stopping() -> None:
     """A request on its way when the port closes must be served."""
-    with (
-        fixtures.control() as control,
-        fixtures.announced_target(control, 'a', slots=64),
-        fixtures.entry(control) as entry,
-    ):
-        _declare(control, entry)
-        connection = _connect_blocking(entry.port, b'')
-        stopping = gevent.spawn(entry.stop)
+    with _scene() as scene:
+        connection = _connect_blocking(scene.entry.port, b'')
+        stopping = gevent.spawn(scene.entry.stop)
         gevent.sleep(0.1)
         connection.sendall(_REQUEST)
         CASE.assertEqual(_receive(connection).outcome, 'answered/none')
@@ -106,20 +107,15 @@
 
 def test_request_that_arrives_as_its_connection_is_closed_is_served() -> None:
     """Ending an idle connection must not discard a request that arrived."""
-    with (
-        fixtures.control() as control,
-        fixtures.announced_target(control, 'a', slots=64),
-        fixtures.entry(control) as entry,
-    ):
-        _declare(control, entry)
+    with _scene() as scene:
         connection = _connect_blocking(
-            entry.port, fixtures.request_bytes('/none')
+            scene.entry.port, fixtures.request_bytes('/none')
         )
         CASE.assertTrue(_read_refusal(connection))
         gevent.sleep(0.05)
         # No task runs between these two, so the entry has not read it.
         connection.sendall(_REQUEST)
-        for open_connection in list(entry.caller_connections):
+        for open_connection in list(scene.entry.caller_connections):
             open_connection.close_if_idle()
         CASE.assertEqual(_receive(connection).outcome, 'answered/none')
 
--- a/testing/entry/test_targets_view.py
+++ b/testing/entry/test_targets_view.py
@@ -7,6 +7,7 @@
 
 from mulberryquay import protocol
 from mulberryquay.entry import targets_view
+from testing import fixtures
 
 CASE: typing.Final = unittest.TestCase()
 
@@ -18,21 +19,10 @@
     sequence: int = 1,
     leaving: bool = False,
 ) -> list[typing.Any]:
+    row = fixtures.warm_row(name, '127.0.0.1:1')
     return list(
-        protocol.TargetRow(
-            name=name,
-            service='stock',
-            address='127.0.0.1:1',
-            region='north',
-            domain='north-1',
-            slots=4,
-            connections=100,
-            incarnation=incarnation,
-            allowance=4,
-            is_warm=True,
-            is_leaving=leaving,
-            shed_statuses=[],
-            sequence=sequence,
+        row._replace(
+            incarnation=incarnation, is_leaving=leaving, sequence=sequence
         ),
     )
 
--- a/testing/fixtures.py
+++ b/testing/fixtures.py
@@ -17,7 +17,7 @@
 import hypothesis
 from gevent import socket
 
-from mulberryquay import announcer, settings
+from mulberryquay import announcer, protocol, settings
 from mulberryquay.commands import api_client
 from mulberryquay.control import daemon as control_daemon
 from mulberryquay.coordination import clock
@@ -226,6 +226,48 @@
         daemon.stop()
 
 
+def announcement(
+    name: str, address: str, *, incarnation: int = 1, **fields: typing.Any
+) -> dict[str, typing.Any]:
+    """Returns the announcement of a target; ``fields`` replaces defaults."""
+    return {
+        'name': name,
+        'service': 'stock',
+        'address': address,
+        'region': 'north',
+        'domain': 'north-1',
+        'slots': 6,
+        'connections': 220,
+        'incarnation': incarnation,
+        **fields,
+    }
+
+
+def warm_row(name: str, address: str) -> protocol.TargetRow:
+    """Returns the row of a warm target as entries get it."""
+    return protocol.TargetRow(
+        name=name,
+        service='stock',
+        address=address,
+        region='north',
+        domain='north-1',
+        slots=4,
+        connections=100,
+        incarnation=1,
+        allowance=4,
+        is_warm=True,
+        is_leaving=False,
+        shed_statuses=[],
+    )
+
+
+def wait_until_warm(control_host: Control, name: str, slots: int = 6) -> None:
+    """Reports good answers of a target until it has its full allowance."""
+    directory = control_host.daemon.targets
+    while not directory.get(name).is_warm:
+        directory.record_served(name, slots * 4)
+
+
 @contextlib.contextmanager
 def announced_target(
     control_host: Control,
@@ -250,22 +292,22 @@
         sheds=sheds,
     )
     stand_in.start()
-    announcement = {
-        'name': name,
-        'service': service,
-        'address': stand_in.address,
-        'region': region,
-        'domain': domain,
-        'slots': slots,
-        'connections': 220,
-        'incarnation': next(_INCARNATIONS),
-        'shed_status': shed_status,
-    }
-    target_announcer = announcer.Announcer(announcement, [control_host.api])
+    target_announcer = announcer.Announcer(
+        announcement(
+            name,
+            stand_in.address,
+            incarnation=next(_INCARNATIONS),
+            service=service,
+            region=region,
+            domain=domain,
+            slots=slots,
+            shed_status=shed_status,
+        ),
+        [control_host.api],
+    )
     target_announcer.announce()
     if warm:
-        while not control_host.daemon.targets.get(name).is_warm:
-            control_host.daemon.targets.record_served(name, slots * 4)
+        wait_until_warm(control_host, name, slots)
     target_announcer.start()
     try:
         yield stand_in
@@ -369,13 +411,25 @@
     return client.call('GET', f'/accounts/{request_id}')
 
 
+def split_at(
+    stream: bytes, cuts: typing.Sequence[int]
+) -> typing.Iterator[bytes]:
+    """Yields a stream in pieces; ``cuts`` may be any numbers."""
+    positions = sorted(
+        {0, len(stream), *(cut % (len(stream) + 1) for cut in cuts)}
+    )
+    for start, end in itertools.pairwise(positions):
+        yield stream[start:end]
+
+
 @contextlib.contextmanager
 def process(
     *arguments: str,
+    module: str = 'mulberryquay',
 ) -> typing.Iterator[tuple[subprocess.Popen[str], str]]:
-    """Yields a mulberryquay process and the first line it printed."""
+    """Yields a process that runs ``module`` and the first line it printed."""
     child = subprocess.Popen(
-        [sys.executable, '-m', 'mulberryquay', *arguments],
+        [sys.executable, '-m', module, *arguments],
         stdout=subprocess.PIPE,
         stderr=subprocess.DEVNULL,
         text=True,
--- a/testing/processes.py
+++ b/testing/processes.py
@@ -3,11 +3,7 @@
 from __future__ import annotations
 
 import contextlib
-import os
 import pathlib
-import signal
-import subprocess
-import sys
 import typing
 
 from mulberryquay.commands import api_client
@@ -77,19 +73,8 @@
 @contextlib.contextmanager
 def flooding_target() -> typing.Iterator[int]:
     """Yields the port of a process that runs `flooding_target`."""
-    child = subprocess.Popen(
-        [sys.executable, '-m', 'testing.flooding_target'],
-        stdout=subprocess.PIPE,
-        text=True,
-        env={**os.environ, 'PYTHONUNBUFFERED': '1'},
-    )
-    assert child.stdout is not None
-    try:
-        yield int(child.stdout.readline())
-    finally:
-        child.send_signal(signal.SIGKILL)
-        child.wait()
-        child.stdout.close()
+    with fixtures.process(module='testing.flooding_target') as (_, line):
+        yield int(line)
 
 
 def _is_ready(admin_client: api_client.ApiClient) -> bool:
--- a/testing/test_endless_bytes.py
+++ b/testing/test_endless_bytes.py
@@ -11,7 +11,7 @@
 import psutil
 from gevent import socket
 
-from mulberryquay import announcer, protocol
+from mulberryquay import announcer
 from mulberryquay.coordination import clock, units, watchdog
 from mulberryquay.entry import (
     attempt,
@@ -70,21 +70,11 @@
         control.declare('calm', service_class={'idempotent': True})
         port = stack.enter_context(processes.flooding_target())
         flooder = announcer.Announcer(
-            {
-                'name': 'flooder',
-                'service': 'stock',
-                'address': f'127.0.0.1:{port}',
-                'region': 'north',
-                'domain': 'north-1',
-                'slots': 6,
-                'connections': 220,
-                'incarnation': 1,
-            },
+            fixtures.announcement('flooder', f'127.0.0.1:{port}'),
             [control.api],
         )
         flooder.announce()
-        while not control.daemon.targets.get('flooder').is_warm:
-            control.daemon.targets.record_served('flooder', 24)
+        fixtures.wait_until_warm(control, 'flooder')
         flooder.start()
         stack.callback(flooder.stop)
         calm = stack.enter_context(
@@ -147,7 +137,7 @@
 
 def _check_flood(scene: Scene, name: str) -> None:
     fixtures.wait_until(lambda: _is_answered(scene.entry, '/stock/ready'))
-    with _unharmed(scene, name), _longest_stall_ms() as stalls:
+    with _unharmed(scene, name), _stalls_ms() as stalls:
         ending = _call_flooder(scene, name)
     facts = f'{name}; stalls of this process: {stalls}; {_logged(scene, name)}'
     if ending.response is not None:
@@ -156,8 +146,8 @@
 
 
 @contextlib.contextmanager
-def _longest_stall_ms() -> typing.Iterator[list[float]]:
-    """Yields a list of how long, in ms, this process's tasks had to wait."""
+def _stalls_ms() -> typing.Iterator[list[float]]:
+    """Yields the times, in ms, that tasks of this process had to wait long."""
     stalls: list[float] = []
 
     def watch() -> None:
@@ -358,21 +348,7 @@
     with processes.flooding_target() as port:
         for name in ('interim-heads', 'long-line', 'head-fields', 'garbage'):
             peer = targets.TargetState(
-                protocol.TargetRow(
-                    name='entry-2',
-                    service='',
-                    address=f'127.0.0.1:{port}',
-                    region='north',
-                    domain='',
-                    slots=1,
-                    connections=1,
-                    incarnation=0,
-                    allowance=1,
-                    is_warm=True,
-                    is_leaving=False,
-                    shed_statuses=[],
-                ),
-                time_source,
+                fixtures.warm_row('entry-2', f'127.0.0.1:{port}'), time_source
             )
             peer.is_peer = True
             outgoing = attempt.OutgoingRequest(
--- a/testing/test_processes.py
+++ b/testing/test_processes.py
@@ -44,16 +44,7 @@
     stand_in = target.StandInTarget(handler, slots=64)
     stand_in.start()
     target_announcer = announcer.Announcer(
-        {
-            'name': 'stock-a',
-            'service': 'stock',
-            'address': stand_in.address,
-            'region': 'north',
-            'domain': 'north-1',
-            'slots': 64,
-            'connections': 220,
-            'incarnation': 1,
-        },
+        fixtures.announcement('stock-a', stand_in.address, slots=64),
         [f'127.0.0.1:{api_port}'],
     )
     target_announcer.start()
@@ -353,16 +344,7 @@
         control.declare()
         for number in range(_MANY_TARGETS):
             control.daemon.targets.announce(
-                {
-                    'name': f't{number}',
-                    'service': 'stock',
-                    'address': '127.0.0.1:9',
-                    'region': 'north',
-                    'domain': 'north-1',
-                    'slots': 6,
-                    'connections': 220,
-                    'incarnation': 1,
-                },
+                fixtures.announcement(f't{number}', '127.0.0.1:9'),
             )
         control.wait_in_force()
         with processes.entry(
