Log and count what is sent to targets that name a rate limit

Neither logs nor metrics could tell a rate that nobody reads from one that each entry obeys alone. An entry now reads the limit from answers and probes, logs each change of it with the calls that it sent under the previous one, and counts first attempts and retries on such targets. The choice of targets is unchanged; the header is still forwarded.

--- a/src/mulberryquay/entry/attempt.py
+++ b/src/mulberryquay/entry/attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import typing
 
 import gevent
@@ -26,6 +27,8 @@
 
 _FIRST_FAILURE_STATUS: typing.Final = 300
 
+_LOG: typing.Final = logging.getLogger(__name__)
+
 
 class OutgoingRequest(typing.NamedTuple):
     """A request ready to be sent to any target."""
@@ -246,6 +249,7 @@
         head = received.head
         header_dialect = self._target.dialect
         report = _reported_load(head, header_dialect)
+        self._record_rate_limit(head)
         if head.status in header_dialect.misdirected_statuses:
             self._target.record_address_reused()
             return outcomes.Shed(outcomes.Reason.MISDIRECTED)
@@ -263,6 +267,20 @@
         )
         return received
 
+    def _record_rate_limit(self, head: http_heads.ResponseHead) -> None:
+        text = head.find(self._target.dialect.rate_limit)
+        if text is None:
+            self._target.record_rate_limit(None, source='answer')
+            return
+        per_s = http_heads.parse_decimal(text)
+        if per_s is None:
+            _LOG.warning(
+                'target named a rate limit that is no decimal number',
+                extra={'target': self._target.row.name},
+            )
+            return
+        self._target.record_rate_limit(per_s, source='answer')
+
     def _classify_relayed_answer(
         self, received: outcomes.Received
     ) -> outcomes.AttemptResult:
--- a/src/mulberryquay/entry/dialect.py
+++ b/src/mulberryquay/entry/dialect.py
@@ -38,6 +38,9 @@
     #: On an answer: the load of the target.
     load: bytes = header_names.LOAD
     parse_load: typing.Callable[[bytes], LoadReport | None] = parse_count
+    #: On an answer: calls per second that the target takes from all entries
+    #: together, for as long as its answers say so. Also forwarded.
+    rate_limit: bytes = header_names.RATE_LIMIT
     #: On an answer: the target refused before running the request.
     not_run: bytes = header_names.NOT_RUN
     #: On a request: name of the target for which it is meant.
@@ -73,7 +76,9 @@
             self.cold,
         } - {b''}
         return header_names.HeaderFilter(
-            header_names.KNOWN_HEADERS | dialect_headers | {self.signature},
+            header_names.KNOWN_HEADERS
+            | dialect_headers
+            | {self.signature, self.rate_limit},
             header_names.NOT_FORWARDED | dialect_headers,
         )
 
--- a/src/mulberryquay/entry/forwarder.py
+++ b/src/mulberryquay/entry/forwarder.py
@@ -146,6 +146,7 @@
         self._attempt_started = started
         self._target = target
         self._was_relayed = target.is_peer
+        self._count_rate_limited(target)
         self.target_snapshots.append(request_log.snapshot_of(target, started))
         self._attempt = attempt.Attempt(
             target,
@@ -162,6 +163,13 @@
         self._record_attempt(target, result, self._state.clock.now() - started)
         return result
 
+    def _count_rate_limited(self, target: targets.TargetState) -> None:
+        if target.rate_limit.per_s is not None:
+            self._state.metrics.count(
+                'mulberryquay_rate_limited_tries_total',
+                'retry' if self.attempts else 'first',
+            )
+
     def _attempt_headers(
         self,
         target: targets.TargetState,
--- a/src/mulberryquay/entry/header_names.py
+++ b/src/mulberryquay/entry/header_names.py
@@ -43,6 +43,10 @@
 #: Reason of the outcome, a value of `outcomes.Reason`.
 REASON: typing.Final = b'mulberryquay-reason'
 
+#: Calls per second that a target takes from all entries together; set by a
+#: target in need on its answers, also when they are forwarded.
+RATE_LIMIT: typing.Final = b'mulberryquay-rate-limit'
+
 #: Id of a request in the request records and the log.
 REQUEST_ID: typing.Final = b'mulberryquay-request-id'
 
@@ -85,7 +89,7 @@
 
 #: Headers that this system reads.
 KNOWN_HEADERS: typing.Final = NOT_FORWARDED | frozenset(
-    (ACCOUNT, IDEMPOTENCY_KEY, HOST, CONTENT_ENCODING),
+    (ACCOUNT, IDEMPOTENCY_KEY, HOST, CONTENT_ENCODING, RATE_LIMIT),
 )
 
 DEFAULT_FILTER: typing.Final = HeaderFilter(KNOWN_HEADERS, NOT_FORWARDED)
--- a/src/mulberryquay/entry/http_heads.py
+++ b/src/mulberryquay/entry/http_heads.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import re
 import typing
 
 from mulberryquay.coordination import errors
@@ -16,6 +17,8 @@
 #: Digits of the largest number that a header may have.
 _MAX_DIGITS: typing.Final = 18
 
+_DECIMAL: typing.Final = re.compile(rb'[0-9]{1,18}(\.[0-9]{0,18})?')
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -123,6 +126,11 @@
     return int(text)
 
 
+def parse_decimal(text: bytes) -> float | None:
+    """Returns a decimal number that is not negative, None otherwise."""
+    return float(text) if _DECIMAL.fullmatch(text) else None
+
+
 def body_framing(known_headers: Headers) -> tuple[Framing, int]:
     """Returns the framing and the length, -1 if no length was given.
 
--- a/src/mulberryquay/entry/prober.py
+++ b/src/mulberryquay/entry/prober.py
@@ -163,6 +163,10 @@
         cold_ms = None if cold is None else http_heads.parse_number(cold)
         if cold_ms is not None:
             target.record_cold_period(cold_ms)
+        limit = head.find(header_dialect.rate_limit)
+        per_s = None if limit is None else http_heads.parse_decimal(limit)
+        if per_s is not None:
+            target.record_rate_limit(per_s, source='probe')
         load = head.find(header_dialect.load)
         report = None if load is None else header_dialect.parse_load(load)
         if report is not None:
--- a/src/mulberryquay/entry/state.py
+++ b/src/mulberryquay/entry/state.py
@@ -55,6 +55,11 @@
         'Attempts on targets by result and reason.',
         labels=('result', 'reason'),
     ),
+    metrics.MetricDeclaration(
+        'mulberryquay_rate_limited_tries_total',
+        'Attempts on targets that had named a rate limit: first or retry.',
+        labels=('attempt',),
+    ),
     metrics.MetricDeclaration(
         'mulberryquay_suspensions_total',
         'Suspensions of targets and entries by reason.',
--- a/src/mulberryquay/entry/targets.py
+++ b/src/mulberryquay/entry/targets.py
@@ -8,7 +8,7 @@
 
 from mulberryquay import protocol, settings
 from mulberryquay.coordination import clock
-from mulberryquay.entry import connections, dialect, outcomes
+from mulberryquay.entry import connections, dialect, outcomes, rate_limit
 
 #: Time constant: a load report decays to 1/e of its value in this time.
 REPORT_DECAY_MS: typing.Final = 100.0
@@ -96,6 +96,7 @@
         'is_relay_only',
         'limit',
         'load_limit',
+        'rate_limit',
         'connection_limit',
         'pool',
         'row',
@@ -147,6 +148,8 @@
         self.cold_until = 0.0
         #: Calls per second that this entry may send until then.
         self.cold_rate = 0.0
+        #: The rate limit that the target named.
+        self.rate_limit = rate_limit.RateLimit(time_source)
         self._next_cold_call_at = 0.0
         self._clock = time_source
         self._failures_in_row = 0
@@ -215,6 +218,7 @@
     def begin_call(self) -> None:
         """Counts a call that is about to be sent."""
         self.in_flight += 1
+        self.rate_limit.count_call()
         now = self._clock.now()
         if self.cold_until > now and self.cold_rate > 0:
             self._next_cold_call_at = now + clock.MS_PER_SECOND / self.cold_rate
@@ -223,6 +227,10 @@
         """Records that the target stays cold for ``remaining`` ms."""
         self.cold_until = self._clock.now() + remaining
 
+    def record_rate_limit(self, per_s: float | None, *, source: str) -> None:
+        """Records the rate limit that an answer named, None for no limit."""
+        self.rate_limit.update(per_s, target=self.row.name, source=source)
+
     def latency_penalty(self, baseline: float, now: float) -> float:
         """Returns 1, or more if recent latency far exceeds ``baseline``."""
         if (
