Keep the rate that a target names, over all entries together

Callers saw no difference.

Cause: entries chose targets by expected time and by limits of calls in flight. A rate that holds for the sum over entries was neither read nor known to entries that the target had not told. No entry alone was far above the rate, so entries that each obeyed it would have sent the same sum.

Change: the rate is state of the target, like its allowance while cold. The entries of the target's region divide the rate by rendezvous rank, as many of them as it is calls a second, and space their calls. So the parts sum to the rate without a message per call, also while the entry list changes, and an entry without a part relays to one that has it if it has no other target. A limit that no answer confirmed for 2 s is confirmed by a probe, so that its end is noticed without traffic.

An entry reports only what differs from the announcement at the time of the observation.

--- a/benchmarks/fake_entries.py
+++ b/benchmarks/fake_entries.py
@@ -89,5 +89,6 @@
             self._epoch,
             {},
             {},
+            {},
         )
         self._stream.send(heartbeat)
--- a/src/mulberryquay/control/cluster.py
+++ b/src/mulberryquay/control/cluster.py
@@ -198,7 +198,10 @@
 
     def snapshot_updates(self) -> list[Message]:
         """Returns updates with all state that is not in the replicated log."""
-        updates: list[Message] = list(self.targets.snapshot_updates())
+        updates: list[Message] = [
+            host_protocol.TargetAnnounced(list(row))
+            for row in self.targets.list_targets()
+        ]
         if self.entries.is_leading:
             updates.append(self._lists_message())
         return updates
--- a/src/mulberryquay/control/directory.py
+++ b/src/mulberryquay/control/directory.py
@@ -43,7 +43,8 @@
     """One change of the directory, with its reason."""
 
     target: protocol.TargetRow
-    #: announced, restarted, changed, allowance, leaving, left or expired.
+    #: announced, restarted, changed, allowance, rate limit, leaving, left or
+    #: expired.
     reason: str
     is_removed: bool
 
@@ -162,13 +163,6 @@
             state.slow_start.restore(row.allowance, is_warm=row.is_warm)
             self._update_allowance(state)
 
-    def snapshot_updates(self) -> list[host_protocol.TargetAnnounced]:
-        """Returns updates with all targets for another control host."""
-        return [
-            host_protocol.TargetAnnounced(list(row))
-            for row in self.list_targets()
-        ]
-
     def apply_renewals(self, incarnations: dict[str, int]) -> None:
         """Extends the leases that were renewed at another control host."""
         for name, incarnation in incarnations.items():
@@ -259,6 +253,16 @@
         ):
             self._update_allowance(state)
 
+    def record_rate_limit(
+        self, name: str, report: protocol.RateLimitReport
+    ) -> None:
+        """Records the rate limit that the answers of a target name."""
+        state = self._targets.get(name)
+        if state is None or state.row.incarnation != report.incarnation:
+            return
+        if state.row.rate_per_s != report.per_s:
+            self._update(state, 'rate limit', rate_per_s=report.per_s)
+
     def reset_domain(self, domain: str) -> None:
         """Resets a domain's targets to cold, for its return to service.
 
--- a/src/mulberryquay/control/feed.py
+++ b/src/mulberryquay/control/feed.py
@@ -243,8 +243,10 @@
     def _handle_heartbeat(
         self, entry: str, heartbeat: protocol.Heartbeat
     ) -> None:
-        report = host_protocol.TargetsReported(heartbeat.served, heartbeat.shed)
-        if heartbeat.served or heartbeat.shed:
+        report = host_protocol.TargetsReported(
+            heartbeat.served, heartbeat.shed, heartbeat.rate_limits
+        )
+        if any(report):
             self.apply_target_report(report)
             self._group.publish(report)
         self._update_entry(
@@ -261,6 +263,10 @@
             self._directory.record_served(served_name, answers)
         for shed_name, incarnation in report.shed.items():
             self._directory.record_shed(shed_name, incarnation=incarnation)
+        for limited_name, fields in report.rate_limits.items():
+            self._directory.record_rate_limit(
+                limited_name, protocol.RateLimitReport(*fields)
+            )
 
     def apply_crash_report(
         self,
--- a/src/mulberryquay/control/host_protocol.py
+++ b/src/mulberryquay/control/host_protocol.py
@@ -100,6 +100,7 @@
 
     served: dict[str, int]
     shed: dict[str, int]
+    rate_limits: typing.Mapping[str, typing.Sequence[typing.Any]]
 
 
 class EntryLists(typing.NamedTuple):
--- a/src/mulberryquay/coordination/shares.py
+++ b/src/mulberryquay/coordination/shares.py
@@ -14,6 +14,7 @@
 
 from __future__ import annotations
 
+import math
 import typing
 
 import xxhash
@@ -47,6 +48,26 @@
     return even + (rank_of(target, entry, members) < remainder)
 
 
+def rate_share_of(
+    per_s: float,
+    *,
+    target: str,
+    entry: str,
+    members: Members,
+) -> float:
+    """Returns the part of a rate that an entry process may use.
+
+    Only as many members have a part as the rate is calls per second, at least
+    one, so that none of them waits much longer than a second for its next call
+    and few calls meet. The parts of all members sum to ``per_s``.
+    """
+    if entry not in members or per_s <= 0:
+        return 0
+    holders = min(len(members), math.ceil(per_s))
+    is_holder = rank_of(target, entry, members) < holders
+    return per_s / holders if is_holder else 0
+
+
 class EntryList(typing.NamedTuple):
     """The entry processes that share targets; each change has a new epoch."""
 
@@ -63,6 +84,7 @@
         self._entry = entry
         self._committed = EntryList(0, ())
         self._pending: EntryList | None = None
+        self._regions: dict[str, str] = {}
         self._cache: dict[tuple[str, int], int] = {}
 
     @property
@@ -106,10 +128,49 @@
             self._cache[key] = cached
         return cached
 
+    def update_regions(self, regions: dict[str, str]) -> None:
+        """Sets the region of each entry process by name."""
+        self._regions = regions
+
+    def rate_share(self, target: str, per_s: float, *, region: str) -> float:
+        """Returns the smaller part of a rate under the two lists.
+
+        The entry processes in the target's ``region`` share the rate, all of
+        them if there is none.
+        """
+        return min(
+            rate_share_of(
+                per_s,
+                target=target,
+                entry=self._entry,
+                members=self._near(entries.members, region),
+            )
+            for entries in self._lists()
+        )
+
+    def rate_holders(
+        self, target: str, per_s: float, *, region: str
+    ) -> list[str]:
+        """Returns the entry processes with a part of a rate."""
+        members = self._near(self._committed.members, region)
+        return [
+            member
+            for member in members
+            if rate_share_of(
+                per_s, target=target, entry=member, members=members
+            )
+        ]
+
+    def _near(self, members: Members, region: str) -> Members:
+        near = tuple(
+            member for member in members if self._regions.get(member) == region
+        )
+        return near or members
+
+    def _lists(self) -> list[EntryList]:
+        return [self._committed, *filter(None, [self._pending])]
+
     def _compute(self, target: str, allowance: int) -> int:
-        lists = [self._committed]
-        if self._pending:
-            lists.append(self._pending)
         return min(
             share_of(
                 allowance,
@@ -117,7 +178,7 @@
                 entry=self._entry,
                 members=entries.members,
             )
-            for entries in lists
+            for entries in self._lists()
         )
 
 
--- a/src/mulberryquay/entry/attempt.py
+++ b/src/mulberryquay/entry/attempt.py
@@ -14,6 +14,7 @@
     header_names,
     http_heads,
     outcomes,
+    rate_limit,
     targets,
 )
 
@@ -249,10 +250,10 @@
         head = received.head
         header_dialect = self._target.dialect
         report = _reported_load(head, header_dialect)
-        self._record_rate_limit(head)
         if head.status in header_dialect.misdirected_statuses:
             self._target.record_address_reused()
             return outcomes.Shed(outcomes.Reason.MISDIRECTED)
+        self._record_rate_limit(head)
         if self._is_shed(head):
             self._target.record_shed(report)
             return outcomes.Shed(outcomes.Reason.TARGET_SHED)
@@ -270,7 +271,7 @@
     def _record_rate_limit(self, head: http_heads.ResponseHead) -> None:
         text = head.find(self._target.dialect.rate_limit)
         if text is None:
-            self._target.record_rate_limit(None, source='answer')
+            self._target.rate_limit.observe(None, rate_limit.Source.ANSWER)
             return
         per_s = http_heads.parse_decimal(text)
         if per_s is None:
@@ -279,7 +280,7 @@
                 extra={'target': self._target.row.name},
             )
             return
-        self._target.record_rate_limit(per_s, source='answer')
+        self._target.rate_limit.observe(per_s, rate_limit.Source.ANSWER)
 
     def _classify_relayed_answer(
         self, received: outcomes.Received
--- a/src/mulberryquay/entry/balancer.py
+++ b/src/mulberryquay/entry/balancer.py
@@ -62,8 +62,8 @@
         self._queues: dict[str, service_queue.ServiceQueue] = {}
         #: Set when a request begins to wait for a target.
         self.has_waiting = event.Event()
-        #: Set when a target is suspended.
-        self.has_failed = event.Event()
+        #: Set when a target is suspended or its rate limit changes.
+        self.needs_probes = event.Event()
         self._targets: dict[str, targets.TargetState] = {}
         self._domains_out: frozenset[str] = frozenset()
         self._declared_services: dict[str, routing.Service] = {}
@@ -137,17 +137,14 @@
     def refresh_limits(self) -> None:
         """Recomputes the limits of all targets and serves waiting requests."""
         for target in self._targets.values():
-            target.limit = self._call_limit(target)
-            target.is_relay_only = self._is_relay_only(target)
-            target.connection_limit = self._connection_limit(target)
-            target.cold_rate = self._cold_rate(target.row)
-            target.load_limit = self._target_limits.load_limit
-            if not target.limit:
-                target.pool.close_idle()
+            self._refresh_target(target)
         for queue in self._queues.values():
-            if queue.waiting_count:
-                queue.wake_unservable()
-                queue.serve_waiting()
+            queue.adapt_to_limits()
+
+    def apply_rate_limit(self, target: targets.TargetState) -> None:
+        """Recomputes the limits of a target after its rate limit changed."""
+        self._refresh_target(target)
+        self.queue_for(target.row.service).adapt_to_limits()
 
     def pop_target_reports(self) -> tuple[dict[str, int], dict[str, int]]:
         """Returns the target reports for control hosts and resets them.
@@ -179,6 +176,16 @@
             if target is not None and target.row.incarnation == incarnation:
                 target.was_overloaded = True
 
+    def rate_limit_reports(self) -> dict[str, protocol.RateLimitReport]:
+        """Returns the rate limits that control hosts have to learn, by name."""
+        return {
+            name: protocol.RateLimitReport(
+                target.row.incarnation, target.rate_limit.per_s
+            )
+            for name, target in self._targets.items()
+            if target.rate_limit.has_report
+        }
+
     def fits_pending_shares(self) -> bool:
         """Whether calls in flight to cold targets fit this entry's shares."""
         return all(
@@ -199,6 +206,7 @@
                 _log_target('target is leaving', row)
             known.row = row
             known.record_cold_period(row.cold_ms)
+            known.rate_limit.accept(row.rate_per_s)
             return
         if known is not None:
             self._remove(row.name)
@@ -208,6 +216,7 @@
         target.record_cold_period(row.cold_ms)
         self._targets[row.name] = target
         self.queue_for(row.service).targets[row.name] = target
+        target.rate_limit.accept(row.rate_per_s)
 
     def _remove(self, name: str) -> None:
         target = self._targets.pop(name, None)
@@ -222,9 +231,27 @@
             return 2
         return int(row.domain != self._domain)
 
+    def _refresh_target(self, target: targets.TargetState) -> None:
+        target.rate_limit.grant_share(self._rate_share(target))
+        target.limit = self._call_limit(target)
+        target.is_relay_only = self._is_relay_only(target)
+        target.connection_limit = self._connection_limit(target)
+        target.cold_rate = self._cold_rate(target.row)
+        target.load_limit = self._target_limits.load_limit
+        if not target.limit and target.rate_limit.has_share:
+            target.pool.close_idle()
+
+    def _rate_share(self, target: targets.TargetState) -> float:
+        per_s = target.rate_limit.per_s
+        if per_s is None:
+            return 0
+        return self._share_view.rate_share(
+            target.row.name, per_s, region=target.row.region
+        )
+
     def _call_limit(self, target: targets.TargetState) -> int:
         row = target.row
-        if not self._accepts_new_calls(row):
+        if not self._accepts_new_calls(row) or not target.rate_limit.has_share:
             return 0
         if row.is_warm:
             total = row.slots * OVERCOMMIT / self._share_view.member_count
@@ -234,11 +261,11 @@
         return self._share_view.share(row.name, row.allowance)
 
     def _is_relay_only(self, target: targets.TargetState) -> bool:
-        """Whether the target is cold and only other entries have shares."""
-        row = target.row
+        """Whether only other entries have shares of the target."""
+        has_shares = not target.row.is_warm or not target.rate_limit.has_share
         return (
-            self._accepts_new_calls(row)
-            and not row.is_warm
+            self._accepts_new_calls(target.row)
+            and has_shares
             and not target.limit
         )
 
--- a/src/mulberryquay/entry/control_stream.py
+++ b/src/mulberryquay/entry/control_stream.py
@@ -227,7 +227,14 @@
         served, shed = self._view.pop_target_reports(self.address)
         revision, epoch = self._sent_confirmation
         is_sent = self.send(
-            protocol.Heartbeat(self._sequence, revision, epoch, served, shed)
+            protocol.Heartbeat(
+                self._sequence,
+                revision,
+                epoch,
+                served,
+                shed,
+                self._view.rate_limit_reports(),
+            )
         )
         if not is_sent:
             self._view.restore_target_reports(served, shed)
--- a/src/mulberryquay/entry/control_view.py
+++ b/src/mulberryquay/entry/control_view.py
@@ -6,6 +6,7 @@
 import math
 import typing
 
+from mulberryquay import protocol
 from mulberryquay.coordination import clock, shares, signals
 from mulberryquay.entry import (
     config_replica,
@@ -127,6 +128,10 @@
     def update_peers(self, peers: typing.Any) -> None:
         """Sets the entries that accept relayed requests."""
         self._state.relays.update_peers(peers)
+        self._state.share_view.update_regions(
+            {name: region for name, region, _ in peers}
+        )
+        self._state.balancer.refresh_limits()
 
     def block_request(self, fingerprint: bytes, duration: float) -> None:
         """Refuses, for ``duration`` ms, a request that crashes targets."""
@@ -160,6 +165,10 @@
             return {}, {}
         return self._state.balancer.pop_target_reports()
 
+    def rate_limit_reports(self) -> dict[str, protocol.RateLimitReport]:
+        """Returns the rate limits that control hosts have to learn, by name."""
+        return self._state.balancer.rate_limit_reports()
+
     def restore_target_reports(
         self, served: dict[str, int], shed: dict[str, int]
     ) -> None:
--- a/src/mulberryquay/entry/prober.py
+++ b/src/mulberryquay/entry/prober.py
@@ -1,9 +1,10 @@
 """Probes failed targets within a budget, and any target's load on demand.
 
 Answers carry load reports, so load usually needs no extra messages. On its
-own, the prober only probes targets that failed. Each of them is probed by the
-one entry that rendezvous hashing ranks first. These probes are limited by a
-rate for each target and by bytes per second for each entry.
+own, the prober only probes targets that failed, and targets whose rate limit
+no answer confirmed for some time. Each failed target is probed by the one
+entry that rendezvous hashing ranks first. These probes are limited by a rate
+for each target and by bytes per second for each entry.
 """
 
 from __future__ import annotations
@@ -18,6 +19,7 @@
     connections,
     http_heads,
     outcomes,
+    rate_limit,
     state,
     targets,
 )
@@ -59,10 +61,10 @@
         )
         self._target_budgets: dict[str, token_bucket.TokenBucket] = {}
         self._task = paced_task.PacedTask(
-            self._probe_failed,
+            self._probe_due,
             entry_state.clock,
             interval=_CHECK_INTERVAL_MS,
-            needed=entry_state.balancer.has_failed,
+            needed=entry_state.balancer.needs_probes,
         )
 
     def start(self) -> None:
@@ -79,10 +81,11 @@
         known = self._state.balancer.all_targets
         for gone in set(self._target_budgets) - set(known):
             self._target_budgets.pop(gone)
+        now = self._state.clock.now()
         return [
             gevent.spawn(self._probe, target)
             for target in known.values()
-            if target.has_failed and self._may_probe(target)
+            if self._is_due(target, now) and self._is_within_budget(target)
         ]
 
     def start_load_probe(self, target: targets.TargetState) -> gevent.Greenlet:
@@ -96,16 +99,24 @@
         finally:
             target.end_load_probe()
 
-    def _probe_failed(self) -> bool:
-        """Starts due probes; returns whether any target has failed."""
+    def _probe_due(self) -> bool:
+        """Starts due probes; returns whether any may become due."""
         self.start_due_probes()
         known = self._state.balancer.all_targets
-        return any(target.has_failed for target in known.values())
+        return any(
+            target.has_failed or target.rate_limit.per_s is not None
+            for target in known.values()
+        )
 
-    def _may_probe(self, target: targets.TargetState) -> bool:
-        name = target.row.name
-        if not target.limit or not self._state.share_view.share(name, 1):
+    def _is_due(self, target: targets.TargetState, now: float) -> bool:
+        if not target.limit:
             return False
+        if target.has_failed:
+            return bool(self._state.share_view.share(target.row.name, 1))
+        return target.rate_limit.needs_confirmation(now)
+
+    def _is_within_budget(self, target: targets.TargetState) -> bool:
+        name = target.row.name
         bucket = self._target_budgets.get(name)
         if bucket is None:
             bucket = token_bucket.TokenBucket(
@@ -165,8 +176,8 @@
             target.record_cold_period(cold_ms)
         limit = head.find(header_dialect.rate_limit)
         per_s = None if limit is None else http_heads.parse_decimal(limit)
-        if per_s is not None:
-            target.record_rate_limit(per_s, source='probe')
+        if limit is None or per_s is not None:
+            target.rate_limit.observe(per_s, rate_limit.Source.PROBE)
         load = head.find(header_dialect.load)
         report = None if load is None else header_dialect.parse_load(load)
         if report is not None:
--- a/src/mulberryquay/entry/rate_limit.py
+++ b/src/mulberryquay/entry/rate_limit.py
@@ -1,45 +1,154 @@
-"""The rate limit that a target names in its answers, as one entry sees it."""
+"""The rate limit that a target names in its answers.
+
+The limit holds for all entries together. Some of the entries in the target's
+region share it (`shares.rate_share_of`), and each of these spaces its calls.
+"""
 
 from __future__ import annotations
 
+import enum
 import logging
 import typing
 
 from mulberryquay.coordination import clock
 
+#: For this long, an own observation that differs from what control hosts
+#: announce takes precedence and is reported to them. It covers a heartbeat
+#: and the time that control hosts take to tell all entries.
+OBSERVATION_MS: typing.Final = 1500.0
+
+#: A limit that no answer confirmed for this long is confirmed by a probe.
+_CONFIRMATION_INTERVAL_MS: typing.Final = 2000.0
+
 _LOG: typing.Final = logging.getLogger(__name__)
 
 
+class Source(enum.Enum):
+    """Where a limit was learned."""
+
+    ANSWER = 'answer'
+    PROBE = 'probe'
+    CONTROL = 'control'
+
+
 @typing.final
 class RateLimit:
-    """The newest rate limit of one target and the calls sent under it."""
+    """The rate limit of one target, and this entry's calls under it."""
 
-    __slots__ = ('_call_count', '_clock', '_began_at', 'per_s')
+    __slots__ = (
+        '_announced_per_s',
+        '_began_at',
+        '_call_count',
+        '_clock',
+        '_is_in_probes',
+        '_is_news',
+        '_next_call_at',
+        '_observed_at',
+        '_observed_per_s',
+        '_on_change',
+        '_target',
+        'per_s',
+        'share_per_s',
+    )
 
-    def __init__(self, time_source: clock.Clock) -> None:
-        """Starts without a limit."""
+    def __init__(
+        self,
+        target: str,
+        time_source: clock.Clock,
+        on_change: typing.Callable[[], None],
+    ) -> None:
+        """Starts without a limit; calls ``on_change`` after each change."""
+        self._target = target
         self._clock = time_source
+        self._on_change = on_change
         self._began_at = 0.0
         self._call_count = 0
+        self._next_call_at = 0.0
+        self._announced_per_s: float | None = None
+        self._observed_at = float('-inf')
+        self._observed_per_s: float | None = None
+        #: Whether the observation differed from what was announced before it.
+        self._is_news = False
+        #: Whether answers to probes name the limit, too, so that one without
+        #: it shows that the limit has ended.
+        self._is_in_probes = False
         #: Calls per second that the target takes from all entries together;
         #: None without a limit.
         self.per_s: float | None = None
+        #: Calls per second that this entry may send under the limit.
+        self.share_per_s = 0.0
+
+    @property
+    def has_share(self) -> bool:
+        """Whether this entry may send calls, now or later."""
+        return self.per_s is None or self.share_per_s > 0
+
+    @property
+    def has_report(self) -> bool:
+        """Whether control hosts have to learn of a recent observation."""
+        age = self._clock.now() - self._observed_at
+        return self._is_news and age <= OBSERVATION_MS
 
-    def count_call(self) -> None:
-        """Counts a call that is about to be sent."""
+    def is_due(self, now: float) -> bool:
+        """Whether this entry may send a call at ``now``."""
+        if self.per_s is None:
+            return True
+        return self.share_per_s > 0 and self._next_call_at <= now
+
+    def needs_confirmation(self, now: float) -> bool:
+        """Whether no answer has confirmed the limit for some time."""
+        if self.per_s is None or not self.share_per_s:
+            return False
+        return now - self._observed_at > _CONFIRMATION_INTERVAL_MS
+
+    def grant_share(self, per_s: float) -> None:
+        """Sets this entry's share; a new one begins with a pause.
+
+        The entry that had the share before may just have used it.
+        """
+        if per_s and not self.share_per_s:
+            self._next_call_at = self._clock.now() + clock.MS_PER_SECOND / per_s
+        self.share_per_s = per_s
+
+    def begin_call(self, now: float) -> None:
+        """Counts a call that is about to be sent.
+
+        After a pause, one call may follow early.
+        """
         self._call_count += 1
+        if self.share_per_s:
+            interval = clock.MS_PER_SECOND / self.share_per_s
+            self._next_call_at = max(self._next_call_at, now - interval)
+            self._next_call_at += interval
+
+    def observe(self, per_s: float | None, source: Source) -> None:
+        """Records what an answer of the target said; None for no limit."""
+        if source is Source.PROBE:
+            if per_s is None and not self._is_in_probes:
+                return
+            self._is_in_probes = True
+        self._observed_at = self._clock.now()
+        self._observed_per_s = per_s
+        self._is_news = per_s != self._announced_per_s
+        self._change(per_s, source)
+
+    def accept(self, per_s: float | None) -> None:
+        """Records what control hosts announce."""
+        self._announced_per_s = per_s
+        if per_s == self._observed_per_s or not self.has_report:
+            self._is_news = False
+            self._change(per_s, Source.CONTROL)
 
-    def update(self, per_s: float | None, *, target: str, source: str) -> None:
-        """Sets the limit that a ``source`` named; logs a change."""
+    def _change(self, per_s: float | None, source: Source) -> None:
         if per_s == self.per_s:
             return
         now = self._clock.now()
         _LOG.info(
             'target rate limit changed',
             extra={
-                'target': target,
+                'target': self._target,
                 'per_s': per_s,
-                'source': source,
+                'source': source.value,
                 'previous_per_s': self.per_s,
                 'calls': 0 if self.per_s is None else self._call_count,
                 'for_ms': 0 if self.per_s is None else now - self._began_at,
@@ -48,3 +157,4 @@
         self.per_s = per_s
         self._began_at = now
         self._call_count = 0
+        self._on_change()
--- a/src/mulberryquay/entry/relays.py
+++ b/src/mulberryquay/entry/relays.py
@@ -1,9 +1,9 @@
-"""Relays requests to entries that have a share of a cold target.
+"""Relays requests to entries that have a share of a target.
 
-A cold target's allowance can be smaller than the number of entries, and all
-targets of a service can be cold, so some entries have no share of any target.
-Such an entry relays a request to an entry with a share. A relayed request is
-not relayed again.
+The allowance of a cold target and the rate that a target names can be smaller
+than the number of entries. If all targets of a service are like that, some
+entries have no share of any target. Such an entry relays a request to an entry
+with a share. A relayed request is not relayed again.
 """
 
 from __future__ import annotations
@@ -23,7 +23,7 @@
 
 @typing.final
 class Relays:
-    """The other live entries and their shares of cold targets."""
+    """The other live entries and their shares of targets."""
 
     def __init__(
         self,
@@ -57,15 +57,15 @@
 
     def find(
         self,
-        cold_rows: typing.Sequence[protocol.TargetRow],
+        shared_targets: typing.Sequence[targets.TargetState],
         regions: frozenset[str] | None,
         excluded: frozenset[str],
     ) -> targets.TargetState | None:
         """Returns a random entry in ``regions`` with a share, if any."""
         share_holders = {
             share_holder
-            for row in cold_rows
-            for share_holder in self._share_holders(row)
+            for target in shared_targets
+            for share_holder in self._share_holders(target)
         }
         candidates = [
             peer
@@ -77,7 +77,13 @@
         ]
         return self._rng.choice(candidates) if candidates else None
 
-    def _share_holders(self, row: protocol.TargetRow) -> list[str]:
+    def _share_holders(self, target: targets.TargetState) -> list[str]:
+        row = target.row
+        per_s = target.rate_limit.per_s
+        if per_s is not None:
+            return self._share_view.rate_holders(
+                row.name, per_s, region=row.region
+            )
         members = self._share_view.committed.members
         return [
             member
--- a/src/mulberryquay/entry/service_queue.py
+++ b/src/mulberryquay/entry/service_queue.py
@@ -15,7 +15,7 @@
 #: Longest time that a request waits for a target.
 MAX_QUEUE_WAIT_MS: typing.Final = 2000.0
 
-#: Longest time that a request waits for some entry to have a share of a cold
+#: Longest time that a request waits for some entry to have a share of a
 #: target.
 MAX_SHARE_WAIT_MS: typing.Final = 1000.0
 
@@ -169,6 +169,12 @@
         for unserved_item in unserved:
             heapq.heappush(self._waiting, unserved_item)
 
+    def adapt_to_limits(self) -> None:
+        """Wakes and serves waiting requests after limits have changed."""
+        if self._waiting_count:
+            self.wake_unservable()
+            self.serve_waiting()
+
     def wake_unservable(self) -> None:
         """Wakes waiting requests that no target can serve any more."""
         for item in self._waiting:
@@ -240,22 +246,22 @@
         criteria: TargetCriteria,
         excluded: frozenset[str],
     ) -> targets.TargetState | None:
-        """Returns an entry that has a share of a cold target, if any.
+        """Returns an entry that has a share of a target, if any.
 
         The call is counted as in flight there. Raises RefusedError if there
-        is no cold target either.
+        is no such target either.
         """
-        cold_rows = [
-            target.row
+        shared_targets = [
+            target
             for target in self.targets.values()
             if target.is_relay_only
             and _is_allowed(target, criteria.regions, excluded)
         ]
-        if not cold_rows:
+        if not shared_targets:
             raise _no_target_error(criteria)
         if not criteria.may_relay:
             return None
-        peer = self._relays.find(cold_rows, criteria.regions, excluded)
+        peer = self._relays.find(shared_targets, criteria.regions, excluded)
         if peer is not None:
             peer.begin_call()
         return peer
--- a/src/mulberryquay/entry/state.py
+++ b/src/mulberryquay/entry/state.py
@@ -179,7 +179,7 @@
         self.routing_table = routing.RoutingTable({})
         self.share_view = shares.ShareView(name)
         target_context = targets.TargetContext(
-            self.dialect, self._handle_suspension
+            self.dialect, self._handle_suspension, self._handle_rate_limit
         )
         self.relays = relays.Relays(
             name,
@@ -235,7 +235,11 @@
 
     def _handle_suspension(self, reason: outcomes.Reason) -> None:
         self.metrics.count('mulberryquay_suspensions_total', reason.value)
-        self.balancer.has_failed.set()
+        self.balancer.needs_probes.set()
+
+    def _handle_rate_limit(self, target: targets.TargetState) -> None:
+        self.balancer.apply_rate_limit(target)
+        self.balancer.needs_probes.set()
 
     def _new_budget(self) -> retry_budget.RetryBudget:
         ratio = self.options.retry_ratio
--- a/src/mulberryquay/entry/targets.py
+++ b/src/mulberryquay/entry/targets.py
@@ -62,12 +62,18 @@
     """Ignores that a target is suspended."""
 
 
+def _ignore_rate_limit(_target: TargetState) -> None:
+    """Ignores that the rate limit of a target changed."""
+
+
 class TargetContext(typing.NamedTuple):
     """What all targets of an entry have in common."""
 
     dialect: dialect.HeaderDialect = dialect.OWN
     #: Called with the reason each time a target is suspended.
     on_suspension: typing.Callable[[outcomes.Reason], None] = _ignore_suspension
+    #: Called with each target whose rate limit changed.
+    on_rate_limit: typing.Callable[[TargetState], None] = _ignore_rate_limit
 
 
 @typing.final
@@ -149,7 +155,9 @@
         #: Calls per second that this entry may send until then.
         self.cold_rate = 0.0
         #: The rate limit that the target named.
-        self.rate_limit = rate_limit.RateLimit(time_source)
+        self.rate_limit = rate_limit.RateLimit(
+            row.name, time_source, lambda: context.on_rate_limit(self)
+        )
         self._next_cold_call_at = 0.0
         self._clock = time_source
         self._failures_in_row = 0
@@ -207,7 +215,7 @@
 
     def has_capacity_at(self, now: float) -> bool:
         """Whether this entry may send the target another call at ``now``."""
-        if self.in_flight >= self.limit:
+        if self.in_flight >= self.limit or not self.rate_limit.is_due(now):
             return False
         if self.load_limit and self.load(now) >= self.load_limit:
             return False
@@ -218,8 +226,8 @@
     def begin_call(self) -> None:
         """Counts a call that is about to be sent."""
         self.in_flight += 1
-        self.rate_limit.count_call()
         now = self._clock.now()
+        self.rate_limit.begin_call(now)
         if self.cold_until > now and self.cold_rate > 0:
             self._next_cold_call_at = now + clock.MS_PER_SECOND / self.cold_rate
 
@@ -227,10 +235,6 @@
         """Records that the target stays cold for ``remaining`` ms."""
         self.cold_until = self._clock.now() + remaining
 
-    def record_rate_limit(self, per_s: float | None, *, source: str) -> None:
-        """Records the rate limit that an answer named, None for no limit."""
-        self.rate_limit.update(per_s, target=self.row.name, source=source)
-
     def latency_penalty(self, baseline: float, now: float) -> float:
         """Returns 1, or more if recent latency far exceeds ``baseline``."""
         if (
--- a/src/mulberryquay/protocol.py
+++ b/src/mulberryquay/protocol.py
@@ -7,7 +7,7 @@
 from mulberryquay.coordination import wire
 
 #: Increased with each incompatible change to a message.
-PROTOCOL_VERSION: typing.Final = 3
+PROTOCOL_VERSION: typing.Final = 4
 
 
 class Hello(typing.NamedTuple):
@@ -72,6 +72,9 @@
     sequence: int = 0
     #: Milliseconds for which the target stays cold; -1 if not reported.
     cold_ms: int = -1
+    #: Calls per second that the target takes from all entries together, as
+    #: its answers say; None without a limit.
+    rate_per_s: float | None = None
 
 
 class TargetsChanged(typing.NamedTuple):
@@ -112,6 +115,14 @@
     hosts: list[list[str]]
 
 
+class RateLimitReport(typing.NamedTuple):
+    """The rate limit that an entry observed on an incarnation of a target."""
+
+    incarnation: int
+    #: Calls per second; None if the target names no limit any more.
+    per_s: float | None
+
+
 class Heartbeat(typing.NamedTuple):
     """An entry's periodic report; answered by `HeartbeatAnswer`."""
 
@@ -122,6 +133,9 @@
     served: dict[str, int]
     #: Incarnations, by name, of targets that shed calls or slowed down.
     shed: dict[str, int]
+    #: Rows of `RateLimitReport`, by name, of targets whose rate limit differs
+    #: from what the control host announces.
+    rate_limits: typing.Mapping[str, typing.Sequence[typing.Any]]
 
 
 class HeartbeatAnswer(typing.NamedTuple):
--- a/testing/coordination/test_shares.py
+++ b/testing/coordination/test_shares.py
@@ -117,3 +117,35 @@
 def test_view_without_an_entry_list_gives_no_share() -> None:
     """An entry process without a list must not use cold targets."""
     CASE.assertEqual(shares.ShareView('entry-1').share('t', 5), 0)
+
+
+@fixtures.hypothesis_settings()
+@hypothesis.given(members_lists, strategies.floats(0.01, 500))
+def test_parts_of_a_rate_sum_to_it(
+    members: tuple[str, ...], per_s: float
+) -> None:
+    """A rate must be neither exceeded nor left unused by rounding."""
+    parts = [
+        shares.rate_share_of(per_s, target='t', entry=entry, members=members)
+        for entry in ENTRIES
+    ]
+    CASE.assertAlmostEqual(sum(parts), per_s)
+
+
+def test_rate_stays_with_the_entries_near_the_target() -> None:
+    """Entries that hardly use a target must not hold shares of its rate."""
+    view = shares.ShareView('entry-1')
+    view.commit(shares.EntryList(1, ENTRIES))
+    regions = dict.fromkeys(ENTRIES, 'south')
+    view.update_regions({**regions, 'entry-1': 'north'})
+    CASE.assertEqual(view.rate_share('t', 9, region='north'), 9)
+    CASE.assertEqual(view.rate_holders('t', 9, region='north'), ['entry-1'])
+    CASE.assertGreater(view.rate_share('t', 90, region='west'), 0)
+
+
+def test_rate_share_is_the_smaller_one_while_the_list_changes() -> None:
+    """Entries with different lists must not use the same part of a rate."""
+    view = shares.ShareView('entry-1')
+    view.commit(shares.EntryList(1, ('entry-1',)))
+    view.propose(shares.EntryList(2, ('entry-2',)))
+    CASE.assertEqual(view.rate_share('t', 5, region='north'), 0)
--- a/testing/entry/test_rate_limit.py
+++ b/testing/entry/test_rate_limit.py
@@ -7,9 +7,13 @@
 import unittest
 
 import gevent
+import hypothesis
+from hypothesis import strategies
 
-from mulberryquay.coordination import clock
-from mulberryquay.entry import daemon, header_names
+from mulberryquay import protocol
+from mulberryquay.control import directory, replicated_state
+from mulberryquay.coordination import clock, shares
+from mulberryquay.entry import daemon, header_names, rate_limit
 from mulberryquay.standin import target
 from testing import fixtures
 
@@ -96,3 +100,146 @@
         limited.most_in_window(), allowed * _ALLOWED_FACTOR + _ALLOWED_EXTRA
     )
     CASE.assertEqual(set(outcomes), {'answered/none'})
+
+
+@fixtures.hypothesis_settings(50)
+@hypothesis.given(strategies.integers(1, 40), strategies.floats(0.05, 60))
+def test_eager_entries_keep_the_rate_in_every_window(
+    entry_count: int, per_s: float
+) -> None:
+    """Bursts of many entries must not add up beyond the rate."""
+    manual_clock = clock.ManualClock()
+    members = tuple(f'entry-{number}' for number in range(entry_count))
+    limits = []
+    for entry in members:
+        limit = rate_limit.RateLimit('t', manual_clock, lambda: None)
+        limit.observe(per_s, rate_limit.Source.ANSWER)
+        limit.grant_share(
+            shares.rate_share_of(
+                per_s, target='t', entry=entry, members=members
+            )
+        )
+        limits.append(limit)
+    arrivals: list[float] = []
+    manual_clock.advance(_WINDOW_MS)
+    for _ in range(int(_WINDOW_MS / 10)):
+        for limit in limits:
+            if limit.is_due(manual_clock.now()):
+                limit.begin_call(manual_clock.now())
+                arrivals.append(manual_clock.now())
+        manual_clock.advance(10)
+    allowed = per_s * _WINDOW_MS / clock.MS_PER_SECOND
+    CASE.assertLessEqual(
+        len(arrivals), allowed * _ALLOWED_FACTOR + _ALLOWED_EXTRA
+    )
+    CASE.assertGreaterEqual(len(arrivals), int(allowed * 0.9) - entry_count)
+
+
+def _limit(manual_clock: clock.ManualClock) -> rate_limit.RateLimit:
+    return rate_limit.RateLimit('t', manual_clock, lambda: None)
+
+
+def test_answer_from_before_the_limit_is_no_news() -> None:
+    """An entry must not undo a limit that it has not observed yet."""
+    manual_clock = clock.ManualClock()
+    limit = _limit(manual_clock)
+    limit.observe(None, rate_limit.Source.ANSWER)
+    limit.accept(4)
+    CASE.assertFalse(limit.has_report)
+    CASE.assertEqual(limit.per_s, 4)
+
+
+def test_new_limit_is_reported_until_it_is_announced() -> None:
+    """A report that got lost must be sent again."""
+    manual_clock = clock.ManualClock()
+    limit = _limit(manual_clock)
+    limit.observe(4, rate_limit.Source.ANSWER)
+    limit.accept(None)
+    CASE.assertEqual(limit.per_s, 4)
+    CASE.assertTrue(limit.has_report)
+    limit.accept(4)
+    CASE.assertFalse(limit.has_report)
+
+
+def test_old_observation_yields_to_control_hosts() -> None:
+    """An entry without calls to a target must learn that a limit ended."""
+    manual_clock = clock.ManualClock()
+    limit = _limit(manual_clock)
+    limit.observe(4, rate_limit.Source.ANSWER)
+    manual_clock.advance(rate_limit.OBSERVATION_MS + 1)
+    CASE.assertFalse(limit.has_report)
+    limit.accept(None)
+    CASE.assertIsNone(limit.per_s)
+
+
+def test_probe_without_limit_ends_only_a_limit_that_probes_name() -> None:
+    """Targets may name the limit on answers to requests only."""
+    limit = _limit(clock.ManualClock())
+    limit.observe(4, rate_limit.Source.ANSWER)
+    limit.observe(None, rate_limit.Source.PROBE)
+    CASE.assertEqual(limit.per_s, 4)
+    limit.observe(3, rate_limit.Source.PROBE)
+    limit.observe(None, rate_limit.Source.PROBE)
+    CASE.assertIsNone(limit.per_s)
+
+
+def test_report_of_an_earlier_incarnation_is_ignored() -> None:
+    """A restarted target must not inherit the limit of the one before."""
+    ended = replicated_state.ReplicatedState().ended_targets
+    targets = directory.Directory(clock.ManualClock(), ended=ended)
+    targets.announce(fixtures.announcement('t', '127.0.0.1:1', incarnation=2))
+    targets.record_rate_limit('t', protocol.RateLimitReport(1, 4))
+    CASE.assertIsNone(targets.get('t').rate_per_s)
+    targets.record_rate_limit('t', protocol.RateLimitReport(2, 4))
+    targets.announce(
+        fixtures.announcement('t', '127.0.0.1:1', incarnation=2, sequence=7)
+    )
+    CASE.assertEqual(targets.get('t').rate_per_s, 4)
+    targets.announce(fixtures.announcement('t', '127.0.0.1:1', incarnation=3))
+    CASE.assertIsNone(targets.get('t').rate_per_s)
+
+
+def _limit_at(entry: daemon.EntryDaemon) -> float | None:
+    limited = entry.state.balancer.all_targets['limited']
+    return limited.rate_limit.per_s
+
+
+def test_entries_learn_a_limit_and_its_end_from_each_other() -> None:
+    """An entry that a target did not tell must keep the limit, too."""
+    limited = _RateLimitedTarget(_PER_S)
+    with (
+        fixtures.control() as control,
+        fixtures.entry(control, 'e0') as told,
+        fixtures.entry(control, 'e1') as untold,
+        fixtures.announced_target(control, 'limited', limited.handle),
+    ):
+        control.declare()
+        for entry in (told, untold):
+            fixtures.wait_for_targets(entry, 'limited')
+        control.wait_in_force()
+        fixtures.ask(told, '/stock/x')
+        fixtures.wait_until(lambda: _limit_at(untold) == _PER_S)
+        limited.per_s = None
+        fixtures.ask(told, '/stock/x')
+        fixtures.wait_until(lambda: _limit_at(untold) is None)
+
+
+def test_entry_without_a_share_relays_to_one_that_has_it() -> None:
+    """Callers of any entry must be served while a target has room."""
+    limited = _RateLimitedTarget(1)
+    with (
+        fixtures.control() as control,
+        fixtures.entry(control, 'e0') as first,
+        fixtures.entry(control, 'e1') as second,
+        fixtures.announced_target(control, 'limited', limited.handle),
+    ):
+        control.declare()
+        for entry in (first, second):
+            fixtures.wait_for_targets(entry, 'limited')
+        control.wait_in_force()
+        fixtures.ask(first, '/stock/x')
+        fixtures.wait_until(lambda: _limit_at(second) == 1)
+        for entry in (first, second):
+            CASE.assertEqual(
+                fixtures.ask(entry, '/stock/x').outcome, 'answered/none'
+            )
