Believe a refusal only if it belongs to the request

Cause: an answer without a request id was taken for the answer to the request that waits, unless it was a success after a probe. A refusal that a target repeats on a kept connection, of a probe or of another connection, has no id or another one, and so became a promise that the request had not run.

Change: a refusal counts if it has the id of the request, or came as the first answer of its connection, or has no id and the target sends none. Any other one leaves the outcome unknown. A connection on which a probe was refused is not kept.

Evidence: three new tests got 503 not-run/target-shed for a request that ran; they pass now.

--- a/src/mulberryquay/entry/attempt.py
+++ b/src/mulberryquay/entry/attempt.py
@@ -250,11 +250,16 @@
         head = received.head
         header_dialect = self._target.dialect
         report = _reported_load(head, header_dialect)
-        if head.status in header_dialect.misdirected_statuses:
+        is_misdirected = head.status in header_dialect.misdirected_statuses
+        is_shed = self._is_shed(head)
+        if (is_misdirected or is_shed) and not self._is_own_refusal(received):
+            self._target.record_failure(outcomes.Reason.MALFORMED_ANSWER)
+            return outcomes.Lost(outcomes.Reason.MALFORMED_ANSWER)
+        if is_misdirected:
             self._target.record_address_reused()
             return outcomes.Shed(outcomes.Reason.MISDIRECTED)
         self._record_rate_limit(head)
-        if self._is_shed(head):
+        if is_shed:
             self._target.record_shed(report)
             return outcomes.Shed(outcomes.Reason.TARGET_SHED)
         if head.status in header_dialect.not_run_statuses:
@@ -268,6 +273,15 @@
         )
         return received
 
+    def _is_own_refusal(self, received: outcomes.Received) -> bool:
+        """Whether a refusal can't be the repeated one of another request."""
+        refused_id = received.head.find(self._target.dialect.request_id)
+        if refused_id == self._outgoing.request_id:
+            return True
+        if received.connection.is_first_use:
+            return True
+        return refused_id is None and not self._target.pool.echoes_ids
+
     def _record_rate_limit(self, head: http_heads.ResponseHead) -> None:
         text = head.find(self._target.dialect.rate_limit)
         if text is None:
--- a/src/mulberryquay/entry/connections.py
+++ b/src/mulberryquay/entry/connections.py
@@ -80,6 +80,11 @@
         self._poll = select.poll()
         self._poll.register(connected_socket.fileno(), select.POLLIN)
 
+    @property
+    def is_first_use(self) -> bool:
+        """Whether it carried no probe and at most one request so far."""
+        return len(self.sent_ids) <= 1 and not self.has_carried_probe
+
     def interrupt(self) -> None:
         """Shuts the socket down, which wakes a task that waits on it."""
         try:
--- a/src/mulberryquay/entry/prober.py
+++ b/src/mulberryquay/entry/prober.py
@@ -196,6 +196,7 @@
         finally:
             if (
                 head is not None
+                and head.status < http_heads.FIRST_SERVER_ERROR_STATUS
                 and head.keeps_alive
                 and connection.reader.is_between_messages
             ):
--- a/testing/entry/test_late_answers.py
+++ b/testing/entry/test_late_answers.py
@@ -82,7 +82,7 @@
 
 @contextlib.contextmanager
 def _scene(
-    repeating: RepeatingTarget, *arguments: str
+    repeating: RepeatingTarget | RefusingTarget, *arguments: str
 ) -> typing.Iterator[daemon.EntryDaemon]:
     """Yields an entry whose only target repeats its answers."""
     with (
@@ -173,3 +173,100 @@
         for _ in range(3):
             CASE.assertEqual(fixtures.ask(entry, '/stock/x').body, b'done')
             gevent.sleep(0.08)
+
+
+_REFUSAL: typing.Final = (
+    b'HTTP/1.1 503 Busy\r\ncontent-length: 0\r\nmulberryquay-not-run: 1\r\n'
+)
+
+
+class RefusingTarget:
+    """Refuses probes, and writes a refusal again ahead of its next answer.
+
+    Each answer to a request has the id of the request.
+    """
+
+    def __init__(self, *, refusal_fields: bytes, refuses_probes: bool) -> None:
+        """Adds ``refusal_fields`` to each refusal."""
+        self._refusal = b'%b%b\r\n' % (_REFUSAL, refusal_fields)
+        self._refuses_probes = refuses_probes
+        self._server = server.StreamServer(('127.0.0.1', 0), self._serve)
+        self.runs: list[bytes] = []
+
+    @property
+    def address(self) -> str:
+        """The address to announce."""
+        return f'127.0.0.1:{self._server.server_port}'
+
+    def start(self) -> None:
+        """Starts serving."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Closes the port."""
+        self._server.stop(timeout=0)
+
+    def _serve(self, connection: typing.Any, _address: typing.Any) -> None:
+        reader = messages.RequestReader(connection)
+        is_used = False
+        while True:
+            head = reader.read_head()
+            if head is None:
+                return
+            reader.read_part()
+            if head.find(b'mulberryquay-request-id') is None:
+                is_refused = self._refuses_probes
+                connection.sendall(
+                    self._refusal if is_refused else _answer_to(head)
+                )
+            else:
+                self.runs.append(head.path)
+                if is_used:
+                    connection.sendall(self._refusal)
+                    gevent.sleep(0.001)
+                connection.sendall(_answer_to(head))
+            is_used = True
+
+
+def _check_refusal_is_not_believed(
+    refusing: RefusingTarget, *arguments: str
+) -> None:
+    with _scene(refusing, *arguments) as entry:
+        for number in range(4):
+            path = f'/stock/{number}'
+            answer = fixtures.ask(entry, path, method='POST')
+            is_answered = answer.body.decode() == path
+            CASE.assertTrue(
+                is_answered or answer.outcome.startswith('unknown/'),
+                answer,
+            )
+            CASE.assertEqual(refusing.runs.count(path.encode()), 1)
+            gevent.sleep(0.08)
+
+
+def test_repeated_refusal_of_a_probe_is_not_taken_for_one_of_a_request() -> (
+    None
+):
+    """Issue 28: a request that ran must not be said not to have run."""
+    _check_refusal_is_not_believed(
+        RefusingTarget(refusal_fields=b'', refuses_probes=True), '--ask_load'
+    )
+
+
+def test_refusal_without_id_from_a_target_that_sends_ids_is_not_believed() -> (
+    None
+):
+    """Issue 28: a request that ran must not be said not to have run."""
+    _check_refusal_is_not_believed(
+        RefusingTarget(refusal_fields=b'', refuses_probes=False)
+    )
+
+
+def test_refusal_of_a_request_on_another_connection_is_not_believed() -> None:
+    """Issue 28: a request that ran must not be said not to have run."""
+    _check_refusal_is_not_believed(
+        RefusingTarget(
+            refusal_fields=b'mulberryquay-request-id: another\r\n',
+            refuses_probes=False,
+        )
+    )
