Take no request that a stopping entry can't end; answer those that it cut

Cause: a stopping entry took requests until its port and connections closed, whatever time was left, and ended the process with requests in flight.

Change: planned_stop decides. A request is taken if the time left is four times the usual latency of its service, or its timeout if that is less; otherwise it is refused at once (503 not-run/entry-stopping, Retry-After 0.05), so that its caller reaches another entry. What is still in flight at the end is answered: not-run while it waits for a target, else unknown; no attempt follows.

--- a/src/mulberryquay/coordination/watchdog.py
+++ b/src/mulberryquay/coordination/watchdog.py
@@ -61,9 +61,15 @@
     def sweep(self) -> None:
         """Expires all waits whose deadline has passed."""
         now = self._clock.now()
-        overdue = [
-            watched for watched in self._watched if watched.deadline <= now
-        ]
+        self._expire(
+            [watched for watched in self._watched if watched.deadline <= now]
+        )
+
+    def expire_all(self) -> None:
+        """Expires all waits before their deadlines."""
+        self._expire(list(self._watched))
+
+    def _expire(self, overdue: list[Watched]) -> None:
         for watched in overdue:
             self._watched.discard(watched)
             watched.expire()
--- a/src/mulberryquay/entry/attempt.py
+++ b/src/mulberryquay/entry/attempt.py
@@ -102,7 +102,7 @@
         return result
 
     def expire(self) -> None:
-        """Interrupts the wait for the answer at the deadline."""
+        """Interrupts the wait for the answer: deadline or end of the entry."""
         self._is_timed_out = True
         if self._connection is not None:
             self._connection.interrupt()
@@ -330,6 +330,8 @@
         started: float,
     ) -> outcomes.Lost:
         if self._is_timed_out:
+            if self._clock.now() < self.deadline:
+                return outcomes.Lost(outcomes.Reason.ENTRY_STOPPING)
             self._target.record_timeout(self._clock.now() - started)
             return outcomes.Lost(outcomes.Reason.DEADLINE)
         body_error = self._body_error
--- a/src/mulberryquay/entry/balancer.py
+++ b/src/mulberryquay/entry/balancer.py
@@ -10,7 +10,13 @@
 
 from mulberryquay import protocol
 from mulberryquay.coordination import clock, shares
-from mulberryquay.entry import relays, routing, service_queue, targets
+from mulberryquay.entry import (
+    outcomes,
+    relays,
+    routing,
+    service_queue,
+    targets,
+)
 
 #: Calls per slot that all entries together may send to a warm target. Above
 #: 1, a target has its next call queued when one ends; far above 1, calls
@@ -125,6 +131,11 @@
             if queue.waiting_count:
                 queue.serve_waiting()
 
+    def refuse_waiting(self, refusal: outcomes.RefusedError) -> None:
+        """Refuses all requests that wait for a target."""
+        for queue in self._queues.values():
+            queue.refuse_waiting(refusal)
+
     def set_fresh(self, *, is_fresh: bool) -> None:
         """Sets whether the configuration is fresh.
 
--- a/src/mulberryquay/entry/caller.py
+++ b/src/mulberryquay/entry/caller.py
@@ -166,7 +166,7 @@
 
         Unless one of them closes the connection, returns true.
         """
-        if self._state.is_stopping:
+        if self._state.planned_stop.has_begun:
             self._wait_for_row(0)
         return not self._row.is_closed
 
--- a/src/mulberryquay/entry/daemon.py
+++ b/src/mulberryquay/entry/daemon.py
@@ -16,6 +16,7 @@
     dialect,
     entry_settings,
     load_prober,
+    outcomes,
     prober,
     ready,
     state,
@@ -29,6 +30,9 @@
 _SERVE_WAITING_INTERVAL_MS: typing.Final = 50.0
 
 _STOP_POLL_INTERVAL_MS: typing.Final = 20.0
+
+#: Longest time to send the answers of requests that a stop has ended.
+_LAST_ANSWERS_MS: typing.Final = 200.0
 _LOG: typing.Final = logging.getLogger(__name__)
 
 
@@ -154,23 +158,46 @@
 
         The entry first reports that it is not ready, so that the platform's
         load balancer sends nothing new. The ports close after the drain
-        time. Requests that exceed the stop timeout are abandoned.
+        time. Requests that exceed the stop timeout are answered: not-run
+        while they wait for a target, else unknown.
         """
         _LOG.info('stopping')
         time_source = self._state.clock
-        self._state.is_stopping = True
+        drain_ms = self._values['drain_ms']
+        planned_stop = self._state.planned_stop
+        planned_stop.begin(drain_ms + self._values['stop_timeout_ms'])
         self._control_link.announce_leaving()
-        time_source.sleep(self._values['drain_ms'])
+        time_source.sleep(drain_ms)
         for server in self._servers:
             server.close_port()
-        deadline = time_source.now() + self._values['stop_timeout_ms']
-        while self._is_busy() and time_source.now() < deadline:
+        while self._is_busy() and not planned_stop.has_ended:
             for connection in list(self.caller_connections):
                 connection.close_if_idle()
             time_source.sleep(_STOP_POLL_INTERVAL_MS)
+        self._end_requests()
         for component in self._components():
             component.stop()
 
+    def _end_requests(self) -> None:
+        """Answers the requests that are still in flight."""
+        if not self._is_busy():
+            return
+        time_source = self._state.clock
+        _LOG.warning(
+            'requests ended by the stop',
+            extra={'in_flight': self._state.in_flight},
+        )
+        self._state.balancer.refuse_waiting(
+            outcomes.not_run(
+                outcomes.Reason.ENTRY_STOPPING,
+                'this entry stops and no target had capacity before',
+            )
+        )
+        self._state.watchdog.expire_all()
+        deadline = time_source.now() + _LAST_ANSWERS_MS
+        while self._state.in_flight and time_source.now() < deadline:
+            time_source.sleep(_STOP_POLL_INTERVAL_MS)
+
     def configure(self, values: settings.Values) -> None:
         """Applies changed settings; only ``control`` may change at run time."""
         self._control_link.configure(values['control'].split(','))
@@ -227,7 +254,7 @@
             entry_state.options.serves_stale
             and entry_state.routing_table.is_configured
         )
-        return is_usable and not entry_state.is_stopping
+        return is_usable and not entry_state.planned_stop.has_begun
 
     def _update_gauges(self) -> None:
         entry_state = self._state
--- a/src/mulberryquay/entry/exchange.py
+++ b/src/mulberryquay/entry/exchange.py
@@ -290,6 +290,7 @@
                 admitted.account
             )
         service = admitted.service
+        self._check_time_before_stop(admitted)
         limit = self._wait_limit()
         self._wait_before_run(limit)
         body = self._body.read_replayable(service, limit)
@@ -311,6 +312,19 @@
             ),
         )
 
+    def _check_time_before_stop(self, admitted: admission.Admission) -> None:
+        """Raises RefusedError if the entry stops before the request can end."""
+        if not self._state.planned_stop.has_begun:
+            return
+        queue = self._state.balancer.queue_for(admitted.service.name)
+        if not self._state.planned_stop.leaves_time_for(
+            timeout=admitted.timeout_ms, usual=queue.usual_latency_ms
+        ):
+            raise outcomes.not_run(
+                outcomes.Reason.ENTRY_STOPPING,
+                'this entry stops before the request can end',
+            )
+
     def _wait_before_run(self, limit: wait_limit.WaitLimit) -> None:
         """Waits for the answers ahead if the request must not run beside.
 
@@ -330,7 +344,7 @@
         keeps_alive = (
             is_reusable
             and self._head.keeps_alive
-            and not (self._state.is_stopping and self._turn.is_last)
+            and not (self._state.planned_stop.has_begun and self._turn.is_last)
         )
         return answers.AnswerContext(
             self._head,
--- a/src/mulberryquay/entry/forwarder.py
+++ b/src/mulberryquay/entry/forwarder.py
@@ -267,9 +267,10 @@
                 return is_idempotent and outgoing.remaining_body is None
 
     def _has_attempts_left(self) -> bool:
+        if self._is_caller_gone or self._state.planned_stop.has_ended:
+            return False
         return (
             self._request.may_retry
-            and not self._is_caller_gone
             and len(self.attempts) < self._request.criteria.max_attempts
             and self._request.criteria.deadline - self._state.clock.now()
             >= MIN_ATTEMPT_MS
--- a/src/mulberryquay/entry/outcomes.py
+++ b/src/mulberryquay/entry/outcomes.py
@@ -62,6 +62,7 @@
     ANSWER_CUT_SHORT = 'answer-cut-short'
     PROBE_FAILED = 'probe-failed'
     DEADLINE = 'deadline'
+    ENTRY_STOPPING = 'entry-stopping'
     CALLER_GONE = 'caller-gone'
     BEHIND_CLOSE = 'behind-close'
     KEY_IN_USE = 'key-in-use'
@@ -108,6 +109,7 @@
         Reason.CONNECTION_BUDGET,
         Reason.TARGET_SHED,
         Reason.MISDIRECTED,
+        Reason.ENTRY_STOPPING,
         Reason.KEY_IN_USE,
         Reason.LEDGER_UNAVAILABLE,
     ),
@@ -115,12 +117,13 @@
 
 
 #: Retry-After in seconds where it differs from 1. It is shorter because
-#: another target may accept the request at once.
+#: another target or entry may accept the request at once.
 _RETRY_AFTER_S: typing.Final = {
     Reason.CONNECT_FAILED: 0.05,
     Reason.CONNECTION_BUDGET: 0.05,
     Reason.TARGET_SHED: 0.05,
     Reason.MISDIRECTED: 0.05,
+    Reason.ENTRY_STOPPING: 0.05,
     Reason.QUEUE_TIMEOUT: 0.2,
     Reason.OVERLOADED: 0.2,
 }
--- a/src/mulberryquay/entry/service_queue.py
+++ b/src/mulberryquay/entry/service_queue.py
@@ -4,6 +4,7 @@
 
 import heapq
 import itertools
+import statistics
 import typing
 
 import gevent
@@ -98,6 +99,16 @@
         """The number of requests that wait for a target."""
         return self._waiting_count
 
+    @property
+    def usual_latency_ms(self) -> float:
+        """The median of the targets' usual latencies, 0 if none is known."""
+        known = [
+            target.baseline_latency_ms
+            for target in self.targets.values()
+            if target.baseline_latency_ms
+        ]
+        return statistics.median(known) if known else 0
+
     def acquire(
         self,
         criteria: TargetCriteria,
@@ -175,6 +186,15 @@
             self.wake_unservable()
             self.serve_waiting()
 
+    def refuse_waiting(self, refusal: outcomes.RefusedError) -> None:
+        """Refuses all requests that wait for a target."""
+        for item in self._waiting:
+            waiter = item[-1]
+            if not waiter.is_finished:
+                self._finish_waiter(waiter)
+                waiter.granted.set_exception(refusal)
+        self._waiting = []
+
     def wake_unservable(self) -> None:
         """Wakes waiting requests that no target can serve any more."""
         for item in self._waiting:
--- a/src/mulberryquay/entry/state.py
+++ b/src/mulberryquay/entry/state.py
@@ -21,6 +21,7 @@
     claim_client,
     dialect,
     outcomes,
+    planned_stop,
     relays,
     request_records,
     routing,
@@ -209,7 +210,7 @@
         self.account_slots = account_slots.AccountSlots(self.share_view)
         self.in_flight = 0
         self.is_fresh = False
-        self.is_stopping = False
+        self.planned_stop = planned_stop.PlannedStop(self.clock)
         self.crash_reporter: CrashReporter | None = None
         self._retry_budgets: dict[str, retry_budget.RetryBudget] = {}
         started = int(self.clock.wall())
--- a/testing/entry/test_planned_stop.py
+++ b/testing/entry/test_planned_stop.py
@@ -9,7 +9,9 @@
 import gevent
 from gevent import monkey, socket
 
-from mulberryquay.entry import daemon, messages
+from mulberryquay.coordination import clock
+from mulberryquay.entry import daemon, messages, planned_stop
+from mulberryquay.standin import target
 from testing import fixtures
 
 CASE: typing.Final = unittest.TestCase()
@@ -18,6 +20,8 @@
 _BLOCKING_SOCKET: typing.Final = monkey.get_original('socket', 'socket')
 _CONNECTIONS: typing.Final = 8
 _REQUEST: typing.Final = fixtures.request_bytes('/stock/sleep/100')
+_LATE_REQUEST: typing.Final = fixtures.request_bytes('/stock/sleep/400')
+_LONG_REQUEST: typing.Final = fixtures.request_bytes('/stock/sleep/9000')
 
 
 def _connect_blocking(port: int, raw: bytes) -> typing.Any:
@@ -42,19 +46,20 @@
 
     control: fixtures.Control
     entry: daemon.EntryDaemon
+    stand_in: target.StandInTarget
 
 
 @contextlib.contextmanager
 def _scene() -> typing.Iterator[Scene]:
     with (
         fixtures.control() as control,
-        fixtures.announced_target(control, 'a', slots=64),
+        fixtures.announced_target(control, 'a', slots=64) as stand_in,
         fixtures.entry(control) as entry,
     ):
         control.declare()
         fixtures.wait_for_targets(entry, 'a')
         control.wait_in_force()
-        yield Scene(control, entry)
+        yield Scene(control, entry, stand_in)
 
 
 def test_connections_in_the_accept_queue_are_served() -> None:
@@ -133,3 +138,53 @@
         return bool(connection.recv(1, socket.MSG_PEEK))
     except BlockingIOError:
         return False
+
+
+def test_request_that_comes_too_late_to_end_is_refused_at_once() -> None:
+    """Issue 28: it must not be passed on and cut off with no answer."""
+    with _scene() as scene:
+        fixtures.ask(scene.entry, '/stock/sleep/400')
+        with fixtures.entry(
+            scene.control, 'stopping', stop_timeout_ms=700
+        ) as stopping_entry:
+            fixtures.wait_for_targets(stopping_entry, 'a')
+            fixtures.ask(stopping_entry, '/stock/sleep/400')
+            runs = scene.stand_in.runs.total()
+            connection = _connect_blocking(stopping_entry.port, b'')
+            stopping = gevent.spawn(stopping_entry.stop)
+            gevent.sleep(0.45)
+            connection.sendall(_LATE_REQUEST)
+            answer = _receive(connection)
+            CASE.assertEqual(answer.outcome, 'not-run/entry-stopping')
+            CASE.assertEqual(answer.headers['connection'], 'close')
+            CASE.assertEqual(scene.stand_in.runs.total(), runs)
+            stopping.get()
+
+
+def test_request_that_runs_at_the_end_of_a_stop_gets_an_answer() -> None:
+    """Its caller must learn that the outcome is unknown."""
+    with _scene() as scene:
+        connection = _connect_blocking(scene.entry.port, _LONG_REQUEST)
+        fixtures.wait_until(lambda: scene.stand_in.in_flight)
+        stopping = gevent.spawn(scene.entry.stop)
+        answer = _receive(connection)
+        CASE.assertEqual(answer.outcome, 'unknown/entry-stopping')
+        CASE.assertEqual(answer.headers['connection'], 'close')
+        stopping.get()
+
+
+def test_request_is_taken_only_if_it_can_be_expected_to_end() -> None:
+    """Slow services must refuse earlier in a stop than fast ones."""
+    manual_clock = clock.ManualClock()
+    stop = planned_stop.PlannedStop(manual_clock)
+    CASE.assertTrue(stop.leaves_time_for(timeout=9000, usual=9000))
+    stop.begin(4000)
+    CASE.assertTrue(stop.leaves_time_for(timeout=9000, usual=900))
+    CASE.assertFalse(stop.leaves_time_for(timeout=9000, usual=1100))
+    CASE.assertTrue(stop.leaves_time_for(timeout=3000, usual=1100))
+    CASE.assertTrue(stop.leaves_time_for(timeout=9000, usual=0))
+    manual_clock.advance(2001)
+    CASE.assertFalse(stop.leaves_time_for(timeout=9000, usual=0))
+    CASE.assertFalse(stop.has_ended)
+    manual_clock.advance(2000)
+    CASE.assertTrue(stop.has_ended)
