Wait for a share until the entry list is settled, at most to the deadline

Cause: while the entry list changes, every share of a cold target is 0, and a request waited 1 s for one. An entry that starts beside others can need longer to confirm the list. The wait also went on past the request's deadline.

Change: while the list changes, or does not have this entry yet, the wait is as long as in the queue (2 s); it never passes the deadline.

--- a/src/mulberryquay/entry/relays.py
+++ b/src/mulberryquay/entry/relays.py
@@ -41,6 +41,13 @@
         self._rng = rng
         self._peers: dict[str, targets.TargetState] = {}
 
+    @property
+    def is_list_changing(self) -> bool:
+        """Whether this entry is not sure yet of its shares."""
+        view = self._share_view
+        is_member = self._entry in view.committed.members
+        return view.pending is not None or not is_member
+
     def update_peers(self, peers: Peers) -> None:
         """Sets the live entries, as rows of name, region and address."""
         rows = {
--- a/src/mulberryquay/entry/service_queue.py
+++ b/src/mulberryquay/entry/service_queue.py
@@ -17,7 +17,7 @@
 MAX_QUEUE_WAIT_MS: typing.Final = 2000.0
 
 #: Longest time that a request waits for some entry to have a share of a
-#: target.
+#: target, unless the entry list is changing.
 MAX_SHARE_WAIT_MS: typing.Final = 1000.0
 
 _SHARE_POLL_INTERVAL_MS: typing.Final = 5.0
@@ -132,9 +132,7 @@
                 target = self._choose_peer(criteria, excluded)
             if target is not None:
                 return target
-            # All shares can be 0 while the entry list is changing.
-            waited = self._clock.now() - started
-            if waited > MAX_SHARE_WAIT_MS:
+            if self._clock.now() >= self._share_wait_end(started, criteria):
                 raise _no_target_error(criteria)
             self._clock.sleep(_SHARE_POLL_INTERVAL_MS)
 
@@ -209,6 +207,19 @@
         ]
         heapq.heapify(self._waiting)
 
+    def _share_wait_end(
+        self, started: float, criteria: TargetCriteria
+    ) -> float:
+        """Returns until when a request waits for a share of a target.
+
+        All shares can be 0 while the entry list is changing, which takes as
+        long as the slowest entry needs to confirm it.
+        """
+        longest = MAX_SHARE_WAIT_MS
+        if self._relays.is_list_changing:
+            longest = MAX_QUEUE_WAIT_MS
+        return min(started + longest, criteria.deadline)
+
     def _has_capacity(self) -> bool:
         return any(target.has_capacity for target in self.targets.values())
 
