Give the forwarder of the tests a planned stop

Two tests of test_forwarder failed since (1 attempt, 3 expected): the forwarder asks the planned stop whether it has ended, and the tests' stand-in for the entry's state answered with a true mock object. It holds a real PlannedStop now; the tests' checks are unchanged and pass.

--- a/testing/entry/test_forwarder.py
+++ b/testing/entry/test_forwarder.py
@@ -14,6 +14,7 @@
     header_names,
     http_heads,
     outcomes,
+    planned_stop,
     routing,
     service_queue,
 )
@@ -32,6 +33,7 @@
     """Forwards a request with these results; returns those consumed."""
     entry_state = mock.MagicMock()
     entry_state.clock = clock.ManualClock()
+    entry_state.planned_stop = planned_stop.PlannedStop(entry_state.clock)
     entry_state.load_prober = None
     entry_state.guard.is_idle = True
     entry_state.crash_reporter = None
