--- a/testing/platform_adapter/test_configuration.py
+++ b/testing/platform_adapter/test_configuration.py
@@ -93,3 +93,23 @@
     document['new'] = {'a': 1}
     _rule(document)['action']['new'] = 'b'
     CASE.assertTrue(_check(samples.encoded(document)))
+
+
+def test_downloads_may_run_more_than_once() -> None:
+    """A lost download must be tried again, and one left by its caller ended."""
+    for kind, is_idempotent in (
+        ('safe', True),
+        ('download', True),
+        ('unsafe', False),
+        ('another', False),
+    ):
+        document = samples.configuration()
+        _rule(document).update(kind=kind)
+        classes = {
+            name: spec
+            for kind_name, name, spec in _check(samples.encoded(document))
+            if kind_name == kinds.SERVICE_CLASS
+        }
+        CASE.assertEqual(
+            classes[f'{kind}-1']['idempotent'], is_idempotent, kind
+        )
