End a rate limit only by answers that would name it

What would be seen: a target that names its limit on the answers of requests that it ran, and not where it refuses, lost its limit with each refusal: the entry told all others, and they sent as much as before (LIMIT).

Cause: each answer without the header counted as the end of the limit. Besides, a header that is no number was ignored without a log line in probes.

Change: a refusal without the header says nothing of the limit. Answers and probes are read by one function, which logs what it can't read.

Evidence: test_refusal_without_a_limit_does_not_end_it failed before and passes now.

--- a/src/mulberryquay/entry/attempt.py
+++ b/src/mulberryquay/entry/attempt.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 import typing
 
 import gevent
@@ -28,8 +27,6 @@
 
 _FIRST_FAILURE_STATUS: typing.Final = 300
 
-_LOG: typing.Final = logging.getLogger(__name__)
-
 
 class OutgoingRequest(typing.NamedTuple):
     """A request ready to be sent to any target."""
@@ -258,7 +255,7 @@
         if is_misdirected:
             self._target.record_address_reused()
             return outcomes.Shed(outcomes.Reason.MISDIRECTED)
-        self._record_rate_limit(head)
+        self._record_rate_limit(head, is_shed=is_shed)
         if is_shed:
             self._target.record_shed(report)
             return outcomes.Shed(outcomes.Reason.TARGET_SHED)
@@ -282,19 +279,15 @@
             return True
         return refused_id is None and not self._target.pool.echoes_ids
 
-    def _record_rate_limit(self, head: http_heads.ResponseHead) -> None:
-        text = head.find(self._target.dialect.rate_limit)
-        if text is None:
-            self._target.rate_limit.observe(None, rate_limit.Source.ANSWER)
-            return
-        per_s = http_heads.parse_decimal(text)
-        if per_s is None:
-            _LOG.warning(
-                'target named a rate limit that is no decimal number',
-                extra={'target': self._target.row.name},
+    def _record_rate_limit(
+        self, head: http_heads.ResponseHead, *, is_shed: bool
+    ) -> None:
+        """Records the rate limit; a refusal without one does not end it."""
+        named = head.find(self._target.dialect.rate_limit)
+        if named is not None or not is_shed:
+            self._target.rate_limit.observe_header(
+                named, rate_limit.Source.ANSWER
             )
-            return
-        self._target.rate_limit.observe(per_s, rate_limit.Source.ANSWER)
 
     def _classify_relayed_answer(
         self, received: outcomes.Received
--- a/src/mulberryquay/entry/prober.py
+++ b/src/mulberryquay/entry/prober.py
@@ -174,10 +174,9 @@
         cold_ms = None if cold is None else http_heads.parse_number(cold)
         if cold_ms is not None:
             target.record_cold_period(cold_ms)
-        limit = head.find(header_dialect.rate_limit)
-        per_s = None if limit is None else http_heads.parse_decimal(limit)
-        if limit is None or per_s is not None:
-            target.rate_limit.observe(per_s, rate_limit.Source.PROBE)
+        target.rate_limit.observe_header(
+            head.find(header_dialect.rate_limit), rate_limit.Source.PROBE
+        )
         load = head.find(header_dialect.load)
         report = None if load is None else header_dialect.parse_load(load)
         if report is not None:
--- a/src/mulberryquay/entry/rate_limit.py
+++ b/src/mulberryquay/entry/rate_limit.py
@@ -11,6 +11,7 @@
 import typing
 
 from mulberryquay.coordination import clock
+from mulberryquay.entry import http_heads
 
 #: For this long, an own observation that differs from what control hosts
 #: announce takes precedence and is reported to them. It covers a heartbeat
@@ -121,6 +122,17 @@
             self._next_call_at = max(self._next_call_at, now - interval)
             self._next_call_at += interval
 
+    def observe_header(self, text: bytes | None, source: Source) -> None:
+        """Records the header of an answer; None if there was none."""
+        per_s = None if text is None else http_heads.parse_decimal(text)
+        if text is not None and per_s is None:
+            _LOG.warning(
+                'target named a rate limit that is no decimal number',
+                extra={'target': self._target, 'source': source.value},
+            )
+            return
+        self.observe(per_s, source)
+
     def observe(self, per_s: float | None, source: Source) -> None:
         """Records what an answer of the target said; None for no limit."""
         if source is Source.PROBE:
--- a/testing/entry/test_rate_limit.py
+++ b/testing/entry/test_rate_limit.py
@@ -243,3 +243,27 @@
             CASE.assertEqual(
                 fixtures.ask(entry, '/stock/x').outcome, 'answered/none'
             )
+
+
+def test_refusal_without_a_limit_does_not_end_it() -> None:
+    """A target may leave the limit out where it refuses a request."""
+    refusing = _RateLimitedTarget(_PER_S)
+
+    def handle(request: target.ReceivedRequest) -> target.Answer:
+        answer = refusing.handle(request)
+        if len(refusing.arrivals) == 1:
+            return answer
+        return target.Answer(
+            status=503, headers=[(header_names.NOT_RUN, b'1')]
+        )
+
+    with (
+        fixtures.control() as control,
+        fixtures.entry(control) as entry,
+        fixtures.announced_target(control, 'limited', handle),
+    ):
+        control.declare()
+        fixtures.wait_for_targets(entry, 'limited')
+        fixtures.ask(entry, '/stock/x')
+        fixtures.ask(entry, '/stock/x')
+        CASE.assertEqual(_limit_at(entry), _PER_S)
