Raise a rate limit that ends in steps before it is dropped

What callers saw: 502 unknown/connection-lost and 503 not-run/target-shed in the moment in which a target stopped naming a limit.

Cause: all entries learn of the end within 0.1 s, and the requests that wait at each of them went to the target at once.

Change: the bound on all entries together doubles each 250 ms for a second after the end, from the last limit on; then there is none.

Evidence: test_end_of_a_limit_releases_requests_in_steps failed before and passes now.

--- a/src/mulberryquay/entry/balancer.py
+++ b/src/mulberryquay/entry/balancer.py
@@ -70,6 +70,8 @@
         self.has_waiting = event.Event()
         #: Set when a target is suspended or its rate limit changes.
         self.needs_probes = event.Event()
+        #: Set when a rate limit changes.
+        self.has_rate_limits = event.Event()
         self._targets: dict[str, targets.TargetState] = {}
         self._domains_out: frozenset[str] = frozenset()
         self._declared_services: dict[str, routing.Service] = {}
@@ -157,6 +159,20 @@
         self._refresh_target(target)
         self.queue_for(target.row.service).adapt_to_limits()
 
+    def release_rate_limits(self) -> bool:
+        """Raises the bounds of rate limits that have ended.
+
+        Returns whether any of these still bounds calls.
+        """
+        ended = [
+            target
+            for target in self._targets.values()
+            if target.rate_limit.is_being_released
+        ]
+        for target in ended:
+            target.rate_limit.release()
+        return bool(ended)
+
     def pop_target_reports(self) -> tuple[dict[str, int], dict[str, int]]:
         """Returns the target reports for control hosts and resets them.
 
@@ -253,7 +269,7 @@
             target.pool.close_idle()
 
     def _rate_share(self, target: targets.TargetState) -> float:
-        per_s = target.rate_limit.per_s
+        per_s = target.rate_limit.bound_per_s
         if per_s is None:
             return 0
         return self._share_view.rate_share(
--- a/src/mulberryquay/entry/daemon.py
+++ b/src/mulberryquay/entry/daemon.py
@@ -29,6 +29,9 @@
 #: Interval at which queued requests are checked without any other event.
 _SERVE_WAITING_INTERVAL_MS: typing.Final = 50.0
 
+#: Interval at which bounds of rate limits that have ended are raised.
+_RELEASE_INTERVAL_MS: typing.Final = 50.0
+
 _STOP_POLL_INTERVAL_MS: typing.Final = 20.0
 
 #: Longest time to send the answers of requests that a stop has ended.
@@ -96,6 +99,12 @@
             interval=_SERVE_WAITING_INTERVAL_MS,
             needed=self._state.balancer.has_waiting,
         )
+        self._release_task = paced_task.PacedTask(
+            self._state.balancer.release_rate_limits,
+            self._state.clock,
+            interval=_RELEASE_INTERVAL_MS,
+            needed=self._state.balancer.has_rate_limits,
+        )
         self._caller_watchdog = watchdog.Watchdog(
             self._state.clock,
             interval=units.SECOND_MS,
@@ -213,6 +222,7 @@
             self._state.claims,
             self._prober,
             self._queue_task,
+            self._release_task,
             self._state.watchdog,
             self._caller_watchdog,
             self._state.caller_watch,
--- a/src/mulberryquay/entry/rate_limit.py
+++ b/src/mulberryquay/entry/rate_limit.py
@@ -2,6 +2,9 @@
 
 The limit holds for all entries together. Some of the entries in the target's
 region share it (`shares.rate_share_of`), and each of these spaces its calls.
+
+A limit that ends is raised in steps before it is dropped, so that requests
+that waited at all entries do not reach the target at once.
 """
 
 from __future__ import annotations
@@ -21,6 +24,11 @@
 #: A limit that no answer confirmed for this long is confirmed by a probe.
 _CONFIRMATION_INTERVAL_MS: typing.Final = 2000.0
 
+#: After its end, a limit is raised by the factor in each of these steps.
+_RELEASE_STEP_MS: typing.Final = 250.0
+_RELEASE_STEPS: typing.Final = 4
+_RELEASE_FACTOR: typing.Final = 2.0
+
 _LOG: typing.Final = logging.getLogger(__name__)
 
 
@@ -47,7 +55,9 @@
         '_observed_at',
         '_observed_per_s',
         '_on_change',
+        '_released_from',
         '_target',
+        'bound_per_s',
         'per_s',
         'share_per_s',
     )
@@ -73,16 +83,26 @@
         #: Whether answers to probes name the limit, too, so that one without
         #: it shows that the limit has ended.
         self._is_in_probes = False
+        #: The bound when the limit ended.
+        self._released_from = 0.0
         #: Calls per second that the target takes from all entries together;
         #: None without a limit.
         self.per_s: float | None = None
-        #: Calls per second that this entry may send under the limit.
+        #: Calls per second that all entries together may send: the limit, or
+        #: more for some time after its end; None if any number.
+        self.bound_per_s: float | None = None
+        #: Calls per second that this entry may send of these.
         self.share_per_s = 0.0
 
     @property
     def has_share(self) -> bool:
         """Whether this entry may send calls, now or later."""
-        return self.per_s is None or self.share_per_s > 0
+        return self.bound_per_s is None or self.share_per_s > 0
+
+    @property
+    def is_being_released(self) -> bool:
+        """Whether the limit has ended but still bounds calls."""
+        return self.per_s is None and self.bound_per_s is not None
 
     @property
     def has_report(self) -> bool:
@@ -92,7 +112,7 @@
 
     def is_due(self, now: float) -> bool:
         """Whether this entry may send a call at ``now``."""
-        if self.per_s is None:
+        if self.bound_per_s is None:
             return True
         return self.share_per_s > 0 and self._next_call_at <= now
 
@@ -151,6 +171,16 @@
             self._is_news = False
             self._change(per_s, Source.CONTROL)
 
+    def release(self) -> None:
+        """Raises the bound of a limit that has ended, if it is time."""
+        steps = int((self._clock.now() - self._began_at) // _RELEASE_STEP_MS)
+        bound = None
+        if steps < _RELEASE_STEPS:
+            bound = self._released_from * _RELEASE_FACTOR**steps
+        if self.is_being_released and bound != self.bound_per_s:
+            self.bound_per_s = bound
+            self._on_change()
+
     def _change(self, per_s: float | None, source: Source) -> None:
         if per_s == self.per_s:
             return
@@ -169,4 +199,7 @@
         self.per_s = per_s
         self._began_at = now
         self._call_count = 0
+        if per_s is None:
+            self._released_from = self.bound_per_s or 0
+        self.bound_per_s = self._released_from if per_s is None else per_s
         self._on_change()
--- a/src/mulberryquay/entry/relays.py
+++ b/src/mulberryquay/entry/relays.py
@@ -86,7 +86,7 @@
 
     def _share_holders(self, target: targets.TargetState) -> list[str]:
         row = target.row
-        per_s = target.rate_limit.per_s
+        per_s = target.rate_limit.bound_per_s
         if per_s is not None:
             return self._share_view.rate_holders(
                 row.name, per_s, region=row.region
--- a/src/mulberryquay/entry/state.py
+++ b/src/mulberryquay/entry/state.py
@@ -241,6 +241,7 @@
     def _handle_rate_limit(self, target: targets.TargetState) -> None:
         self.balancer.apply_rate_limit(target)
         self.balancer.needs_probes.set()
+        self.balancer.has_rate_limits.set()
 
     def _new_budget(self) -> retry_budget.RetryBudget:
         ratio = self.options.retry_ratio
--- a/testing/entry/test_rate_limit.py
+++ b/testing/entry/test_rate_limit.py
@@ -245,6 +245,53 @@
             )
 
 
+def test_end_of_a_limit_releases_requests_in_steps() -> None:
+    """Requests that wait at all entries must not reach the target at once."""
+    manual_clock = clock.ManualClock()
+    members = tuple(f'entry-{number}' for number in range(15))
+    limits = {
+        member: rate_limit.RateLimit('t', manual_clock, lambda: None)
+        for member in members
+    }
+    arrivals: list[float] = []
+    for elapsed in range(0, int(_WINDOW_MS), 10):
+        for member, limit in limits.items():
+            if elapsed == 0:
+                limit.observe(_PER_S, rate_limit.Source.ANSWER)
+            if elapsed == int(_WINDOW_MS - clock.MS_PER_SECOND):
+                limit.observe(None, rate_limit.Source.ANSWER)
+            limit.release()
+            limit.grant_share(
+                shares.rate_share_of(
+                    limit.bound_per_s or 0,
+                    target='t',
+                    entry=member,
+                    members=members,
+                )
+            )
+            if limit.is_due(manual_clock.now()):
+                limit.begin_call(manual_clock.now())
+                arrivals.append(manual_clock.now())
+        manual_clock.advance(10)
+    allowed = _PER_S * _WINDOW_MS / clock.MS_PER_SECOND
+    CASE.assertLessEqual(
+        len(arrivals), allowed * _ALLOWED_FACTOR + _ALLOWED_EXTRA
+    )
+    manual_clock.advance(clock.MS_PER_SECOND)
+    for limit in limits.values():
+        limit.release()
+        CASE.assertIsNone(limit.bound_per_s)
+
+
+def test_limit_that_is_named_again_ends_its_release() -> None:
+    """A target that needs its limit again must not wait for the release."""
+    limit = _limit(clock.ManualClock())
+    for per_s in (4, None, 2):
+        limit.observe(per_s, rate_limit.Source.ANSWER)
+    CASE.assertEqual(limit.bound_per_s, 2)
+    CASE.assertFalse(limit.is_being_released)
+
+
 def test_refusal_without_a_limit_does_not_end_it() -> None:
     """A target may leave the limit out where it refuses a request."""
     refusing = _RateLimitedTarget(_PER_S)
