Try a target that takes next to no calls now and then

What would be seen: a target that named a limit of 0 got no request until it restarted, even if it took all of them again.

Cause: no entry has a share of 0 calls a second, and only entries with a share send calls and probes that confirm the limit. Of 0.01 a second the next call would have followed after 100 s.

Change: the bound is at least one call in two seconds for all entries together, which the users' rule allows at any limit.

Evidence: test_end_of_a_limit_of_zero_is_noticed timed out before and passes now. Found by reading.

--- a/src/mulberryquay/entry/rate_limit.py
+++ b/src/mulberryquay/entry/rate_limit.py
@@ -24,6 +24,10 @@
 #: A limit that no answer confirmed for this long is confirmed by a probe.
 _CONFIRMATION_INTERVAL_MS: typing.Final = 2000.0
 
+#: A target that takes fewer calls is still tried this often, because its
+#: answers tell when it takes more.
+_LEAST_BOUND_PER_S: typing.Final = 0.5
+
 #: After its end, a limit is raised by the factor in each of these steps.
 _RELEASE_STEP_MS: typing.Final = 250.0
 _RELEASE_STEPS: typing.Final = 4
@@ -200,6 +204,8 @@
         self._began_at = now
         self._call_count = 0
         if per_s is None:
-            self._released_from = self.bound_per_s or 0
-        self.bound_per_s = self._released_from if per_s is None else per_s
+            self._released_from = self.bound_per_s or _LEAST_BOUND_PER_S
+            self.bound_per_s = self._released_from
+        else:
+            self.bound_per_s = max(per_s, _LEAST_BOUND_PER_S)
         self._on_change()
--- a/testing/entry/test_rate_limit.py
+++ b/testing/entry/test_rate_limit.py
@@ -292,6 +292,31 @@
     CASE.assertFalse(limit.is_being_released)
 
 
+def test_end_of_a_limit_of_zero_is_noticed() -> None:
+    """A target that took no calls must get some once it takes them again."""
+    limited = _RateLimitedTarget(0)
+    with (
+        fixtures.control() as control,
+        fixtures.entry(control, 'e0') as first,
+        fixtures.entry(control, 'e1') as second,
+        fixtures.announced_target(control, 'limited', limited.handle),
+    ):
+        control.declare(service_class={'idempotent': True})
+        for entry in (first, second):
+            fixtures.wait_for_targets(entry, 'limited')
+        control.wait_in_force()
+        fixtures.ask(first, '/stock/x')
+        fixtures.wait_until(lambda: _limit_at(second) == 0)
+        limited.per_s = None
+        for entry in (first, second):
+            fixtures.wait_until(
+                lambda entry=entry: (
+                    fixtures.ask(entry, '/stock/x').outcome == 'answered/none'
+                )
+            )
+            fixtures.wait_until(lambda entry=entry: _limit_at(entry) is None)
+
+
 def test_refusal_without_a_limit_does_not_end_it() -> None:
     """A target may leave the limit out where it refuses a request."""
     refusing = _RateLimitedTarget(_PER_S)
