--- a/testing/entry/test_rate_limit.py
+++ b/testing/entry/test_rate_limit.py
@@ -292,6 +292,16 @@
     CASE.assertFalse(limit.is_being_released)
 
 
+def _wait_until_answered(entry: daemon.EntryDaemon) -> None:
+    fixtures.wait_until(
+        lambda: fixtures.ask(entry, '/stock/x').outcome == 'answered/none'
+    )
+
+
+def _wait_until_unlimited(entry: daemon.EntryDaemon) -> None:
+    fixtures.wait_until(lambda: _limit_at(entry) is None)
+
+
 def test_end_of_a_limit_of_zero_is_noticed() -> None:
     """A target that took no calls must get some once it takes them again."""
     limited = _RateLimitedTarget(0)
@@ -309,12 +319,8 @@
         fixtures.wait_until(lambda: _limit_at(second) == 0)
         limited.per_s = None
         for entry in (first, second):
-            fixtures.wait_until(
-                lambda entry=entry: (
-                    fixtures.ask(entry, '/stock/x').outcome == 'answered/none'
-                )
-            )
-            fixtures.wait_until(lambda entry=entry: _limit_at(entry) is None)
+            _wait_until_answered(entry)
+            _wait_until_unlimited(entry)
 
 
 def test_refusal_without_a_limit_does_not_end_it() -> None:
@@ -325,9 +331,7 @@
         answer = refusing.handle(request)
         if len(refusing.arrivals) == 1:
             return answer
-        return target.Answer(
-            status=503, headers=[(header_names.NOT_RUN, b'1')]
-        )
+        return target.Answer(status=503, headers=[(header_names.NOT_RUN, b'1')])
 
     with (
         fixtures.control() as control,
