Count a lost connection as a crash only if the request may have caused it

What callers saw: 422 not-run/breaks-targets for requests that harm nobody.

Cause: overloaded targets reset connections beyond what they take. The crash guard counted each as a crash, and requests with the same content, of which callers send many, were blocked after three targets.

Change: while other requests lose their connections, too, a loss counts as a crash only if its target does not listen any more. A loss that is alone counts at once, as before. CrashTracker holds the guard, this evidence and the reporter, which the forwarder composed so far.

Evidence: test_requests_that_overloaded_targets_reset_are_not_blocked failed before and passes now.

--- a/src/mulberryquay/entry/control_view.py
+++ b/src/mulberryquay/entry/control_view.py
@@ -139,7 +139,7 @@
             'request blocked',
             extra={'fingerprint': fingerprint.hex(), 'for_ms': duration},
         )
-        self._state.guard.block(fingerprint, duration=duration)
+        self._state.crashes.guard.block(fingerprint, duration=duration)
 
     def confirmable_versions(self) -> tuple[int, int]:
         """Returns the revision and the entry list epoch to confirm now.
--- a/src/mulberryquay/entry/daemon.py
+++ b/src/mulberryquay/entry/daemon.py
@@ -92,7 +92,7 @@
             ),
             domain=values['domain'],
         )
-        self._state.crash_reporter = self._control_link
+        self._state.crashes.reporter = self._control_link
         self._queue_task = paced_task.PacedTask(
             self._serve_waiting,
             self._state.clock,
--- a/src/mulberryquay/entry/forwarder.py
+++ b/src/mulberryquay/entry/forwarder.py
@@ -8,6 +8,7 @@
 
 from mulberryquay.entry import (
     attempt,
+    crash_tracker,
     header_names,
     http_heads,
     outcomes,
@@ -215,9 +216,9 @@
         )
         if isinstance(result, outcomes.Lost):
             self.may_have_run = True
-            is_crash = result.reason is outcomes.Reason.CONNECTION_LOST
-            if is_crash and not target.is_peer:
-                self._record_crash(target, duration)
+            is_lost = result.reason is outcomes.Reason.CONNECTION_LOST
+            if is_lost and not target.is_peer:
+                self._record_lost_connection(target, duration)
 
     def _should_retry(self, result: outcomes.AttemptResult) -> bool:
         """Whether to retry; withdraws the retry from the budget."""
@@ -281,7 +282,7 @@
     ) -> outcomes.Received:
         match result:
             case outcomes.Received():
-                if not self._state.guard.is_idle:
+                if not self._state.crashes.guard.is_idle:
                     self._clear_crashes()
                 return result
             case outcomes.Lost(reason):
@@ -311,7 +312,7 @@
             self._queue.release(target)
 
     def _check_not_blocked(self) -> None:
-        guard = self._state.guard
+        guard = self._state.crashes.guard
         if not guard.is_idle and guard.is_blocked(self._fingerprint()):
             raise outcomes.not_run(
                 outcomes.Reason.BREAKS_TARGETS,
@@ -320,41 +321,36 @@
                 retry_after_s=60,
             )
 
-    def _crash_reporter(self) -> state.CrashReporter | None:
-        """Returns the reporter of crashes to control hosts, if allowed.
+    def _fingerprint(self) -> bytes:
+        return fingerprint_of(self._request.outgoing)
+
+    def _is_crash_reported(self) -> bool:
+        """Whether control hosts may learn that the request crashes targets.
 
         A request with home regions must not leave them, not even as a
         digest, so each entry counts its crashes alone.
         """
-        if self._request.criteria.regions is not None:
-            return None
-        return self._state.crash_reporter
+        return self._request.criteria.regions is None
 
-    def _fingerprint(self) -> bytes:
-        return fingerprint_of(self._request.outgoing)
-
-    def _record_crash(
+    def _record_lost_connection(
         self,
         target: targets.TargetState,
         duration: float,
     ) -> None:
-        fingerprint = self._fingerprint()
-        name = target.row.name
-        self._state.guard.record(fingerprint, name, ran_for=duration)
-        reporter = self._crash_reporter()
-        if reporter is not None:
-            reporter.report_connection_lost(
-                fingerprint,
-                name,
+        self._state.crashes.record_lost_connection(
+            crash_tracker.LostConnection(
+                self._fingerprint(),
+                target.row.name,
+                target.pool.address,
                 ran_for=duration,
+                is_reported=self._is_crash_reported(),
             )
+        )
 
     def _clear_crashes(self) -> None:
-        fingerprint = self._fingerprint()
-        is_cleared = self._state.guard.clear(fingerprint)
-        reporter = self._crash_reporter()
-        if is_cleared and reporter is not None:
-            reporter.report_request_cleared(fingerprint)
+        self._state.crashes.clear(
+            self._fingerprint(), is_reported=self._is_crash_reported()
+        )
 
 
 def fingerprint_of(outgoing: attempt.OutgoingRequest) -> bytes:
--- a/src/mulberryquay/entry/state.py
+++ b/src/mulberryquay/entry/state.py
@@ -9,7 +9,6 @@
 from mulberryquay import metrics
 from mulberryquay.coordination import (
     clock,
-    crash_guard,
     retry_budget,
     shares,
     watchdog,
@@ -19,6 +18,7 @@
     balancer,
     caller_watch,
     claim_client,
+    crash_tracker,
     dialect,
     outcomes,
     planned_stop,
@@ -99,25 +99,6 @@
 )
 
 
-class CrashReporter(typing.Protocol):
-    """Reports to the control hosts which requests crash targets."""
-
-    def report_connection_lost(
-        self,
-        fingerprint: bytes,
-        target: str,
-        *,
-        ran_for: float,
-    ) -> None:
-        """Reports that a target's connection was lost during a request.
-
-        The request ran for ``ran_for`` ms and may have crashed the target.
-        """
-
-    def report_request_cleared(self, fingerprint: bytes) -> None:
-        """Reports that a target answered a request reported earlier."""
-
-
 class LoadReportRefresher(typing.Protocol):
     """Refreshes the load reports of targets before one is chosen."""
 
@@ -201,7 +182,7 @@
         )
         self.watchdog = watchdog.Watchdog(self.clock)
         self.claims = claim_client.ClaimClient(name, ledger, self.clock)
-        self.guard = crash_guard.CrashGuard(self.clock)
+        self.crashes = crash_tracker.CrashTracker(self.clock)
         self.request_history = request_records.RequestHistory()
         self.splits = splits.TrafficSplitter()
         self.caller_watch = caller_watch.CallerWatch(self.clock)
@@ -211,7 +192,6 @@
         self.in_flight = 0
         self.is_fresh = False
         self.planned_stop = planned_stop.PlannedStop(self.clock)
-        self.crash_reporter: CrashReporter | None = None
         self._retry_budgets: dict[str, retry_budget.RetryBudget] = {}
         started = int(self.clock.wall())
         self._request_prefix = f'{name}-{started:x}-'
--- a/testing/entry/test_forwarder.py
+++ b/testing/entry/test_forwarder.py
@@ -35,8 +35,8 @@
     entry_state.clock = clock.ManualClock()
     entry_state.planned_stop = planned_stop.PlannedStop(entry_state.clock)
     entry_state.load_prober = None
-    entry_state.guard.is_idle = True
-    entry_state.crash_reporter = None
+    entry_state.crashes.guard.is_idle = True
+    entry_state.crashes.reporter = None
     entry_state.dialect.sends_depth = False
     entry_state.retry_budget_for.return_value = retry_budget.RetryBudget(
         ratio=0,
--- a/testing/entry/test_outcomes.py
+++ b/testing/entry/test_outcomes.py
@@ -332,7 +332,7 @@
                 )
                 if control_guard.blocked_count:
                     break
-            guards = [each.state.guard for each in (first, second)]
+            guards = [each.state.crashes.guard for each in (first, second)]
             fixtures.wait_until(
                 lambda: all(guard.blocked_count for guard in guards),
             )
@@ -351,6 +351,26 @@
             CASE.assertEqual(other.outcome, _LOST)
 
 
+def test_requests_that_overloaded_targets_reset_are_not_blocked() -> None:
+    """An overloaded target resets connections of requests that are harmless."""
+    names = [f't{number}' for number in range(5)]
+    with (
+        fixtures.control() as control,
+        fixtures.entry(control) as entry,
+        _order_targets(control, names, _raw_handler(b'')),
+    ):
+        _declare(control)
+        fixtures.wait_for_targets(entry, *names)
+        for _ in range(len(names) * 2):
+            for number in range(3):
+                lost = fixtures.ask(
+                    entry, f'/order/{number}', method='POST', body=b'b'
+                )
+                CASE.assertEqual(lost.outcome, _LOST)
+        CASE.assertEqual(entry.state.crashes.guard.blocked_count, 0)
+        CASE.assertEqual(control.daemon.guard.blocked_count, 0)
+
+
 def _has_new_report(guard: crash_guard.CrashGuard, before: int) -> bool:
     return guard.recorded_count > before
 
