--- a/src/mulberryquay/control/cluster.py
+++ b/src/mulberryquay/control/cluster.py
@@ -282,11 +282,11 @@
             case host_protocol.TargetLeasesRenewed(incarnations):
                 self.targets.apply_renewals(incarnations)
             case host_protocol.TargetsReported():
-                self.feed.apply_target_report(update)
+                self.feed.target_reports.apply(update)
             case host_protocol.EntryLists():
                 self._apply_entry_lists(update)
             case protocol.ConnectionLost() | protocol.RequestCleared():
-                self.feed.apply_crash_report(update)
+                self.feed.target_reports.apply_crash(update)
 
     def _apply_entry_lists(self, lists: host_protocol.EntryLists) -> None:
         pending = None
--- a/src/mulberryquay/control/daemon.py
+++ b/src/mulberryquay/control/daemon.py
@@ -206,7 +206,7 @@
     @property
     def guard(self) -> crash_guard.CrashGuard:
         """The guard that counts the lost connections reported by entries."""
-        return self._cluster.feed.guard
+        return self._cluster.feed.target_reports.guard
 
     @property
     def cluster(self) -> cluster.Cluster:
--- a/src/mulberryquay/control/feed.py
+++ b/src/mulberryquay/control/feed.py
@@ -15,6 +15,7 @@
     host_protocol,
     kinds,
     membership,
+    target_reports,
 )
 from mulberryquay.coordination import (
     clock,
@@ -67,7 +68,10 @@
         self._membership = entries
         self._clock = time_source
         self._group = group
-        self._guard = crash_guard.CrashGuard(time_source)
+        #: Applies what entries report of targets.
+        self.target_reports = target_reports.TargetReports(
+            targets, time_source, self._send_block
+        )
         self._outbound_queues: dict[str, queue.Queue] = {}
         self._rows: dict[str, membership.EntryRow] = {}
         self._sent_committed = shares.EntryList(0, ())
@@ -79,11 +83,6 @@
         self.bytes_sent = 0
         self.bytes_received = 0
 
-    @property
-    def guard(self) -> crash_guard.CrashGuard:
-        """The guard that counts the lost connections reported by entries."""
-        return self._guard
-
     def start(self, listener: typing.Any) -> None:
         """Accepts entries on ``listener``, a listening gevent socket."""
         self._server = server.StreamServer(listener, self._serve)
@@ -226,7 +225,7 @@
                         ),
                     )
                 case protocol.ConnectionLost() | protocol.RequestCleared():
-                    self.apply_crash_report(message)
+                    self.target_reports.apply_crash(message)
                     self._group.publish(message)
                 case protocol.EntryLeaving():
                     self._update_entry(entry, is_leaving=True)
@@ -247,7 +246,7 @@
             heartbeat.served, heartbeat.shed, heartbeat.rate_limits
         )
         if any(report):
-            self.apply_target_report(report)
+            self.target_reports.apply(report)
             self._group.publish(report)
         self._update_entry(
             entry,
@@ -255,30 +254,6 @@
             entries_epoch=heartbeat.entries_epoch,
         )
 
-    def apply_target_report(
-        self, report: host_protocol.TargetsReported
-    ) -> None:
-        """Applies a report on targets, received by this or another host."""
-        for served_name, answers in report.served.items():
-            self._directory.record_served(served_name, answers)
-        for shed_name, incarnation in report.shed.items():
-            self._directory.record_shed(shed_name, incarnation=incarnation)
-        for limited_name, fields in report.rate_limits.items():
-            self._directory.record_rate_limit(
-                limited_name, protocol.RateLimitReport(*fields)
-            )
-
-    def apply_crash_report(
-        self,
-        report: protocol.ConnectionLost | protocol.RequestCleared,
-    ) -> None:
-        """Applies a report on a request, received by this or another host."""
-        match report:
-            case protocol.ConnectionLost():
-                self._record_connection_loss(report)
-            case protocol.RequestCleared(fingerprint):
-                self._guard.clear(fingerprint)
-
     def _update_entry(self, entry: str, **fields: typing.Any) -> None:
         row = self._rows.get(entry)
         if row is None:
@@ -287,19 +262,10 @@
         self._group.reports.record(self._rows[entry])
         self.send_entry_list()
 
-    def _record_connection_loss(self, loss: protocol.ConnectionLost) -> None:
-        is_blocked = self._guard.record(
-            loss.fingerprint,
-            loss.target,
-            ran_for=loss.ran_for_ms,
+    def _send_block(self, fingerprint: bytes) -> None:
+        self._broadcast(
+            protocol.RequestBlocked(fingerprint, crash_guard.BLOCK_MS)
         )
-        if is_blocked:
-            self._broadcast(
-                protocol.RequestBlocked(
-                    loss.fingerprint,
-                    crash_guard.BLOCK_MS,
-                ),
-            )
 
     def _write(self, stream: wire.Stream, outbound: queue.Queue) -> None:
         while True:
