Relay elsewhere at once when an entry has left the list

Cause, from the logs of a failing run: the stopping entry was the only one with a share of a cold target. Requests relayed to it as it left the list waited there for 2 s, as at an entry that starts, though it gets no share any more. Refused then, they cost a retry of the budget each, which ran out: 'retry denied'.

Change: an entry that the newest list does not have refuses relayed requests at once. A relay that was refused before a target was chosen costs no retry, like one that reached no entry: it added no load to a target.

Evidence: two new tests failed before and pass now (test_entry_that_left_the_list_refuses_relayed_requests_at_once, test_entry_that_reached_no_target_costs_no_retry); a third one shows that a member still waits for its share.

--- a/src/mulberryquay/entry/forwarder.py
+++ b/src/mulberryquay/entry/forwarder.py
@@ -225,8 +225,7 @@
         if not self._is_retryable(result) or not self._has_attempts_left():
             return False
         reason = _result_and_reason(result)[1].value
-        # An unreachable entry adds no load to a target, so the retry is free.
-        is_free = self._was_relayed and isinstance(result, outcomes.NotSent)
+        is_free = self._was_relayed and _reached_no_target(result)
         is_granted = is_free or self._budget.withdraw()
         request_log.log_retry(
             self._request.outgoing.request_id,
@@ -362,6 +361,17 @@
     return digest.digest()
 
 
+def _reached_no_target(result: outcomes.AttemptResult) -> bool:
+    """Whether a relay added no load to a target, so that a retry is free."""
+    match result:
+        case outcomes.NotSent():
+            return True
+        case outcomes.Shed(reason):
+            return reason in outcomes.REASONS_BEFORE_TARGETS
+        case _:
+            return False
+
+
 def _result_and_reason(
     result: outcomes.AttemptResult,
 ) -> tuple[str, outcomes.Reason]:
--- a/src/mulberryquay/entry/outcomes.py
+++ b/src/mulberryquay/entry/outcomes.py
@@ -95,6 +95,11 @@
 _STATUS_UNKNOWN: typing.Final = 502
 _STATUS_DEADLINE: typing.Final = 504
 
+#: Reasons for which an entry refuses a request before it chose a target.
+REASONS_BEFORE_TARGETS: typing.Final = frozenset(
+    (Reason.NO_TARGET, Reason.ENTRY_STOPPING)
+)
+
 #: Temporary reasons, with which a refusal carries a Retry-After header.
 _TEMPORARY_REASONS: typing.Final = frozenset(
     (
--- a/src/mulberryquay/entry/relays.py
+++ b/src/mulberryquay/entry/relays.py
@@ -48,6 +48,12 @@
         is_member = self._entry in view.committed.members
         return view.pending is not None or not is_member
 
+    @property
+    def is_listed(self) -> bool:
+        """Whether the newest entry list has this entry, which gives shares."""
+        newest = self._share_view.pending or self._share_view.committed
+        return self._entry in newest.members
+
     def update_peers(self, peers: Peers) -> None:
         """Sets the live entries, as rows of name, region and address."""
         rows = {
--- a/src/mulberryquay/entry/service_queue.py
+++ b/src/mulberryquay/entry/service_queue.py
@@ -213,8 +213,11 @@
         """Returns until when a request waits for a share of a target.
 
         All shares can be 0 while the entry list is changing, which takes as
-        long as the slowest entry needs to confirm it.
+        long as the slowest entry needs to confirm it. An entry that has left
+        the list gets none, so that a request relayed to it must go elsewhere.
         """
+        if not criteria.may_relay and not self._relays.is_listed:
+            return started
         longest = MAX_SHARE_WAIT_MS
         if self._relays.is_list_changing:
             longest = MAX_QUEUE_WAIT_MS
--- a/testing/entry/test_forwarder.py
+++ b/testing/entry/test_forwarder.py
@@ -107,6 +107,14 @@
     CASE.assertEqual(len(_forward([_SHED] * 3, is_peer=True)), 1)
 
 
+def test_entry_that_reached_no_target_costs_no_retry() -> None:
+    """An entry that lost its share must not use up the retry budget."""
+    for reason in (outcomes.Reason.NO_TARGET, outcomes.Reason.ENTRY_STOPPING):
+        refusals = [outcomes.Shed(reason)] * 3
+        CASE.assertEqual(len(_forward(refusals, is_peer=True)), 3)
+        CASE.assertEqual(len(_forward(refusals, is_peer=False)), 1)
+
+
 def test_no_time_left_means_no_further_attempt() -> None:
     """An attempt just before the deadline must not load a target in vain."""
     short = forwarder.MIN_ATTEMPT_MS / 2
--- a/testing/entry/test_service_queue.py
+++ b/testing/entry/test_service_queue.py
@@ -50,14 +50,25 @@
             protocol.TargetsChanged([list(row)], [], is_complete=True)
         )
 
-    def acquire(self, *, deadline: float) -> gevent.Greenlet:
+    def acquire(
+        self, *, deadline: float, may_relay: bool = True
+    ) -> gevent.Greenlet:
         """Starts a task that waits for a target."""
         criteria = service_queue.TargetCriteria(
-            _SERVICE, routing.ServiceClass(), None, deadline
+            _SERVICE,
+            routing.ServiceClass(),
+            None,
+            deadline,
+            may_relay=may_relay,
         )
         queue = self.balancer.queue_for('stock')
         return gevent.spawn(queue.acquire, criteria, frozenset())
 
+    def leave_list(self) -> None:
+        """Commits an entry list without this entry."""
+        self.shares.commit(shares.EntryList(2, ('entry-2',)))
+        self.balancer.refresh_limits()
+
     def join_list(self) -> None:
         """Commits an entry list with this entry."""
         self.shares.commit(_OWN_LIST)
@@ -84,3 +95,29 @@
     with CASE.assertRaises(outcomes.RefusedError) as caught:
         waiting.get()
     CASE.assertEqual(caught.exception.outcome, outcomes.Outcome.NOT_RUN)
+
+
+def test_entry_that_left_the_list_refuses_relayed_requests_at_once() -> None:
+    """Issue 20: a request must not wait at an entry that gets no share."""
+    scene = _Scene()
+    scene.leave_list()
+    waiting = scene.acquire(deadline=5000, may_relay=False)
+    scene.clock.run(20)
+    CASE.assertTrue(waiting.ready())
+    with CASE.assertRaises(outcomes.RefusedError) as caught:
+        waiting.get()
+    CASE.assertEqual(caught.exception.reason, outcomes.Reason.NO_TARGET)
+
+
+def test_relayed_request_waits_until_the_pending_list_is_settled() -> None:
+    """The entry that relays may have the new list a moment earlier."""
+    scene = _Scene()
+    scene.leave_list()
+    scene.shares.propose(shares.EntryList(3, ('entry-1',)))
+    waiting = scene.acquire(deadline=5000, may_relay=False)
+    scene.clock.run(1500)
+    CASE.assertFalse(waiting.ready())
+    scene.shares.commit(shares.EntryList(3, ('entry-1',)))
+    scene.balancer.refresh_limits()
+    scene.clock.run(100)
+    CASE.assertEqual(waiting.get().row.name, 't')
