Give the last attempt's reason when a stop ends the wait for another one

A request that a target refused, and that waited for another target when its entry stopped, had the reason entry-stopping, which says that no target was chosen. An entry that relayed it could then retry for free. Found by reading; the reason is that of the last attempt now, as with no-target.

--- a/src/mulberryquay/entry/forwarder.py
+++ b/src/mulberryquay/entry/forwarder.py
@@ -133,7 +133,7 @@
         """Returns the error when no target is left for another attempt."""
         new_error = outcomes.unknown if self.may_have_run else outcomes.not_run
         reason = refusal.reason
-        if reason is outcomes.Reason.NO_TARGET:
+        if reason in outcomes.REASONS_BEFORE_TARGETS:
             reason = _result_and_reason(result)[1]
         return new_error(
             reason, f'{len(self.attempts)} attempts failed; {refusal}'
