--- a/testing/entry/test_rate_limit.py
+++ b/testing/entry/test_rate_limit.py
@@ -204,19 +204,28 @@
     return limited.rate_limit.per_s
 
 
-def test_entries_learn_a_limit_and_its_end_from_each_other() -> None:
-    """An entry that a target did not tell must keep the limit, too."""
-    limited = _RateLimitedTarget(_PER_S)
+@contextlib.contextmanager
+def _two_entries(
+    limited: _RateLimitedTarget, **service_class: bool
+) -> typing.Iterator[tuple[daemon.EntryDaemon, daemon.EntryDaemon]]:
+    """Yields two entries that know the one target of a service."""
     with (
         fixtures.control() as control,
-        fixtures.entry(control, 'e0') as told,
-        fixtures.entry(control, 'e1') as untold,
+        fixtures.entry(control, 'e0') as first,
+        fixtures.entry(control, 'e1') as second,
         fixtures.announced_target(control, 'limited', limited.handle),
     ):
-        control.declare()
-        for entry in (told, untold):
+        control.declare(service_class=service_class or None)
+        for entry in (first, second):
             fixtures.wait_for_targets(entry, 'limited')
         control.wait_in_force()
+        yield first, second
+
+
+def test_entries_learn_a_limit_and_its_end_from_each_other() -> None:
+    """An entry that a target did not tell must keep the limit, too."""
+    limited = _RateLimitedTarget(_PER_S)
+    with _two_entries(limited) as (told, untold):
         fixtures.ask(told, '/stock/x')
         fixtures.wait_until(lambda: _limit_at(untold) == _PER_S)
         limited.per_s = None
@@ -227,16 +236,7 @@
 def test_entry_without_a_share_relays_to_one_that_has_it() -> None:
     """Callers of any entry must be served while a target has room."""
     limited = _RateLimitedTarget(1)
-    with (
-        fixtures.control() as control,
-        fixtures.entry(control, 'e0') as first,
-        fixtures.entry(control, 'e1') as second,
-        fixtures.announced_target(control, 'limited', limited.handle),
-    ):
-        control.declare()
-        for entry in (first, second):
-            fixtures.wait_for_targets(entry, 'limited')
-        control.wait_in_force()
+    with _two_entries(limited) as (first, second):
         fixtures.ask(first, '/stock/x')
         fixtures.wait_until(lambda: _limit_at(second) == 1)
         for entry in (first, second):
@@ -305,16 +305,7 @@
 def test_end_of_a_limit_of_zero_is_noticed() -> None:
     """A target that took no calls must get some once it takes them again."""
     limited = _RateLimitedTarget(0)
-    with (
-        fixtures.control() as control,
-        fixtures.entry(control, 'e0') as first,
-        fixtures.entry(control, 'e1') as second,
-        fixtures.announced_target(control, 'limited', limited.handle),
-    ):
-        control.declare(service_class={'idempotent': True})
-        for entry in (first, second):
-            fixtures.wait_for_targets(entry, 'limited')
-        control.wait_in_force()
+    with _two_entries(limited, idempotent=True) as (first, second):
         fixtures.ask(first, '/stock/x')
         fixtures.wait_until(lambda: _limit_at(second) == 0)
         limited.per_s = None
--- a/testing/entry/test_service_queue.py
+++ b/testing/entry/test_service_queue.py
@@ -86,15 +86,20 @@
     CASE.assertEqual(waiting.get().row.name, 't')
 
 
+def _refusal_of(waiting: gevent.Greenlet) -> outcomes.RefusedError:
+    """Returns the error with which a task that waits has ended."""
+    CASE.assertTrue(waiting.ready())
+    with CASE.assertRaises(outcomes.RefusedError) as caught:
+        waiting.get()
+    return caught.exception
+
+
 def test_request_waits_for_a_share_at_most_until_its_deadline() -> None:
     """A request that nobody awaits must not hold a place."""
     scene = _Scene()
     waiting = scene.acquire(deadline=300)
     scene.clock.run(320)
-    CASE.assertTrue(waiting.ready())
-    with CASE.assertRaises(outcomes.RefusedError) as caught:
-        waiting.get()
-    CASE.assertEqual(caught.exception.outcome, outcomes.Outcome.NOT_RUN)
+    CASE.assertEqual(_refusal_of(waiting).outcome, outcomes.Outcome.NOT_RUN)
 
 
 def test_entry_that_left_the_list_refuses_relayed_requests_at_once() -> None:
@@ -103,10 +108,7 @@
     scene.leave_list()
     waiting = scene.acquire(deadline=5000, may_relay=False)
     scene.clock.run(20)
-    CASE.assertTrue(waiting.ready())
-    with CASE.assertRaises(outcomes.RefusedError) as caught:
-        waiting.get()
-    CASE.assertEqual(caught.exception.reason, outcomes.Reason.NO_TARGET)
+    CASE.assertEqual(_refusal_of(waiting).reason, outcomes.Reason.NO_TARGET)
 
 
 def test_relayed_request_waits_until_the_pending_list_is_settled() -> None:
