Restore rate limits of targets after a restart of control hosts

What would be seen: after a restart of all control hosts, entries sent targets that name a rate as much as they liked, until their answers named it again.

Cause: the limit is soft state of control hosts. A host that restarted told each entry that the target has none, and entries believed it, because their own observations were older than 1.5 s or no news. Allowances of cold targets had a way back after a restart (the entries' hello); limits had none.

Change: an entry's hello names the limits that it knows, and a host that relearns its targets restores them, also from the rows of other hosts. A limit that it learned since its start is not replaced.

Evidence: test_limit_outlives_a_restart_of_the_control_host saw the limit gone (None, 3 expected) before and passes now; a test each for the order of announcements, for rows of other hosts, and for a newer limit. Found by reading.

--- a/benchmarks/fake_entries.py
+++ b/benchmarks/fake_entries.py
@@ -35,6 +35,7 @@
                 '127.0.0.1:1',
                 [],
                 config_revision=0,
+                known_rate_limits={},
             ),
         )
         self._sequence = 0
--- a/src/mulberryquay/control/directory.py
+++ b/src/mulberryquay/control/directory.py
@@ -72,6 +72,13 @@
         #: Time until which the target reported itself as cold.
         self.cold_until = 0.0
 
+    def row_at(self, now: float) -> protocol.TargetRow:
+        """Returns the row with the remaining cold time."""
+        if self.row.cold_ms <= 0:
+            return self.row
+        remaining = max(0, self.cold_until - now)
+        return self.row._replace(cold_ms=int(remaining))
+
 
 @typing.final
 class Directory:
@@ -96,6 +103,8 @@
         #: Incarnations that renewed here, not yet sent to other hosts.
         self._renewed: dict[str, int] = {}
         self._hints: dict[str, AllowanceHint] = {}
+        #: Rate limits, by name, of targets that are not known here yet.
+        self._known_rate_limits: dict[str, protocol.RateLimitReport] = {}
         self._changes: history.History[TargetChange] = history.History(
             size=_WATCH_HISTORY,
         )
@@ -117,13 +126,14 @@
 
     def list_targets(self) -> list[protocol.TargetRow]:
         """Returns all targets, sorted by name."""
+        now = self._clock.now()
         return [
-            self._row_of(self._targets[name]) for name in sorted(self._targets)
+            self._targets[name].row_at(now) for name in sorted(self._targets)
         ]
 
     def get(self, name: str) -> protocol.TargetRow:
         """Returns a target; raises UnknownTargetError."""
-        return self._row_of(self._find(name))
+        return self._find(name).row_at(self._clock.now())
 
     def announce(self, announcement: typing.Any) -> protocol.TargetRow:
         """Applies a new or repeated announcement.
@@ -162,6 +172,11 @@
         ):
             state.slow_start.restore(row.allowance, is_warm=row.is_warm)
             self._update_allowance(state)
+        if row.rate_per_s is not None:
+            self.restore_rate_limit(
+                row.name,
+                protocol.RateLimitReport(row.incarnation, row.rate_per_s),
+            )
 
     def apply_renewals(self, incarnations: dict[str, int]) -> None:
         """Extends the leases that were renewed at another control host."""
@@ -263,6 +278,23 @@
         if state.row.rate_per_s != report.per_s:
             self._update(state, 'rate limit', rate_per_s=report.per_s)
 
+    def restore_rate_limit(
+        self, name: str, report: protocol.RateLimitReport
+    ) -> None:
+        """Restores the rate limit of a target from before a start.
+
+        Has an effect only while targets are relearned, and only if no limit
+        of the target is known. The target may announce itself before or after
+        the one that knows its limit.
+        """
+        if not self.is_relearning:
+            return
+        state = self._targets.get(name)
+        if state is None:
+            self._known_rate_limits[name] = report
+        elif state.row.rate_per_s is None:
+            self.record_rate_limit(name, report)
+
     def reset_domain(self, domain: str) -> None:
         """Resets a domain's targets to cold, for its return to service.
 
@@ -339,6 +371,9 @@
         hint = self._hints.pop(row.name, None)
         if hint and uses_slow_start and hint.incarnation == row.incarnation:
             slow_start.restore(hint.granted, is_warm=hint.is_warm)
+        known_rate = self._known_rate_limits.pop(row.name, None)
+        if known_rate and known_rate.incarnation == row.incarnation:
+            row = row._replace(rate_per_s=known_rate.per_s)
         state = _TargetState(
             row._replace(
                 allowance=slow_start.current,
@@ -354,13 +389,6 @@
         self._targets[row.name] = state
         self._record_change(TargetChange(state.row, reason, is_removed=False))
 
-    def _row_of(self, state: _TargetState) -> protocol.TargetRow:
-        """Returns the row with the remaining cold time."""
-        if state.row.cold_ms <= 0:
-            return state.row
-        remaining = max(0, state.cold_until - self._clock.now())
-        return state.row._replace(cold_ms=int(remaining))
-
     def _record_change(self, change: TargetChange) -> None:
         row = change.target
         _LOG.info(
--- a/src/mulberryquay/entry/balancer.py
+++ b/src/mulberryquay/entry/balancer.py
@@ -213,6 +213,16 @@
             if target.rate_limit.has_report
         }
 
+    def known_rate_limits(self) -> dict[str, protocol.RateLimitReport]:
+        """Returns the rate limits in force, by name of their target."""
+        return {
+            name: protocol.RateLimitReport(
+                target.row.incarnation, target.rate_limit.per_s
+            )
+            for name, target in self._targets.items()
+            if target.rate_limit.per_s is not None
+        }
+
     def fits_pending_shares(self) -> bool:
         """Whether calls in flight to cold targets fit this entry's shares."""
         return all(
--- a/src/mulberryquay/entry/control_link.py
+++ b/src/mulberryquay/entry/control_link.py
@@ -122,4 +122,5 @@
             self._peer_address,
             known,
             self.revision,
+            self._state.balancer.known_rate_limits(),
         )
--- a/src/mulberryquay/protocol.py
+++ b/src/mulberryquay/protocol.py
@@ -7,7 +7,7 @@
 from mulberryquay.coordination import wire
 
 #: Increased with each incompatible change to a message.
-PROTOCOL_VERSION: typing.Final = 4
+PROTOCOL_VERSION: typing.Final = 5
 
 
 class Hello(typing.NamedTuple):
@@ -27,6 +27,9 @@
     known_targets: list[tuple[str, int, int, bool]]
     #: Revision of the configuration in force, or 0 without one.
     config_revision: int
+    #: Rows of `RateLimitReport`, by name, of targets that name a rate limit,
+    #: from which a restarted control host restores it.
+    known_rate_limits: typing.Mapping[str, typing.Sequence[typing.Any]]
 
 
 class ConfigSlice(typing.NamedTuple):
--- a/testing/control/test_feed.py
+++ b/testing/control/test_feed.py
@@ -68,6 +68,7 @@
         '127.0.0.1:1',
         [],
         config_revision=0,
+        known_rate_limits={},
     )
     connection.sendall(protocol.CODEC.encode(hello))
     return connection
--- a/testing/entry/test_rate_limit.py
+++ b/testing/entry/test_rate_limit.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies
 
 from mulberryquay import protocol
-from mulberryquay.control import directory, replicated_state
+from mulberryquay.control import announcements, directory, replicated_state
 from mulberryquay.coordination import clock, shares
 from mulberryquay.entry import daemon, header_names, rate_limit
 from mulberryquay.standin import target
@@ -199,6 +199,40 @@
     CASE.assertIsNone(targets.get('t').rate_per_s)
 
 
+def _check_restored(
+    restore: typing.Callable[[directory.Directory], None],
+) -> None:
+    """Checks that ``restore`` works before and after an announcement."""
+    announced = fixtures.announcement('t', '127.0.0.1:1', incarnation=2)
+    for is_target_first in (True, False):
+        ended = replicated_state.ReplicatedState().ended_targets
+        targets = directory.Directory(clock.ManualClock(), ended=ended)
+        if is_target_first:
+            targets.announce(announced)
+        restore(targets)
+        targets.announce(announced)
+        CASE.assertEqual(targets.get('t').rate_per_s, 4)
+
+
+def test_restarted_control_host_restores_rate_limits() -> None:
+    """A limit that entries or other control hosts know must stay in force."""
+    announced = fixtures.announcement('t', '127.0.0.1:1', incarnation=2)
+    row = announcements.parse(announced)._replace(rate_per_s=4)
+    known = protocol.RateLimitReport(2, 4)
+    _check_restored(lambda targets: targets.restore_rate_limit('t', known))
+    _check_restored(lambda targets: targets.merge_announced(row))
+
+
+def test_limit_known_from_before_a_restart_does_not_undo_a_newer_one() -> None:
+    """Another entry may have observed a change since the restart."""
+    ended = replicated_state.ReplicatedState().ended_targets
+    targets = directory.Directory(clock.ManualClock(), ended=ended)
+    targets.announce(fixtures.announcement('t', '127.0.0.1:1', incarnation=2))
+    targets.record_rate_limit('t', protocol.RateLimitReport(2, 3))
+    targets.restore_rate_limit('t', protocol.RateLimitReport(2, 4))
+    CASE.assertEqual(targets.get('t').rate_per_s, 3)
+
+
 def _limit_at(entry: daemon.EntryDaemon) -> float | None:
     limited = entry.state.balancer.all_targets['limited']
     return limited.rate_limit.per_s
@@ -245,6 +279,40 @@
             )
 
 
+def test_limit_outlives_a_restart_of_the_control_host() -> None:
+    """A control host that forgot a limit must not end it at entries."""
+    limited = _RateLimitedTarget(_PER_S)
+    with contextlib.ExitStack() as stack:
+        data_folder = stack.enter_context(fixtures.folder())
+        with fixtures.control(data_folder) as first:
+            first.declare()
+            feed_port = first.daemon.feed_port
+            entry = stack.enter_context(fixtures.entry(first))
+            stand_in = stack.enter_context(
+                fixtures.announced_target(first, 'limited', limited.handle)
+            )
+            fixtures.wait_for_targets(entry, 'limited')
+            first.wait_in_force()
+            fixtures.ask(entry, '/stock/x')
+            announced = first.daemon.targets
+            fixtures.wait_until(
+                lambda: announced.get('limited').rate_per_s == _PER_S
+            )
+            incarnation = announced.get('limited').incarnation
+        gevent.sleep(rate_limit.OBSERVATION_MS / clock.MS_PER_SECOND)
+        with fixtures.control(data_folder, feed_port=feed_port) as restarted:
+            announcement = fixtures.announcement(
+                'limited',
+                stand_in.address,
+                incarnation=incarnation,
+                sequence=7,
+            )
+            restarted.daemon.targets.announce(announcement)
+            known = entry.state.balancer.all_targets['limited']
+            fixtures.wait_until(lambda: known.row.sequence == 7)
+            CASE.assertEqual(_limit_at(entry), _PER_S)
+
+
 def test_end_of_a_limit_releases_requests_in_steps() -> None:
     """Requests that wait at all entries must not reach the target at once."""
     manual_clock = clock.ManualClock()
