Limit the load probes of a target over all entries together

What would be seen: a target gets more load probes the more entries there are and the busier they are.

Change: a probe takes from this entry's part of a rate for the target: three quarters of the rate are divided among the entries of the target's region, the rest among the others. A probe that has no budget is counted and not sent; the choice is made with the report that is known.

--- a/src/mulberryquay/coordination/shares.py
+++ b/src/mulberryquay/coordination/shares.py
@@ -86,6 +86,7 @@
         self._pending: EntryList | None = None
         self._regions: dict[str, str] = {}
         self._cache: dict[tuple[str, int], int] = {}
+        self._region_counts: dict[str, int] = {}
 
     @property
     def committed(self) -> EntryList:
@@ -108,7 +109,7 @@
         newest = self._pending or self._committed
         if entries.epoch > newest.epoch:
             self._pending = entries
-            self._cache.clear()
+            self._forget_counts()
 
     def commit(self, entries: EntryList) -> None:
         """Sets the committed list; one of an older epoch is ignored."""
@@ -117,7 +118,7 @@
         self._committed = entries
         if self._pending and self._pending.epoch <= entries.epoch:
             self._pending = None
-        self._cache.clear()
+        self._forget_counts()
 
     def share(self, target: str, allowance: int) -> int:
         """Returns the smaller share of ``allowance`` under the two lists."""
@@ -131,6 +132,24 @@
     def update_regions(self, regions: dict[str, str]) -> None:
         """Sets the region of each entry process by name."""
         self._regions = regions
+        self._forget_counts()
+
+    def count_in(self, region: str) -> int:
+        """Returns the number of entry processes in a region.
+
+        Counts the members of the list that has more of them there.
+        """
+        count = self._region_counts.get(region)
+        if count is None:
+            count = max(
+                sum(
+                    self._regions.get(member) == region
+                    for member in entries.members
+                )
+                for entries in self._lists()
+            )
+            self._region_counts[region] = count
+        return count
 
     def rate_share(self, target: str, per_s: float, *, region: str) -> float:
         """Returns the smaller part of a rate under the two lists.
@@ -167,6 +186,10 @@
         )
         return near or members
 
+    def _forget_counts(self) -> None:
+        self._cache.clear()
+        self._region_counts.clear()
+
     def _lists(self) -> list[EntryList]:
         return [self._committed, *filter(None, [self._pending])]
 
--- a/src/mulberryquay/coordination/token_bucket.py
+++ b/src/mulberryquay/coordination/token_bucket.py
@@ -25,13 +25,23 @@
         self._tokens = burst
         self._filled_at = time_source.now()
 
+    def set_limits(self, *, rate: float, burst: float) -> None:
+        """Changes the rate and the burst from now on; keeps the tokens."""
+        if (rate, burst) != (self._rate, self._burst):
+            self._fill()
+            self._rate = rate
+            self._burst = burst
+
     def take(self, amount: float = 1) -> bool:
         """Takes tokens; False, taking none, if there are too few."""
-        now = self._clock.now()
-        elapsed = (now - self._filled_at) / clock.MS_PER_SECOND
-        self._filled_at = now
-        self._tokens = min(self._burst, self._tokens + elapsed * self._rate)
+        self._fill()
         if self._tokens < amount:
             return False
         self._tokens -= amount
         return True
+
+    def _fill(self) -> None:
+        now = self._clock.now()
+        elapsed = (now - self._filled_at) / clock.MS_PER_SECOND
+        self._filled_at = now
+        self._tokens = min(self._burst, self._tokens + elapsed * self._rate)
--- a/src/mulberryquay/entry/daemon.py
+++ b/src/mulberryquay/entry/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import logging
 import random
 import typing
@@ -17,6 +18,7 @@
     entry_settings,
     load_prober,
     outcomes,
+    probe_budget,
     prober,
     ready,
     state,
@@ -117,7 +119,18 @@
         )
         if values['ask_load']:
             self._state.load_prober = load_prober.LoadProber(
-                self._prober, self._state.clock
+                self._prober,
+                self._state.clock,
+                probe_budget.ProbeBudget(
+                    self._state.share_view,
+                    self._state.clock,
+                    region=self._state.region,
+                    per_target_s=values['load_probes_per_target_s'],
+                    on_skipped=functools.partial(
+                        self._state.metrics.count,
+                        'mulberryquay_load_probes_skipped_total',
+                    ),
+                ),
             )
         self._admin = admin.Admin(
             self._admin_listener,
--- a/src/mulberryquay/entry/entry_settings.py
+++ b/src/mulberryquay/entry/entry_settings.py
@@ -21,6 +21,9 @@
 #: The policy with the best results in the table in docs/DESIGN.md.
 DEFAULT_POLICY: typing.Final = 'hot-cold'
 
+#: Load probes a second to a target from all entries together.
+LOAD_PROBES_PER_TARGET_S: typing.Final = 50
+
 SETTINGS: typing.Final = (
     settings.Setting(
         'name',
@@ -147,6 +150,13 @@
         'whether nearby targets are asked for their load before each choice; '
         'their health path must answer at once',
     ),
+    settings.Setting(
+        'load_probes_per_target_s',
+        LOAD_PROBES_PER_TARGET_S,
+        'load probes a second that all entries together may send to a '
+        'target; 0 for no limit',
+        maximum=1000,
+    ),
     settings.Setting(
         'min_calls',
         1,
--- a/src/mulberryquay/entry/load_prober.py
+++ b/src/mulberryquay/entry/load_prober.py
@@ -13,7 +13,7 @@
 import gevent
 
 from mulberryquay.coordination import clock
-from mulberryquay.entry import prober, targets
+from mulberryquay.entry import probe_budget, prober, targets
 
 #: Targets with a younger report are not probed.
 MAX_REPORT_AGE_MS: typing.Final = 60.0
@@ -36,9 +36,11 @@
         self,
         target_prober: prober.Prober,
         time_source: clock.Clock,
+        budget: probe_budget.ProbeBudget,
     ) -> None:
         """Sends probes through ``target_prober``, which counts their bytes."""
         self._prober = target_prober
+        self._budget = budget
         self._clock = time_source
         self._running_probes: dict[str, gevent.Greenlet] = {}
 
@@ -70,9 +72,10 @@
     ) -> None:
         stale_before = self._clock.now() - MAX_REPORT_AGE_MS
         probes = [
-            self._probe(target)
+            probe
             for target in in_tier
             if target.reported_at < stale_before
+            and (probe := self._probe(target)) is not None
         ]
         if probes:
             timeout_ms = (
@@ -80,11 +83,17 @@
             )
             gevent.joinall(probes, timeout=timeout_ms / clock.MS_PER_SECOND)
 
-    def _probe(self, target: targets.TargetState) -> gevent.Greenlet:
-        """Returns the running probe of a target, or starts one."""
+    def _probe(self, target: targets.TargetState) -> gevent.Greenlet | None:
+        """Returns the running probe of a target, or starts one.
+
+        Returns None if the budget has none left.
+        """
         name = target.row.name
         running_probe = self._running_probes.get(name)
-        if running_probe is None or running_probe.ready():
-            running_probe = self._prober.start_load_probe(target)
-            self._running_probes[name] = running_probe
+        if running_probe is not None and not running_probe.ready():
+            return running_probe
+        if not self._budget.take(target):
+            return None
+        running_probe = self._prober.start_load_probe(target)
+        self._running_probes[name] = running_probe
         return running_probe
--- /dev/null
+++ b/src/mulberryquay/entry/probe_budget.py
@@ -0,0 +1,71 @@
+"""Limits the load probes that all entries together send to a target.
+
+An entry asks targets for their load whenever it serves a request, so the sum
+over entries grows with their number and with the traffic. Each entry may use
+an equal part of the rate: those in the target's region have most of it between
+them, all others have the rest.
+"""
+
+from __future__ import annotations
+
+import typing
+
+from mulberryquay.coordination import clock, shares, token_bucket
+from mulberryquay.entry import targets
+
+#: Part of the rate that the entries in a target's region use together.
+_NEAR_PART: typing.Final = 0.75
+
+#: An entry may use what it saved in this time at once, at least one probe.
+_BURST_S: typing.Final = 1.0
+
+
+@typing.final
+class ProbeBudget:
+    """This entry's part of the load probes of each target."""
+
+    def __init__(
+        self,
+        share_view: shares.ShareView,
+        time_source: clock.Clock,
+        *,
+        region: str,
+        per_target_s: float,
+        on_skipped: typing.Callable[[], None],
+    ) -> None:
+        """Sets the ``region`` of this entry and the rate in probes a second.
+
+        ``per_target_s`` holds for all entries together; 0 for no limit.
+        ``on_skipped`` is called for each probe for which nothing is left.
+        """
+        self._on_skipped = on_skipped
+        self._share_view = share_view
+        self._clock = time_source
+        self._region = region
+        self._per_target_s = per_target_s
+
+    def take(self, target: targets.TargetState) -> bool:
+        """Takes a probe of a target from the budget; False if none is left."""
+        if not self._per_target_s:
+            return True
+        per_s = self._part(target.row.region)
+        burst = max(1.0, per_s * _BURST_S)
+        bucket = target.load_probe_budget
+        if bucket is None:
+            bucket = token_bucket.TokenBucket(
+                self._clock, rate=per_s, burst=burst
+            )
+            target.load_probe_budget = bucket
+        bucket.set_limits(rate=per_s, burst=burst)
+        is_granted = bucket.take()
+        if not is_granted:
+            self._on_skipped()
+        return is_granted
+
+    def _part(self, region: str) -> float:
+        all_entries = self._share_view.member_count
+        near = self._share_view.count_in(region)
+        if region == self._region:
+            return self._per_target_s * _NEAR_PART / (near or all_entries)
+        far = max(1, all_entries - near)
+        return self._per_target_s * (1 - _NEAR_PART) / far
--- a/src/mulberryquay/entry/state.py
+++ b/src/mulberryquay/entry/state.py
@@ -71,6 +71,10 @@
         'Bytes of probes to targets, by scope (same or cross region).',
         labels=('scope',),
     ),
+    metrics.MetricDeclaration(
+        'mulberryquay_load_probes_skipped_total',
+        'Load probes that were not sent because of load_probes_per_target_s.',
+    ),
     metrics.MetricDeclaration(
         'mulberryquay_control_bytes_total',
         'Bytes on closed streams to control hosts, by direction.',
--- a/src/mulberryquay/entry/targets.py
+++ b/src/mulberryquay/entry/targets.py
@@ -7,7 +7,7 @@
 import typing
 
 from mulberryquay import protocol, settings
-from mulberryquay.coordination import clock
+from mulberryquay.coordination import clock, token_bucket
 from mulberryquay.entry import connections, dialect, outcomes, rate_limit
 
 #: Time constant: a load report decays to 1/e of its value in this time.
@@ -102,6 +102,7 @@
         'is_relay_only',
         'limit',
         'load_limit',
+        'load_probe_budget',
         'rate_limit',
         'connection_limit',
         'pool',
@@ -158,6 +159,8 @@
         self.rate_limit = rate_limit.RateLimit(
             row.name, time_source, lambda: context.on_rate_limit(self)
         )
+        #: Limits the load probes of this entry, once it has sent one.
+        self.load_probe_budget: token_bucket.TokenBucket | None = None
         self._next_cold_call_at = 0.0
         self._clock = time_source
         self._failures_in_row = 0
--- a/testing/entry/test_expected_time.py
+++ b/testing/entry/test_expected_time.py
@@ -8,8 +8,8 @@
 
 import gevent
 
-from mulberryquay.coordination import clock
-from mulberryquay.entry import dialect, load_prober, targets
+from mulberryquay.coordination import clock, shares
+from mulberryquay.entry import dialect, load_prober, probe_budget, targets
 from mulberryquay.entry.policies import expected_time
 from testing import fixtures
 
@@ -141,8 +141,15 @@
     other = _new_target_state(time_source, 'other', tier=1)
     far = _new_target_state(time_source, 'far', tier=2)
     probes = _LoadProbes()
+    unlimited = probe_budget.ProbeBudget(
+        shares.ShareView('entry-1'),
+        time_source,
+        region='north',
+        per_target_s=0,
+        on_skipped=lambda: None,
+    )
     prober = load_prober.LoadProber(
-        typing.cast(typing.Any, probes), time_source
+        typing.cast(typing.Any, probes), time_source, unlimited
     )
     prober.refresh_reports([far, other, near])
     CASE.assertEqual(probes.probed, [])
