Bind each wait for bytes of a body by the request's deadline

What callers saw: a target that sends a chunk size, an extension or trailers a byte now and then kept its caller waiting without an end: 30 s at a deadline of 1 s, then the test gave up. A caller that sends its body so kept its connection, and the port for readiness checks a connection, as long.

Cause: the time left was set as the timeout of the socket before a part of the body was read. A part can need many reads, and each of them began the timeout anew. The class: a bound on a whole that each step gets in full.

Change: a reader with a limit applies the time left to each read. The readiness port uses one limit for the whole head. Heads of callers and answers were bound before, by a watchdog. The control hosts' API has no such bound.

--- a/src/mulberryquay/entry/answers.py
+++ b/src/mulberryquay/entry/answers.py
@@ -236,12 +236,12 @@
     Raises AnswerCutShortError if the target ends it early or too late.
     """
     reader = received.connection.reader
+    reader.wait_limit = limit
     read = reader.read_part
     if received.head.framing is http_heads.Framing.UNTIL_CLOSE:
         read = reader.read_until_close
     while True:
         try:
-            limit.apply(received.connection.socket)
             part = read()
         except TimeoutError as error:
             raise AnswerCutShortError(
@@ -251,6 +251,7 @@
         except (OSError, errors.MulberryquayError) as error:
             raise AnswerCutShortError(str(error)) from error
         if part is None:
+            reader.wait_limit = None
             return
         yield part
 
--- a/src/mulberryquay/entry/daemon.py
+++ b/src/mulberryquay/entry/daemon.py
@@ -143,6 +143,7 @@
                 sockets.listen(address),
                 values['ready_path'],
                 self._is_ready,
+                self._state.clock,
             )
             for address in filter(None, [values['ready_listen']])
         ]
--- a/src/mulberryquay/entry/messages.py
+++ b/src/mulberryquay/entry/messages.py
@@ -13,7 +13,7 @@
 
 import httptools
 
-from mulberryquay.coordination import read_turn
+from mulberryquay.coordination import read_turn, wait_limit
 from mulberryquay.entry import header_names, http_heads
 
 READ_BYTES: typing.Final = read_turn.MAX_TURN_BYTES
@@ -66,6 +66,8 @@
         self._parser: typing.Any = None
         #: Limit of a head, in bytes; a larger one raises HeadTooLargeError.
         self.max_head_bytes = MAX_HEAD_BYTES
+        #: Limits each wait for bytes, if set; TimeoutError is raised after it.
+        self.wait_limit: wait_limit.WaitLimit | None = None
 
     @property
     def is_between_messages(self) -> bool:
@@ -134,6 +136,8 @@
         if self._error:
             raise self._error
         self._turn.begin_read()
+        if self.wait_limit is not None:
+            self.wait_limit.apply(self._socket)
         chunk = self._socket.recv(READ_BYTES)
         if not chunk:
             return False
--- a/src/mulberryquay/entry/ready.py
+++ b/src/mulberryquay/entry/ready.py
@@ -7,11 +7,11 @@
 
 from gevent import server
 
-from mulberryquay.coordination import errors
+from mulberryquay.coordination import clock, errors, wait_limit
 from mulberryquay.entry import http_heads, messages
 
-#: Timeout of each read and write; the connection is then closed.
-_IO_TIMEOUT_S: typing.Final = 10.0
+#: Longest time from accepting a connection to reading its request.
+REQUEST_TIMEOUT_MS: typing.Final = 10_000.0
 
 _READY: typing.Final = (
     b'HTTP/1.1 200 OK\r\ncontent-length: 6\r\nconnection: close\r\n\r\nready\n'
@@ -36,8 +36,10 @@
         listener: typing.Any,
         path: str,
         is_ready: typing.Callable[[], bool],
+        time_source: clock.Clock,
     ) -> None:
         """Serves ``path`` on a listening gevent socket."""
+        self._clock = time_source
         self._path = path.encode()
         self._is_ready = is_ready
         self._server = server.StreamServer(listener, self._serve)
@@ -51,9 +53,12 @@
         self._server.stop(timeout=0)
 
     def _serve(self, connection: typing.Any, _address: typing.Any) -> None:
-        connection.settimeout(_IO_TIMEOUT_S)
+        reader = messages.RequestReader(connection)
+        reader.wait_limit = wait_limit.WaitLimit(
+            self._clock, self._clock.now() + REQUEST_TIMEOUT_MS
+        )
         try:
-            head = messages.RequestReader(connection).read_head()
+            head = reader.read_head()
             if head is not None:
                 http_heads.send_all(connection, self._answer(head))
         except (OSError, errors.MulberryquayError) as error:
--- a/src/mulberryquay/entry/request_body.py
+++ b/src/mulberryquay/entry/request_body.py
@@ -83,8 +83,8 @@
             yield part
 
     def _read_part(self, limit: wait_limit.WaitLimit) -> bytes | None:
+        self._reader.wait_limit = limit
         try:
-            limit.apply(self._socket)
             part = self._reader.read_part()
         except http_heads.MessageError as error:
             raise outcomes.not_run(
@@ -105,6 +105,7 @@
             ) from error
         if part is None:
             self._is_read = True
+            self._reader.wait_limit = None
             self._socket.settimeout(wait_limit.STALL_TIMEOUT_S)
         else:
             self._size += len(part)
--- a/testing/flooding_target.py
+++ b/testing/flooding_target.py
@@ -10,6 +10,7 @@
 import socket
 import sys
 import threading
+import time
 import typing
 
 _COMPLETE: typing.Final = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
@@ -49,6 +50,15 @@
     ),
 }
 
+#: Answers whose framing arrives slowly: a few bytes at a time, and no part of
+#: the body.
+SLOW_ANSWERS: typing.Final = {
+    'slow-chunk-size': EndlessAnswer(_CHUNKED, b'0'),
+    'slow-extension': EndlessAnswer(_CHUNKED + b'5;', b'x'),
+    'slow-trailers': EndlessAnswer(_CHUNKED + b'0\r\n', b'a: b\r\n'),
+}
+_SLOW_INTERVAL_S: typing.Final = 0.1
+
 
 def main() -> None:
     """Prints the port, then serves until the process is killed."""
@@ -74,6 +84,10 @@
 
 
 def _answer(connection: socket.socket, name: str) -> None:
+    slow_answer = SLOW_ANSWERS.get(name)
+    if slow_answer is not None:
+        _send_slowly(connection, slow_answer)
+        return
     answer = ENDLESS_ANSWERS.get(name)
     if answer is None:
         connection.sendall(_COMPLETE)
@@ -87,5 +101,15 @@
         return
 
 
+def _send_slowly(connection: socket.socket, answer: EndlessAnswer) -> None:
+    connection.sendall(answer.beginning)
+    try:
+        while True:
+            connection.sendall(answer.repeated)
+            time.sleep(_SLOW_INTERVAL_S)
+    except OSError:
+        return
+
+
 if __name__ == '__main__':
     main()
--- a/testing/test_endless_bytes.py
+++ b/testing/test_endless_bytes.py
@@ -33,6 +33,9 @@
 _MAX_LATE_MS: typing.Final = 500.0
 
 _BLOCK_BYTES: typing.Final = 65536
+
+#: Interval between the bytes of a slow caller.
+_SLOW_INTERVAL_S: typing.Final = 0.1
 _MAX_GROWTH_BYTES: typing.Final = 16 * units.MIB
 
 
@@ -214,6 +217,14 @@
                 _check_flood(scene, name)
 
 
+def test_slow_framing_of_an_answer_ends_at_the_deadline() -> None:
+    """A target must not hold a caller by a byte of framing now and then."""
+    with _scene() as scene:
+        for name in flooding_target.SLOW_ANSWERS:
+            with CASE.subTest(name):
+                _check_flood(scene, name)
+
+
 def test_request_goes_elsewhere_if_a_target_sends_no_answer() -> None:
     """An idempotent request must be retried, and the flooder suspended."""
     with _scene() as scene, _healthy_target(scene):
@@ -335,6 +346,32 @@
                 _flood(scene.entry.port, name, _ROUTE_TIMEOUT_MS)
 
 
+def test_slow_framing_of_a_body_ends_at_the_deadline() -> None:
+    """A caller must not hold its connection by a byte now and then."""
+    with _scene() as scene:
+        for name in ('chunk size', 'chunk extension', 'trailers'):
+            beginning, repeated = _ENDLESS_REQUESTS[name]
+            connection = socket.create_connection(
+                ('127.0.0.1', scene.entry.port), fixtures.TIMEOUT_S
+            )
+            connection.sendall(beginning)
+            started = clock.Clock().now()
+            sending = gevent.spawn(_send_slowly, connection, repeated)
+            answer = connection.recv(messages.READ_BYTES)
+            took = clock.Clock().now() - started
+            sending.kill()
+            connection.close()
+            CASE.assertLess(took, _ROUTE_TIMEOUT_MS + _MAX_LATE_MS, name)
+            CASE.assertIn(b' 408 ', answer, name)
+
+
+def _send_slowly(connection: typing.Any, repeated: bytes) -> None:
+    with contextlib.suppress(OSError):
+        while True:
+            connection.sendall(repeated)
+            gevent.sleep(_SLOW_INTERVAL_S)
+
+
 def test_client_of_the_api_that_sends_without_end_harms_nobody_else() -> None:
     """Guards against a control host whose API reads only one client."""
     with fixtures.folder() as folder, processes.control(folder) as (_, line):
