Limit the time in which a request to the API arrives

What was seen: a client of the resource or admin API that sends its request a byte now and then keeps its connection and task without an end.

Cause: the server reads without a timeout; only the bytes of a request are bounded.

Change: a request has 30 s from its first byte on; an idle connection has no limit, as before, so that pooled ones stay open.

The bound of load probes on the platform is checked, too (54 of 60).

--- a/src/mulberryquay/web.py
+++ b/src/mulberryquay/web.py
@@ -11,7 +11,13 @@
 from gevent import monkey, pywsgi
 
 from mulberryquay import metrics as metrics_module
-from mulberryquay.coordination import errors, read_turn, units
+from mulberryquay.coordination import (
+    clock,
+    errors,
+    read_turn,
+    units,
+    wait_limit,
+)
 
 #: Limit on request bodies of the resource and admin APIs.
 MAX_API_BODY_BYTES: typing.Final = units.MIB
@@ -26,6 +32,9 @@
 #: Python takes some milliseconds at most.
 _TURN_BYTES: typing.Final = 8192
 
+#: Longest time from the first byte of a request to its last one.
+REQUEST_TIMEOUT_MS: typing.Final = 30_000.0
+
 JSON_TYPE: typing.Final = 'application/json'
 
 _CODES_BY_STATUS: typing.Final = {
@@ -151,17 +160,21 @@
 
 @typing.final
 class _BoundedInput(io.RawIOBase):
-    """Reads a connection in turns and limits the bytes of each request."""
+    """Reads a connection in turns; limits each request in bytes and time."""
 
     def __init__(self, connection: typing.Any) -> None:
         super().__init__()
         self._socket = connection
         self._turn = read_turn.ReadTurn(_TURN_BYTES)
         self._remaining = _MAX_OVERHEAD_BYTES
+        self._clock = clock.Clock()
+        #: Set by the first byte of a request.
+        self._wait_limit: wait_limit.WaitLimit | None = None
 
     def begin_request(self) -> None:
-        """Starts the limit of the next request and lets other tasks run."""
+        """Starts the limits of the next request and lets other tasks run."""
         self._remaining = _MAX_OVERHEAD_BYTES
+        self._wait_limit = None
         read_turn.yield_now()
 
     def allow(self, body_bytes: int) -> None:
@@ -179,11 +192,24 @@
                 'got more bytes than a request of this kind may have',
             )
         self._turn.begin_read()
-        size = int(self._socket.recv_into(buffer))
+        size = self._receive_into(buffer)
         self._turn.end_read(size)
         self._remaining -= size
         return size
 
+    def _receive_into(self, buffer: typing.Any) -> int:
+        if self._wait_limit is not None:
+            self._wait_limit.apply(self._socket)
+        try:
+            size = int(self._socket.recv_into(buffer))
+        finally:
+            self._socket.settimeout(None)
+        if self._wait_limit is None:
+            self._wait_limit = wait_limit.WaitLimit(
+                self._clock, self._clock.now() + REQUEST_TIMEOUT_MS
+            )
+        return size
+
 
 @typing.final
 class _BoundedHandler(pywsgi.WSGIHandler):
--- a/testing/fixtures.py
+++ b/testing/fixtures.py
@@ -32,6 +32,9 @@
 #: Limit of each wait, long enough for slow machines; only failures reach it.
 TIMEOUT_S: typing.Final = 30.0
 
+#: Interval between the bytes of a slow peer.
+_SLOW_INTERVAL_S: typing.Final = 0.1
+
 _INCARNATIONS: typing.Final = itertools.count(1)
 
 
@@ -327,6 +330,31 @@
     )
 
 
+def send_slowly(connection: typing.Any, repeated: bytes) -> None:
+    """Sends some bytes now and then until the peer closes."""
+    with contextlib.suppress(OSError):
+        while True:
+            connection.sendall(repeated)
+            gevent.sleep(_SLOW_INTERVAL_S)
+
+
+def ms_until_closed(port: int, beginning: bytes) -> float:
+    """Returns for how long a peer reads a request that never ends, in ms.
+
+    After the ``beginning`` it gets a byte now and then.
+    """
+    started = clock.Clock().now()
+    connection = socket.create_connection(('127.0.0.1', port), TIMEOUT_S)
+    connection.sendall(beginning)
+    sending = gevent.spawn(send_slowly, connection, b'x')
+    with contextlib.suppress(ConnectionResetError):
+        while connection.recv(messages.READ_BYTES):
+            """Reads an error, if there is one."""
+    sending.kill()
+    connection.close()
+    return clock.Clock().now() - started
+
+
 def send(
     port: int,
     raw: bytes,
--- a/testing/platform_adapter/samples.py
+++ b/testing/platform_adapter/samples.py
@@ -32,6 +32,7 @@
 retry_budget_ratio = 0.2
 budget_slack = 50
 grace_period_s = 6
+probes_per_s = 60
 """
 
 _CONFIGURATION: typing.Final[dict[str, typing.Any]] = {
--- a/testing/platform_adapter/test_node.py
+++ b/testing/platform_adapter/test_node.py
@@ -35,6 +35,7 @@
     CASE.assertEqual(entry['control'], '10.1.0.1:7621,10.2.0.1:7621')
     CASE.assertEqual(entry['stale_config'], 'serve')
     CASE.assertEqual(entry['drain_ms'] + entry['stop_timeout_ms'], 5500)
+    CASE.assertEqual(entry['load_probes_per_target_s'], 54)
     control = settings.with_defaults(
         control_daemon.SETTINGS,
         {
--- a/testing/test_endless_bytes.py
+++ b/testing/test_endless_bytes.py
@@ -33,9 +33,6 @@
 _MAX_LATE_MS: typing.Final = 500.0
 
 _BLOCK_BYTES: typing.Final = 65536
-
-#: Interval between the bytes of a slow caller.
-_SLOW_INTERVAL_S: typing.Final = 0.1
 _MAX_GROWTH_BYTES: typing.Final = 16 * units.MIB
 
 
@@ -356,7 +353,7 @@
             )
             connection.sendall(beginning)
             started = clock.Clock().now()
-            sending = gevent.spawn(_send_slowly, connection, repeated)
+            sending = gevent.spawn(fixtures.send_slowly, connection, repeated)
             answer = connection.recv(messages.READ_BYTES)
             took = clock.Clock().now() - started
             sending.kill()
@@ -365,13 +362,6 @@
             CASE.assertIn(b' 408 ', answer, name)
 
 
-def _send_slowly(connection: typing.Any, repeated: bytes) -> None:
-    with contextlib.suppress(OSError):
-        while True:
-            connection.sendall(repeated)
-            gevent.sleep(_SLOW_INTERVAL_S)
-
-
 def test_client_of_the_api_that_sends_without_end_harms_nobody_else() -> None:
     """Guards against a control host whose API reads only one client."""
     with fixtures.folder() as folder, processes.control(folder) as (_, line):
