Answer a slow API request with a typed error and close its connection

Cause: the timeout of the socket was no error of ours.

Change: SlowRequestError, code request-timeout, 408 for a body; for a head the server answers 400 as for any malformed one. A connection with an unread body is closed, so that the rest of it is never read as a request.

--- a/src/mulberryquay/web.py
+++ b/src/mulberryquay/web.py
@@ -158,6 +158,17 @@
     """A peer sent more bytes than a request may have."""
 
 
+@typing.final
+class SlowRequestError(errors.MulberryquayError, OSError, ValueError):
+    """A request did not arrive in time.
+
+    pywsgi expects a ValueError while it reads a head, else an OSError.
+    """
+
+    code = 'request-timeout'
+    http_status = 408
+
+
 @typing.final
 class _BoundedInput(io.RawIOBase):
     """Reads a connection in turns; limits each request in bytes and time."""
@@ -168,6 +179,9 @@
         self._turn = read_turn.ReadTurn(_TURN_BYTES)
         self._remaining = _MAX_OVERHEAD_BYTES
         self._clock = clock.Clock()
+        #: Whether a request did not arrive in time, so that the connection
+        #: can carry no other one.
+        self.has_timed_out = False
         #: Set by the first byte of a request.
         self._wait_limit: wait_limit.WaitLimit | None = None
 
@@ -186,7 +200,10 @@
         return True
 
     def readinto(self, buffer: typing.Any) -> int:
-        """Reads some bytes; raises RequestTooLargeError and OSError."""
+        """Reads some bytes.
+
+        Raises RequestTooLargeError, SlowRequestError and OSError.
+        """
         if self._remaining <= 0:
             raise RequestTooLargeError(
                 'got more bytes than a request of this kind may have',
@@ -198,10 +215,16 @@
         return size
 
     def _receive_into(self, buffer: typing.Any) -> int:
-        if self._wait_limit is not None:
-            self._wait_limit.apply(self._socket)
         try:
+            if self._wait_limit is not None:
+                self._wait_limit.apply(self._socket)
             size = int(self._socket.recv_into(buffer))
+        except TimeoutError as error:
+            self.has_timed_out = True
+            raise SlowRequestError(
+                'the request did not end within '
+                f'{REQUEST_TIMEOUT_MS} ms of its first byte',
+            ) from error
         finally:
             self._socket.settimeout(None)
         if self._wait_limit is None:
@@ -235,7 +258,10 @@
     def handle_one_request(self) -> typing.Any:
         """Serves one request; returns what pywsgi expects."""
         self._input.begin_request()
-        return super().handle_one_request()
+        result = super().handle_one_request()
+        if result is True and self._input.has_timed_out:
+            return None
+        return result
 
 
 def _map_errors(
--- a/testing/fixtures.py
+++ b/testing/fixtures.py
@@ -338,21 +338,26 @@
             gevent.sleep(_SLOW_INTERVAL_S)
 
 
-def ms_until_closed(port: int, beginning: bytes) -> float:
-    """Returns for how long a peer reads a request that never ends, in ms.
+class SlowRequestEnd(typing.NamedTuple):
+    """How a server ended a request that never ended."""
 
-    After the ``beginning`` it gets a byte now and then.
-    """
+    took_ms: float
+    answer: bytes
+
+
+def send_slow_request(port: int, beginning: bytes) -> SlowRequestEnd:
+    """Sends a ``beginning``, then a byte now and then until the peer closes."""
     started = clock.Clock().now()
     connection = socket.create_connection(('127.0.0.1', port), TIMEOUT_S)
     connection.sendall(beginning)
     sending = gevent.spawn(send_slowly, connection, b'x')
+    answer = b''
     with contextlib.suppress(ConnectionResetError):
-        while connection.recv(messages.READ_BYTES):
-            """Reads an error, if there is one."""
+        while part := connection.recv(messages.READ_BYTES):
+            answer += part
     sending.kill()
     connection.close()
-    return clock.Clock().now() - started
+    return SlowRequestEnd(clock.Clock().now() - started, answer)
 
 
 def send(
--- a/testing/test_web.py
+++ b/testing/test_web.py
@@ -33,11 +33,13 @@
     with fixtures.control() as control:
         for beginning in _SLOW_REQUESTS:
             with CASE.subTest(beginning):
-                took = fixtures.ms_until_closed(
+                ended = fixtures.send_slow_request(
                     control.daemon.api_port, beginning
                 )
-                CASE.assertGreaterEqual(took, _TIMEOUT_MS)
-                CASE.assertLess(took, _TIMEOUT_MS + _MAX_LATE_MS)
+                CASE.assertGreaterEqual(ended.took_ms, _TIMEOUT_MS)
+                CASE.assertLess(ended.took_ms, _TIMEOUT_MS + _MAX_LATE_MS)
+                if beginning.startswith(b'PUT'):
+                    CASE.assertIn(b'request-timeout', ended.answer)
 
 
 def test_idle_connection_to_the_api_stays_open() -> None:
