--- a/Makefile
+++ b/Makefile
@@ -43,8 +43,9 @@
 		--constraint requirements.lock --quiet .
 
 soak: $(STAMP)
-	MULBERRYQUAY_SOAK=1 $(BIN)/python -m testing.run test_claims test_shares test_store \
-		test_search test_wire test_fuzz test_messages test_any_row
+	MULBERRYQUAY_SOAK=1 MULBERRYQUAY_SOAK_RUNS=50 $(BIN)/python -m testing.run \
+		test_claims test_shares test_store test_search test_wire test_fuzz \
+		test_messages test_any_row test_soak
 
 clean:
 	rm -rf .venv build dist .mypy_cache .ruff_cache
