--- a/src/mulberryquay/coordination/shares.py
+++ b/src/mulberryquay/coordination/shares.py
@@ -109,7 +109,7 @@
         newest = self._pending or self._committed
         if entries.epoch > newest.epoch:
             self._pending = entries
-            self._forget_counts()
+            self._clear_caches()
 
     def commit(self, entries: EntryList) -> None:
         """Sets the committed list; one of an older epoch is ignored."""
@@ -118,7 +118,7 @@
         self._committed = entries
         if self._pending and self._pending.epoch <= entries.epoch:
             self._pending = None
-        self._forget_counts()
+        self._clear_caches()
 
     def share(self, target: str, allowance: int) -> int:
         """Returns the smaller share of ``allowance`` under the two lists."""
@@ -132,7 +132,7 @@
     def update_regions(self, regions: dict[str, str]) -> None:
         """Sets the region of each entry process by name."""
         self._regions = regions
-        self._forget_counts()
+        self._clear_caches()
 
     def count_in(self, region: str) -> int:
         """Returns the number of entry processes in a region.
@@ -186,7 +186,7 @@
         )
         return near or members
 
-    def _forget_counts(self) -> None:
+    def _clear_caches(self) -> None:
         self._cache.clear()
         self._region_counts.clear()
 
