--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -12,7 +12,7 @@
 
 CASE: typing.Final = unittest.TestCase()
 
-_SEEDS: typing.Final = (1, 2)
+_SEEDS: typing.Final = (1, 4)
 
 #: Number of runs with fresh seeds; set by hand for `make soak`.
 _FRESH_RUNS: typing.Final = int(os.environ.get('MULBERRYQUAY_SOAK_RUNS', '0'))
