Play the fault soak with three control hosts

What was missing: one control host has no leader to lose. Now three of them are stopped, killed and frozen, alone and at the same time, on ports and in folders that stay; entries and targets know all three.

--- a/testing/processes.py
+++ b/testing/processes.py
@@ -6,6 +6,7 @@
 import pathlib
 import typing
 
+from mulberryquay import sockets
 from mulberryquay.commands import api_client
 from testing import fixtures
 
@@ -24,6 +25,8 @@
     folder: pathlib.Path,
     api_port: int = 0,
     feed_port: int = 0,
+    host_port: int = 0,
+    arguments: typing.Sequence[str] = (),
 ) -> typing.Any:
     """Returns a fixture of a control host, as `fixtures.process` yields it."""
     return fixtures.process(
@@ -32,10 +35,21 @@
         '--target_lease_ms=6000',
         f'--api_listen=127.0.0.1:{api_port}',
         f'--feed_listen=127.0.0.1:{feed_port}',
-        '--host_listen=127.0.0.1:0',
+        f'--host_listen=127.0.0.1:{host_port}',
+        *arguments,
     )
 
 
+def free_ports(count: int) -> list[int]:
+    """Returns ports that no process listens on now."""
+    with contextlib.ExitStack() as stack:
+        listeners = [
+            stack.enter_context(sockets.listen('127.0.0.1:0'))
+            for _ in range(count)
+        ]
+        return [sockets.port_of(listener) for listener in listeners]
+
+
 def client(port: int) -> api_client.ApiClient:
     """Returns a client of the API at a local port."""
     return api_client.ApiClient(f'127.0.0.1:{port}')
--- a/testing/soak.py
+++ b/testing/soak.py
@@ -1,6 +1,6 @@
 """A fault soak: real processes, overlapping faults, and what callers saw.
 
-A run starts a control host, entries and targets, calls through the entries on
+A run starts control hosts, entries and targets, calls through the entries on
 kept connections, and plays faults drawn from a seed. `find_broken` then
 compares what callers were told with what the targets ran.
 """
@@ -11,6 +11,7 @@
 import contextlib
 import enum
 import functools
+import pathlib
 import random
 import signal
 import typing
@@ -19,10 +20,12 @@
 from gevent import lock, socket
 
 from mulberryquay import announcer
+from mulberryquay.commands import api_client
 from mulberryquay.entry import http_heads, messages
 from mulberryquay.standin import target
 from testing import fixtures, processes
 
+_CONTROL_HOSTS: typing.Final = 3
 _ENTRIES: typing.Final = 3
 _TARGETS: typing.Final = 3
 _SLOTS: typing.Final = 8
@@ -37,6 +40,11 @@
 #: Services and whether their requests may run more than once.
 _SERVICES: typing.Final = {'stock': True, 'order': False}
 
+_API_ERRORS: typing.Final = (
+    api_client.ApiRefusedError,
+    api_client.ApiUnreachableError,
+)
+
 
 class Fault(enum.Enum):
     """What is done to a process or target."""
@@ -57,7 +65,7 @@
 
     at_s: float
     fault: Fault
-    #: Which entry or target, by its number.
+    #: Which control host, entry or target, by its number.
     number: int
 
 
@@ -92,7 +100,7 @@
         PlannedFault(
             rng.uniform(0, _FAULT_SPAN_S),
             rng.choice(list(Fault)),
-            rng.randrange(max(_ENTRIES, _TARGETS)),
+            rng.randrange(min(_CONTROL_HOSTS, _ENTRIES, _TARGETS)),
         )
         for _ in range(_FAULTS)
     ]
@@ -118,6 +126,15 @@
     return broken
 
 
+class _ControlHost(typing.NamedTuple):
+    """The folder and the ports of a control host, which restarts keep."""
+
+    folder: pathlib.Path
+    api_port: int
+    feed_port: int
+    host_port: int
+
+
 class _EntryLife(typing.NamedTuple):
     """One run of an entry process."""
 
@@ -136,6 +153,8 @@
         self._stack = contextlib.ExitStack()
         self._runs: collections.Counter[str] = collections.Counter()
         self._calls: list[Call] = []
+        self._control_hosts: list[_ControlHost] = []
+        self._control_processes: dict[int, typing.Any] = {}
         self._entries: dict[int, _EntryLife] = {}
         self._locks: dict[str, lock.RLock] = collections.defaultdict(lock.RLock)
         self._targets: dict[int, contextlib.ExitStack] = {}
@@ -147,15 +166,14 @@
 
     def __enter__(self) -> typing.Self:
         """Starts all processes and waits until each entry serves."""
-        self._folder = self._stack.enter_context(fixtures.folder())
-        process, line = self._stack.enter_context(
-            processes.control(self._folder)
-        )
-        api_port, feed_port = fixtures.parse_ports(line)
-        self._control = process
-        self._api_port = api_port
-        self._feed_port = feed_port
-        self._declare()
+        for _ in range(_CONTROL_HOSTS):
+            folder = self._stack.enter_context(fixtures.folder())
+            self._control_hosts.append(
+                _ControlHost(folder, *processes.free_ports(3))
+            )
+        for number in range(_CONTROL_HOSTS):
+            self._start_control_host(number)
+        fixtures.wait_until(self._declare)
         for number in range(_TARGETS):
             self._start_target(number)
         for number in range(_ENTRIES):
@@ -188,14 +206,37 @@
         ]
         return Verdict(self._calls, broken)
 
-    def _declare(self) -> None:
-        client = processes.client(self._api_port)
-        for service, is_idempotent in _SERVICES.items():
-            processes.put(
-                client, 'service-classes', service, idempotent=is_idempotent
+    def _start_control_host(self, number: int) -> None:
+        host = self._control_hosts[number]
+        contacts = _addresses(host.host_port for host in self._control_hosts)
+        process, _ = self._stack.enter_context(
+            processes.control(
+                host.folder,
+                host.api_port,
+                host.feed_port,
+                host.host_port,
+                (f'--hosts={contacts}',),
             )
-            processes.put(client, 'services', service)
-            processes.put(client, 'routes', service, **_route(service))
+        )
+        self._control_processes[number] = process
+
+    def _api_client(self) -> api_client.ApiClient:
+        host = self._rng.choice(self._control_hosts)
+        return processes.client(host.api_port)
+
+    def _declare(self) -> bool:
+        """Declares all resources; returns whether that was accepted."""
+        client = self._api_client()
+        try:
+            for service, is_idempotent in _SERVICES.items():
+                processes.put(
+                    client, 'service-classes', service, idempotent=is_idempotent
+                )
+                processes.put(client, 'services', service)
+                processes.put(client, 'routes', service, **_route(service))
+        except _API_ERRORS:
+            return False
+        return True
 
     def _start_target(self, number: int) -> None:
         """Starts a target for each service, with a new incarnation."""
@@ -214,7 +255,7 @@
                     incarnation=self._incarnation,
                     slots=_SLOTS,
                 ),
-                [f'127.0.0.1:{self._api_port}'],
+                [f'127.0.0.1:{host.api_port}' for host in self._control_hosts],
             )
             announced.start()
             stack.callback(announced.stop)
@@ -228,12 +269,13 @@
         return target.Answer(body=name.encode())
 
     def _start_entry(self, number: int) -> None:
+        feeds = _addresses(host.feed_port for host in self._control_hosts)
         entry = self._stack.enter_context(
             processes.entry(
-                self._feed_port,
+                self._control_hosts[0].feed_port,
                 f'entry-{number}',
                 drain_ms=200,
-                arguments=('--stale_config=serve',),
+                arguments=('--stale_config=serve', f'--control={feeds}'),
             )
         )
         self._entries[number] = _EntryLife(entry, set())
@@ -295,11 +337,10 @@
                 with self._locks[f'target-{planned.number}']:
                     self._disturb_target(planned)
             case Fault.CHANGE_ROUTE:
-                with self._locks['control']:
-                    self._change_route()
+                self._change_route()
             case _:
-                with self._locks['control']:
-                    self._disturb_control(planned.fault)
+                with self._locks[f'control-{planned.number}']:
+                    self._disturb_control_host(planned)
 
     def _disturb_entry(self, planned: PlannedFault) -> None:
         life = self._entries[planned.number]
@@ -327,21 +368,18 @@
         self._targets.pop(planned.number).close()
         self._start_target(planned.number)
 
-    def _disturb_control(self, fault: Fault) -> None:
-        if fault is Fault.FREEZE_CONTROL:
-            self._freeze(self._control)
+    def _disturb_control_host(self, planned: PlannedFault) -> None:
+        process = self._control_processes[planned.number]
+        if planned.fault is Fault.FREEZE_CONTROL:
+            self._freeze(process)
             return
-        is_planned = fault is Fault.STOP_CONTROL
-        self._control.send_signal(
-            signal.SIGTERM if is_planned else signal.SIGKILL
-        )
-        exit_code = self._control.wait()
-        if is_planned:
-            self._exit_codes.append(exit_code)
-        restarted, _ = self._stack.enter_context(
-            processes.control(self._folder, self._api_port, self._feed_port)
-        )
-        self._control = restarted
+        if planned.fault is Fault.STOP_CONTROL:
+            process.send_signal(signal.SIGTERM)
+            self._exit_codes.append(process.wait())
+        else:
+            process.send_signal(signal.SIGKILL)
+            process.wait()
+        self._start_control_host(planned.number)
 
     def _freeze(self, process: typing.Any) -> None:
         process.send_signal(signal.SIGSTOP)
@@ -352,8 +390,13 @@
         self._route_version += 1
         service = self._rng.choice(list(_SERVICES))
         body = {'version': self._route_version, 'spec': _route(service)}
-        client = processes.client(self._api_port)
-        client.call('PUT', f'/v1/routes/{service}', body)
+        # The control hosts may be without a leader just now.
+        with contextlib.suppress(*_API_ERRORS):
+            self._api_client().call('PUT', f'/v1/routes/{service}', body)
+
+
+def _addresses(ports: typing.Iterable[int]) -> str:
+    return ','.join(f'127.0.0.1:{port}' for port in ports)
 
 
 def _route(service: str) -> dict[str, typing.Any]:
