--- a/src/mulberryquay/commands/reference.py
+++ b/src/mulberryquay/commands/reference.py
@@ -93,7 +93,9 @@
         '# Resource API',
         '',
         'JSON over HTTP. Errors are `{"error": {"code": ..., "message": '
-        '...}}` with a 4xx or 5xx status.',
+        '...}}` with a 4xx or 5xx status. A request that takes more than 30 s '
+        'from its first byte to its last one gets a 408 with code '
+        '`request-timeout`, or a 400 if its head is not complete.',
         '',
         '| request | meaning |',
         '|---|---|',
