Restore what entries know of targets where their reports are applied

Cause: TargetReports was split from the feed so that it applies what entries report of targets, but the feed itself still took the allowances and rate limits of an entry's hello apart, beside its own twin for heartbeats.

Change: TargetReports.restore does it; the feed only serves streams. Behaviour is unchanged.

--- a/src/mulberryquay/control/feed.py
+++ b/src/mulberryquay/control/feed.py
@@ -142,13 +142,7 @@
         if self._needs_uncertain_state(hello):
             self._enqueue_state(outbound)
         self._group.wait_until_current()
-        for name, incarnation, granted, is_warm in hello.known_targets:
-            hint = directory.AllowanceHint(incarnation, granted, is_warm)
-            self._directory.add_hint(name, hint)
-        for limited_name, fields in hello.known_rate_limits.items():
-            self._directory.restore_rate_limit(
-                limited_name, protocol.RateLimitReport(*fields)
-            )
+        self.target_reports.restore(hello)
         self._enqueue_state(outbound)
         self._outbound_queues[hello.entry] = outbound
         self._rows[hello.entry] = membership.EntryRow(
--- a/src/mulberryquay/control/target_reports.py
+++ b/src/mulberryquay/control/target_reports.py
@@ -29,6 +29,16 @@
         """The guard that counts the lost connections reported by entries."""
         return self._guard
 
+    def restore(self, hello: protocol.Hello) -> None:
+        """Restores what an entry knows of targets from before a start."""
+        for name, incarnation, granted, is_warm in hello.known_targets:
+            hint = directory.AllowanceHint(incarnation, granted, is_warm)
+            self._directory.add_hint(name, hint)
+        for limited_name, fields in hello.known_rate_limits.items():
+            self._directory.restore_rate_limit(
+                limited_name, protocol.RateLimitReport(*fields)
+            )
+
     def apply(self, report: host_protocol.TargetsReported) -> None:
         """Applies a report on targets, received by this or another host."""
         for served_name, answers in report.served.items():
