Use one function each for a rate limit report and for entries of a region

Cause: the hello of an entry and its heartbeats built the same report of a rate limit in two copies, and ShareView filtered members by region twice, for the parts of a rate and for those of load probes.

Change: Balancer has _rate_limit_report, ShareView has _members_in; both callers use them. Behaviour is unchanged.

Result: the tests of shares, load probes, rate limits and the balancer pass with the linters.

--- a/src/mulberryquay/coordination/shares.py
+++ b/src/mulberryquay/coordination/shares.py
@@ -142,10 +142,7 @@
         count = self._region_counts.get(region)
         if count is None:
             count = max(
-                sum(
-                    self._regions.get(member) == region
-                    for member in entries.members
-                )
+                len(self._members_in(entries.members, region))
                 for entries in self._lists()
             )
             self._region_counts[region] = count
@@ -181,10 +178,12 @@
         ]
 
     def _near(self, members: Members, region: str) -> Members:
-        near = tuple(
+        return self._members_in(members, region) or members
+
+    def _members_in(self, members: Members, region: str) -> Members:
+        return tuple(
             member for member in members if self._regions.get(member) == region
         )
-        return near or members
 
     def _clear_caches(self) -> None:
         self._cache.clear()
--- a/src/mulberryquay/entry/balancer.py
+++ b/src/mulberryquay/entry/balancer.py
@@ -206,9 +206,7 @@
     def rate_limit_reports(self) -> dict[str, protocol.RateLimitReport]:
         """Returns the rate limits that control hosts have to learn, by name."""
         return {
-            name: protocol.RateLimitReport(
-                target.row.incarnation, target.rate_limit.per_s
-            )
+            name: _rate_limit_report(target)
             for name, target in self._targets.items()
             if target.rate_limit.has_report
         }
@@ -216,9 +214,7 @@
     def known_rate_limits(self) -> dict[str, protocol.RateLimitReport]:
         """Returns the rate limits in force, by name of their target."""
         return {
-            name: protocol.RateLimitReport(
-                target.row.incarnation, target.rate_limit.per_s
-            )
+            name: _rate_limit_report(target)
             for name, target in self._targets.items()
             if target.rate_limit.per_s is not None
         }
@@ -326,6 +322,14 @@
         return self._share_view.share(row.name, total)
 
 
+def _rate_limit_report(
+    target: targets.TargetState,
+) -> protocol.RateLimitReport:
+    return protocol.RateLimitReport(
+        target.row.incarnation, target.rate_limit.per_s
+    )
+
+
 def _log_target(event: str, row: protocol.TargetRow) -> None:
     _LOG.info(
         event,
