Decide in admission whether a stopping entry still takes a request

Cause: whether a request can end before a planned stop was checked in Exchange, while all other checks of a request before its body is read are in admission.

Change: admission.check_time_before_stop, called at the same place, so that order and outcomes are the same.

--- a/src/mulberryquay/entry/admission.py
+++ b/src/mulberryquay/entry/admission.py
@@ -93,6 +93,23 @@
         )
 
 
+def check_time_before_stop(
+    entry_state: state.EntryState, admitted: Admission
+) -> None:
+    """Raises RefusedError if the entry stops before the request can end."""
+    planned_stop = entry_state.planned_stop
+    if not planned_stop.has_begun:
+        return
+    queue = entry_state.balancer.queue_for(admitted.service.name)
+    if not planned_stop.leaves_time_for(
+        timeout=admitted.timeout_ms, usual=queue.usual_latency_ms
+    ):
+        raise outcomes.not_run(
+            outcomes.Reason.ENTRY_STOPPING,
+            'this entry stops before the request can end',
+        )
+
+
 def _find_account(
     entry_state: state.EntryState,
     head: http_heads.RequestHead,
--- a/src/mulberryquay/entry/exchange.py
+++ b/src/mulberryquay/entry/exchange.py
@@ -290,7 +290,7 @@
                 admitted.account
             )
         service = admitted.service
-        self._check_time_before_stop(admitted)
+        admission.check_time_before_stop(self._state, admitted)
         limit = self._wait_limit()
         self._wait_before_run(limit)
         body = self._body.read_replayable(service, limit)
@@ -312,19 +312,6 @@
             ),
         )
 
-    def _check_time_before_stop(self, admitted: admission.Admission) -> None:
-        """Raises RefusedError if the entry stops before the request can end."""
-        if not self._state.planned_stop.has_begun:
-            return
-        queue = self._state.balancer.queue_for(admitted.service.name)
-        if not self._state.planned_stop.leaves_time_for(
-            timeout=admitted.timeout_ms, usual=queue.usual_latency_ms
-        ):
-            raise outcomes.not_run(
-                outcomes.Reason.ENTRY_STOPPING,
-                'this entry stops before the request can end',
-            )
-
     def _wait_before_run(self, limit: wait_limit.WaitLimit) -> None:
         """Waits for the answers ahead if the request must not run beside.
 
