Share the end of a process and a due call among tests

Cause: the soak ended entries and control hosts in two copies of the same lines, and two tests of rate limits sent due calls in the same loop.

Change: Soak._end and _call_if_due.

--- a/testing/entry/test_rate_limit.py
+++ b/testing/entry/test_rate_limit.py
@@ -102,6 +102,17 @@
     CASE.assertEqual(set(outcomes), {'answered/none'})
 
 
+def _call_if_due(
+    limit: rate_limit.RateLimit, manual_clock: clock.ManualClock
+) -> list[float]:
+    """Sends a call if the limit allows one; returns when, if so."""
+    now = manual_clock.now()
+    if not limit.is_due(now):
+        return []
+    limit.begin_call(now)
+    return [now]
+
+
 @fixtures.hypothesis_settings(50)
 @hypothesis.given(strategies.integers(1, 40), strategies.floats(0.05, 60))
 def test_eager_entries_keep_the_rate_in_every_window(
@@ -124,9 +135,7 @@
     manual_clock.advance(_WINDOW_MS)
     for _ in range(int(_WINDOW_MS / 10)):
         for limit in limits:
-            if limit.is_due(manual_clock.now()):
-                limit.begin_call(manual_clock.now())
-                arrivals.append(manual_clock.now())
+            arrivals.extend(_call_if_due(limit, manual_clock))
         manual_clock.advance(10)
     allowed = per_s * _WINDOW_MS / clock.MS_PER_SECOND
     CASE.assertLessEqual(
@@ -337,9 +346,7 @@
                     members=members,
                 )
             )
-            if limit.is_due(manual_clock.now()):
-                limit.begin_call(manual_clock.now())
-                arrivals.append(manual_clock.now())
+            arrivals.extend(_call_if_due(limit, manual_clock))
         manual_clock.advance(10)
     allowed = _PER_S * _WINDOW_MS / clock.MS_PER_SECOND
     CASE.assertLessEqual(
--- a/testing/soak.py
+++ b/testing/soak.py
@@ -351,12 +351,7 @@
             return
         # As behind the platform's balancer, callers go elsewhere.
         self._entries.pop(planned.number)
-        if planned.fault is Fault.STOP_ENTRY:
-            process.send_signal(signal.SIGTERM)
-            self._exit_codes.append(process.wait())
-        else:
-            process.send_signal(signal.SIGKILL)
-            process.wait()
+        self._end(process, is_planned=planned.fault is Fault.STOP_ENTRY)
         self._start_entry(planned.number)
 
     def _disturb_target(self, planned: PlannedFault) -> None:
@@ -373,14 +368,15 @@
         if planned.fault is Fault.FREEZE_CONTROL:
             self._freeze(process)
             return
-        if planned.fault is Fault.STOP_CONTROL:
-            process.send_signal(signal.SIGTERM)
-            self._exit_codes.append(process.wait())
-        else:
-            process.send_signal(signal.SIGKILL)
-            process.wait()
+        self._end(process, is_planned=planned.fault is Fault.STOP_CONTROL)
         self._start_control_host(planned.number)
 
+    def _end(self, process: typing.Any, *, is_planned: bool) -> None:
+        process.send_signal(signal.SIGTERM if is_planned else signal.SIGKILL)
+        exit_code = process.wait()
+        if is_planned:
+            self._exit_codes.append(exit_code)
+
     def _freeze(self, process: typing.Any) -> None:
         process.send_signal(signal.SIGSTOP)
         gevent.sleep(self._rng.uniform(0, _LONGEST_FREEZE_S))
