Review: an answer without a length that a killed entry cuts short looks complete

The case kills one of three entries while backends send answers that have no length. The clients see an orderly end after 245,760 of 327,675 bytes of a signed 200.

--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -338,6 +338,8 @@
         self._server: socketserver.ThreadingTCPServer | None = None
         self._connections: set[socket.socket] = set()
         self.running = 0
+        #: Sends the answer to a request, if set; False ends the connection.
+        self.answer = None
 
     def start(self) -> None:
         """Begins a new lifetime under the same id."""
@@ -450,12 +452,11 @@
         self.running += 1
         time.sleep(self._work_s)
         self.running -= 1
-        self._answer(
-            handler,
-            200,
-            f'{self.name} {request_id}'.encode(),
-            {'X-Request-Id': request_id, 'X-Server-Signature': request_id},
-        )
+        own = {'X-Request-Id': request_id, 'X-Server-Signature': request_id}
+        if self.answer is not None:
+            return self.answer(handler, request_id, own)
+        body = f'{self.name} {request_id}'.encode()
+        self._answer(handler, 200, body, own)
         return True
 
     def _answer(self, handler, status: int, body: bytes, headers) -> None:
@@ -558,7 +559,7 @@
                         'match': {'path_prefix': '/p/'},
                         'action': {
                             'service': service,
-                            'timeout_s': 1.2,
+                            'timeout_s': routes[service].get('timeout_s', 1.2),
                             'attempts': 2,
                             'allowed_regions': [],
                         },
