Review: a request that crashes backends is stopped by each entry on its own

The case sends a request that crashes the backends that run it, on a route with allowed_regions, to six entries in turn.

--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -340,6 +340,8 @@
         self.running = 0
         #: Sends the answer to a request, if set; False ends the connection.
         self.answer = None
+        #: A path and what answers it instead, if set.
+        self.poison = None
 
     def start(self) -> None:
         """Begins a new lifetime under the same id."""
@@ -453,6 +455,8 @@
         time.sleep(self._work_s)
         self.running -= 1
         own = {'X-Request-Id': request_id, 'X-Server-Signature': request_id}
+        if self.poison is not None and path == self.poison[0]:
+            return self.poison[1](handler, request_id, own)
         if self.answer is not None:
             return self.answer(handler, request_id, own)
         body = f'{self.name} {request_id}'.encode()
