--- a/review/1/case.py
+++ b/review/1/case.py
@@ -100,12 +100,11 @@
         client.stop()
         for machine in hosts:
             log = machine.folder / 'log'
-            ends = [
-                line
+            is_writer_dead = any(
+                'GroupCommit._run' in line and 'failed with' in line
                 for line in log.read_text(errors='replace').splitlines()
-                if 'Error' in line and 'Traceback' not in line
-            ]
-            record.add(f'{machine.name} wrote: {ends[:3]}')
+            )
+            record.add(f'{machine.name}: disk writer ended: {is_writer_dead}')
         system.stop()
 
 
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -22,6 +22,7 @@
 import threading
 import time
 import tomllib
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOLDS, BROKEN, NOT_RUN = 0, 1, 2
@@ -591,14 +592,22 @@
 
 
 def main(case) -> None:
-    """Runs ``case(record, with_trouble)`` and exits with its verdict."""
+    """Runs ``case(record, with_trouble)`` and exits with its verdict.
+
+    The arguments are the folder of the case and the value of TROUBLE. An
+    error of the case itself is no verdict on the rule: it ends with NOT_RUN.
+    """
     folder = pathlib.Path(sys.argv[1])
+    with_trouble = sys.argv[2] != '0'
     record = Record(folder / 'record.txt')
-    with_trouble = os.environ.get('TROUBLE', '1') != '0'
+    record.add(f'TROUBLE={sys.argv[2]}')
+    signal.signal(signal.SIGTERM, _end)
+    signal.signal(signal.SIGINT, _end)
     try:
         verdict = case(record, with_trouble)
-    except (CannotRunError, OSError) as error:
+    except Exception as error:
         record.add(f'the case could not run: {error!r}')
+        traceback.print_exc()
         verdict = NOT_RUN
     record.add(f'exit status {verdict}')
     print(f'exit status {verdict}; see {folder.name}/record.txt')
@@ -606,6 +615,11 @@
     os._exit(verdict)
 
 
+def _end(number: int, _frame) -> None:
+    """Ends the case, and the processes that it started, at a signal."""
+    raise CannotRunError(f'got signal {number}')
+
+
 def _free_base(ip: str) -> int:
     """Returns the first of 30 ports that are free."""
     for _ in range(200):
