Refuse what cannot be encoded before the log has it; versions of any size

Cause: msgpack raises OverflowError above 64 bits. The leader added the change to its log in memory and encoded it afterwards, in the disk writer and the replication tasks, which expect only disk and network errors. They ended, and nothing starts them again; the next leader got the same order.

Change: a record is encoded when it is queued, so that one without an encoding is refused alone with a typed error (unencodable-value) and the log stays as it is. The writer reports an unexpected error and goes on. Whole numbers of any size have an encoding, as versions compare as their numbers do. The target cache's task had the same cause.

--- a/src/mulberryquay/control/target_cache.py
+++ b/src/mulberryquay/control/target_cache.py
@@ -12,11 +12,10 @@
 import typing
 
 import gevent
-import msgpack
 
 from mulberryquay import protocol
 from mulberryquay.control import directory
-from mulberryquay.coordination import clock, journal
+from mulberryquay.coordination import clock, journal, packing
 
 #: Shortest time between two writes.
 WRITE_INTERVAL_MS: typing.Final = 1500.0
@@ -57,7 +56,7 @@
     def load(self) -> None:
         """Adds the targets that were written before the restart."""
         try:
-            rows = msgpack.unpackb(self._path.read_bytes())
+            rows = packing.unpack(self._path.read_bytes())
             cached = [protocol.TargetRow(*row) for row in rows]
         except FileNotFoundError:
             return
@@ -68,9 +67,12 @@
             self._targets.merge_announced(row)
 
     def write(self) -> None:
-        """Writes all targets and syncs them; raises OSError."""
+        """Writes all targets and syncs them.
+
+        Raises OSError and UnencodableError.
+        """
         rows = [list(row) for row in self._targets.list_targets()]
-        body: bytes = msgpack.packb(rows)
+        body = packing.pack(rows)
         self._file_system.run(lambda: self._replace(body))
 
     def _run(self) -> None:
@@ -82,7 +84,7 @@
                 continue
             try:
                 self.write()
-            except OSError as error:
+            except (OSError, packing.UnencodableError) as error:
                 _LOG.warning(
                     'target cache not written', extra={'cause': str(error)}
                 )
--- a/src/mulberryquay/coordination/frames.py
+++ b/src/mulberryquay/coordination/frames.py
@@ -6,9 +6,7 @@
 import typing
 import zlib
 
-import msgpack
-
-from mulberryquay.coordination import errors
+from mulberryquay.coordination import errors, packing
 
 Record = typing.Any
 
@@ -54,8 +52,8 @@
 
 
 def encode(record: Record) -> bytes:
-    """Returns a record as one frame."""
-    body: bytes = msgpack.packb(record)
+    """Returns a record as one frame; raises UnencodableError."""
+    body = packing.pack(record)
     fields = _FIELDS.pack(len(body) | _CHECKED_HEADER, zlib.crc32(body))
     return fields + _CHECKSUM.pack(zlib.crc32(fields)) + body
 
@@ -79,7 +77,7 @@
         body = _body(content, offset, header)
         if body is None:
             return Decoded(records, offset)
-        records.append(msgpack.unpackb(body))
+        records.append(packing.unpack(body))
         offset += header.size + header.body_length
 
 
--- a/src/mulberryquay/coordination/group_commit.py
+++ b/src/mulberryquay/coordination/group_commit.py
@@ -2,17 +2,36 @@
 
 from __future__ import annotations
 
+import logging
 import typing
 
 import gevent
 from gevent import event, queue
 
-from mulberryquay.coordination import journal
+from mulberryquay.coordination import frames, journal
 
 #: Most records in one sync.
 _MAX_BATCH: typing.Final = 512
 
-_QueuedWrite = tuple[journal.Record, event.AsyncResult]
+_LOG: typing.Final = logging.getLogger(__name__)
+
+
+class _QueuedRecord(typing.NamedTuple):
+    """A record that waits to be appended."""
+
+    record: journal.Record
+    frame: bytes
+    synced: event.AsyncResult
+
+
+class _QueuedSnapshot(typing.NamedTuple):
+    """A snapshot that waits to be made and written."""
+
+    make: typing.Callable[[], typing.Any]
+    synced: event.AsyncResult
+
+
+_QueuedWrite = _QueuedRecord | _QueuedSnapshot
 
 
 @typing.final
@@ -36,18 +55,29 @@
         self._task = gevent.spawn(self._run)
 
     def commit(self, record: journal.Record) -> None:
-        """Returns once ``record`` is synced; raises JournalFailedError."""
+        """Returns once ``record`` is synced.
+
+        Raises JournalFailedError and UnencodableError.
+        """
         self.begin(record).get()
 
     def begin(self, record: journal.Record) -> event.AsyncResult:
-        """Queues ``record`` without yielding; the result is set once synced."""
+        """Queues ``record`` without yielding; the result is set once synced.
+
+        Raises UnencodableError, and queues nothing then.
+        """
         synced: event.AsyncResult = event.AsyncResult()
-        self._pending.put((record, synced))
+        self._pending.put(_QueuedRecord(record, frames.encode(record), synced))
         return synced
 
     def compact(self, make_snapshot: typing.Callable[[], typing.Any]) -> None:
-        """Replaces all earlier records with a snapshot taken between writes."""
-        self.begin(make_snapshot).get()
+        """Replaces all earlier records with a snapshot taken between writes.
+
+        Raises JournalFailedError.
+        """
+        synced: event.AsyncResult = event.AsyncResult()
+        self._pending.put(_QueuedSnapshot(make_snapshot, synced))
+        synced.get()
 
     def close(self) -> None:
         """Stops the task and closes the journal."""
@@ -62,21 +92,37 @@
             self._write(batch)
 
     def _write(self, batch: list[_QueuedWrite]) -> None:
-        records = [record for record, _ in batch if not callable(record)]
-        snapshots = [record for record, _ in batch if callable(record)]
         try:
-            if snapshots and self._log.has_failed:
-                # A failed journal is usable again only in new files.
-                self._log.compact(snapshots.pop()())
-            if records:
-                self._log.append(records)
-                for written in records:
-                    self._apply(written)
-            if snapshots:
-                self._log.compact(snapshots[-1]())
+            self._write_all(batch)
         except journal.JournalFailedError as error:
-            for _record, failed in batch:
-                failed.set_exception(error)
-            return
-        for _written, synced in batch:
-            synced.set(None)
+            _fail(batch, error)
+        except Exception as error:
+            # Without this task every later write would wait for ever.
+            _LOG.exception('disk write ended with an unexpected error')
+            _fail(batch, journal.JournalFailedError(f'got {error!r}'))
+        else:
+            for written in batch:
+                written.synced.set(None)
+
+    def _write_all(self, batch: list[_QueuedWrite]) -> None:
+        """Writes the records of a batch and the newest of its snapshots."""
+        records = [write for write in batch if isinstance(write, _QueuedRecord)]
+        snapshots = [
+            write for write in batch if isinstance(write, _QueuedSnapshot)
+        ]
+        if snapshots and self._log.has_failed:
+            # A failed journal is usable again only in new files.
+            self._log.compact(snapshots.pop().make())
+        if records:
+            self._log.append_frames([write.frame for write in records])
+            for written in records:
+                self._apply(written.record)
+        if snapshots:
+            self._log.compact(snapshots[-1].make())
+
+
+def _fail(
+    batch: typing.Iterable[_QueuedWrite], error: journal.JournalFailedError
+) -> None:
+    for failed in batch:
+        failed.synced.set_exception(error)
--- a/src/mulberryquay/coordination/journal.py
+++ b/src/mulberryquay/coordination/journal.py
@@ -150,14 +150,24 @@
         return Recovered(snapshot, records, len(body) - good_bytes)
 
     def append(self, records: typing.Sequence[Record]) -> None:
-        """Writes and syncs ``records`` together; raises JournalFailedError."""
+        """Writes and syncs ``records`` together.
+
+        Raises JournalFailedError, and UnencodableError before any is written.
+        """
+        self.append_frames([frames.encode(record) for record in records])
+
+    def append_frames(self, encoded: typing.Sequence[bytes]) -> None:
+        """Appends records that `frames.encode` has encoded.
+
+        Raises JournalFailedError.
+        """
         self._check_usable()
-        body = b''.join(frames.encode(record) for record in records)
+        body = b''.join(encoded)
         try:
             self._file_system.run(lambda: self._write_synced(body))
         except OSError as error:
             self._fail(error)
-        self._record_count += len(records)
+        self._record_count += len(encoded)
 
     def compact(self, snapshot: Record) -> None:
         """Replaces all records with ``snapshot``; raises JournalFailedError.
--- a/src/mulberryquay/coordination/replication/leadership.py
+++ b/src/mulberryquay/coordination/replication/leadership.py
@@ -70,7 +70,10 @@
         gevent.spawn(self._watch_quorum)
 
     def propose(self, record: typing.Any) -> log.Entry:
-        """Appends a record, which is committed once a majority synced it."""
+        """Appends a record, which is committed once a majority synced it.
+
+        Raises UnencodableError, and appends nothing then.
+        """
         return self._add_entry(log.RECORD, record)
 
     def change_members(self, members: log.Members) -> None:
@@ -126,8 +129,9 @@
             kind,
             content,
         )
-        replica_state.log.append(entry)
+        # First, because it refuses a log entry that cannot be encoded.
         synced = replica_state.disk.save_entries([entry])
+        replica_state.log.append(entry)
         gevent.spawn(self._wait_synced, entry, synced)
         self._work_signal.notify()
         return entry
--- a/src/mulberryquay/coordination/replication/replica.py
+++ b/src/mulberryquay/coordination/replication/replica.py
@@ -187,7 +187,8 @@
     def propose(self, record: typing.Any, *, timeout: float) -> None:
         """Returns once ``record`` is committed and applied here.
 
-        Raises NoQuorumError: the record may still be committed later.
+        Raises UnencodableError, and NoQuorumError, after which the record may
+        still be committed.
         """
         leading = self._leading
         if leading is None or not leading.is_current:
--- a/src/mulberryquay/coordination/wire.py
+++ b/src/mulberryquay/coordination/wire.py
@@ -12,7 +12,7 @@
 import msgpack
 from gevent import lock, socket
 
-from mulberryquay.coordination import clock, errors, read_turn, units
+from mulberryquay.coordination import clock, errors, packing, read_turn, units
 
 _READ_BYTES: typing.Final = 65536
 _MAX_MESSAGE_BYTES: typing.Final = units.MAX_BODY_BYTES
@@ -63,13 +63,14 @@
         return [self._tags[type(message)], *message]
 
     def encode(self, message: tuple[typing.Any, ...]) -> bytes:
-        """Returns the message as one msgpack array."""
-        body: bytes = msgpack.packb(self.fields_of(message))
+        """Returns the message as one msgpack array.
+
+        Raises UnencodableError.
+        """
+        body = packing.pack(self.fields_of(message))
         if len(body) < _COMPRESS_BYTES:
             return body
-        packed = msgpack.ExtType(_COMPRESSED, zlib.compress(body))
-        compressed: bytes = msgpack.packb(packed)
-        return compressed
+        return packing.pack(msgpack.ExtType(_COMPRESSED, zlib.compress(body)))
 
     def _type_of(self, tag: int) -> type:
         if tag < 0:
@@ -97,7 +98,7 @@
             raise ProtocolError(
                 f'got a message of more than {_MAX_MESSAGE_BYTES} bytes',
             )
-        return msgpack.unpackb(body)
+        return packing.unpack(body)
     except (zlib.error, ValueError, msgpack.UnpackException) as error:
         raise ProtocolError(f'got a damaged message: {error}') from error
 
@@ -147,12 +148,13 @@
             max_buffer_size=_MAX_MESSAGE_BYTES,
             max_array_len=_MAX_ELEMENTS,
             max_map_len=_MAX_ELEMENTS,
+            ext_hook=packing.decode_extension,
         )
         self.bytes_sent = 0
         self.bytes_received = 0
 
     def send(self, message: tuple[typing.Any, ...]) -> None:
-        """Sends one message; raises StreamClosedError."""
+        """Sends one message; raises StreamClosedError and UnencodableError."""
         body = self._codec.encode(message)
         try:
             with self._send_lock:
--- a/testing/coordination/replication/test_replica.py
+++ b/testing/coordination/replication/test_replica.py
@@ -10,6 +10,7 @@
 
 import gevent
 
+from mulberryquay.coordination import packing
 from mulberryquay.coordination.replication import messages
 from testing import fixtures
 from testing.coordination.replication import world as world_module
@@ -199,6 +200,25 @@
         )
 
 
+def test_record_without_encoding_is_refused_and_stops_no_replica() -> None:
+    """Guards against a record in the log that no replica can write or send.
+
+    The leader's disk writer and its replication tasks ended on it, and so did
+    those of each next leader. Issue 34.
+    """
+    with _world() as world:
+        _wait_until_converged(world)
+        leader = world.leader
+        assert leader is not None
+        assert leader.replica is not None
+        with CASE.assertRaises(packing.UnencodableError):
+            leader.replica.propose('\ud800', timeout=world_module.CALL_MS)
+        _propose(world, 2)
+        CASE.assertEqual(len(world.acknowledged), 2)
+        CASE.assertIs(world.leader, leader)
+        _wait_until_converged(world)
+
+
 def test_full_disks_acknowledge_nothing_and_the_group_recovers() -> None:
     """Records that no majority can sync must not be acknowledged."""
     with _world() as world:
--- a/testing/platform_adapter/test_calls.py
+++ b/testing/platform_adapter/test_calls.py
@@ -114,6 +114,27 @@
         CASE.assertEqual(platform.daemon.store.revision, revision)
 
 
+def test_configuration_with_a_version_of_any_size_is_put_and_read_back() -> (
+    None
+):
+    """Guards against a valid version above 64 bits that stops control hosts.
+
+    Versions compare as their numbers do, whatever their size. Issue 34.
+    """
+    with _platform() as platform:
+        versions = (7, 1 << 64, 20261205084714000001, 10**300)
+        for version in versions:
+            document = samples.configuration(version)
+            CASE.assertEqual(platform.put(document), 200)
+            CASE.assertEqual(platform.read_configuration(), document)
+        CASE.assertEqual(platform.put(samples.configuration(1 << 64)), 200)
+        CASE.assertEqual(
+            platform.read_configuration()['version'], f'r{versions[-1]}'
+        )
+        path = '/evacuation/south-1/start'
+        CASE.assertEqual(platform.call('POST', path)[0], 200)
+
+
 def test_refused_configuration_changes_nothing() -> None:
     """Guards against applying only the valid parts of a configuration."""
     with _platform() as platform:
