Frame answers without a length so that the end of their entry shows

Cause: the entry kept the target's framing. The end of a connection tells that an answer is complete only if its sender closed it, but the system closes the connections of a killed process in the same way. A planned stop that runs into its timeout did the same, and so did answers in chunks to HTTP/1.0 callers.

Change: HTTP/1.1 callers get chunks, which lack their last one then. HTTP/1.0 has no chunks: until all is sent, the end of the connection resets it, which holds for a killed process too.

--- a/src/mulberryquay/entry/answers.py
+++ b/src/mulberryquay/entry/answers.py
@@ -7,6 +7,7 @@
 import typing
 from http import HTTPStatus
 
+from mulberryquay import sockets
 from mulberryquay.coordination import errors, wait_limit
 from mulberryquay.entry import (
     header_names,
@@ -16,6 +17,10 @@
     outcomes,
 )
 
+#: The framings whose end the head tells.
+_SIZED_FRAMINGS: typing.Final = frozenset(
+    (http_heads.Framing.NONE, http_heads.Framing.LENGTH),
+)
 _CONNECTION_CLOSE: typing.Final = (b'connection', b'close')
 _HEADER_VALUES: typing.Final[dict[enum.Enum, bytes]] = {
     member: member.value.encode()
@@ -75,18 +80,27 @@
     target's answer ended early or the deadline passed before its end.
     """
     framing = _framing_for(context.head, received.head)
+    ends_with_connection = framing is http_heads.Framing.UNTIL_CLOSE
+    # A caller may read an answer without a length until the connection ends.
+    is_unsized = received.head.framing is http_heads.Framing.UNTIL_CLOSE
     keeps_alive = context.keeps_alive
-    if framing is http_heads.Framing.UNTIL_CLOSE:
+    if ends_with_connection or is_unsized:
         keeps_alive = False
         context = context._replace(keeps_alive=False)
     encoded_head = _encode_head(context, received, framing)
     if received.body is not None:
         http_heads.send_all(connection, encoded_head + received.body)
         return keeps_alive
+    if ends_with_connection:
+        # Unless reset, the caller takes the end of this process for the end
+        # of the answer.
+        sockets.set_reset_on_close(connection, is_reset=True)
     http_heads.send_all(connection, encoded_head)
     if framing is not http_heads.Framing.NONE:
         _send_body(connection, received, framing, limit)
         connection.settimeout(wait_limit.STALL_TIMEOUT_S)
+    if ends_with_connection:
+        sockets.set_reset_on_close(connection, is_reset=False)
     return keeps_alive
 
 
@@ -139,12 +153,19 @@
     request: http_heads.RequestHead,
     answer: http_heads.ResponseHead,
 ) -> http_heads.Framing:
+    """Returns the framing towards the caller.
+
+    The end of a connection is no framing for an HTTP/1.1 caller: the system
+    closes the connections of a killed process, and the caller would take a
+    part of the answer for all of it.
+    """
     if request.method == b'HEAD':
         return http_heads.Framing.NONE
-    is_chunked = answer.framing is http_heads.Framing.CHUNKED
-    if is_chunked and request.is_http_one_zero:
+    if answer.framing in _SIZED_FRAMINGS:
+        return answer.framing
+    if request.is_http_one_zero:
         return http_heads.Framing.UNTIL_CLOSE
-    return answer.framing
+    return http_heads.Framing.CHUNKED
 
 
 def _encode_head(
--- a/src/mulberryquay/entry/caller.py
+++ b/src/mulberryquay/entry/caller.py
@@ -10,12 +10,12 @@
 import logging
 import math
 import select
-import struct
 import typing
 
 import gevent
 from gevent import event, socket
 
+from mulberryquay import sockets
 from mulberryquay.coordination import errors, read_turn, units, wait_limit
 from mulberryquay.entry import (
     answer_row,
@@ -38,7 +38,6 @@
 _READABLE: typing.Final = 1
 
 _LOG: typing.Final = logging.getLogger(__name__)
-_SO_LINGER_RESET: typing.Final = struct.pack('ii', 1, 0)
 
 
 @typing.final
@@ -318,11 +317,7 @@
             if is_graceful:
                 self._discard_unread_input()
             else:
-                self._socket.setsockopt(
-                    socket.SOL_SOCKET,
-                    socket.SO_LINGER,
-                    _SO_LINGER_RESET,
-                )
+                sockets.set_reset_on_close(self._socket, is_reset=True)
         except OSError as error:
             _LOG.debug(
                 'caller had already closed the connection',
--- a/src/mulberryquay/sockets.py
+++ b/src/mulberryquay/sockets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import struct
 import typing
 
 from gevent import pool, server, socket
@@ -10,6 +11,10 @@
 
 _BACKLOG: typing.Final = 1024
 
+#: SO_LINGER with a timeout of 0 s: closing the socket sends a reset.
+_LINGER_ZERO: typing.Final = struct.pack('ii', 1, 0)
+_NO_LINGER: typing.Final = struct.pack('ii', 0, 0)
+
 
 @typing.final
 class DrainingServer(server.StreamServer):
@@ -72,6 +77,18 @@
     return listener
 
 
+def set_reset_on_close(connection: typing.Any, *, is_reset: bool) -> None:
+    """Sets whether the end of a socket resets the connection.
+
+    It does so too if the process is killed. Raises OSError.
+    """
+    connection.setsockopt(
+        socket.SOL_SOCKET,
+        socket.SO_LINGER,
+        _LINGER_ZERO if is_reset else _NO_LINGER,
+    )
+
+
 def address_of(configured_address: str, listener: typing.Any) -> str:
     """Returns the address of a listener with the port it is bound to."""
     host = settings.parse_address(configured_address)[0]
--- a/src/mulberryquay/standin/target.py
+++ b/src/mulberryquay/standin/target.py
@@ -24,7 +24,8 @@
     """The answer that a handler returns.
 
     If ``raw`` is set, these bytes are sent instead of an encoded answer;
-    then the connection is closed, or reset if ``resets`` is set.
+    then the connection is closed, or reset if ``resets`` is set, after a
+    pause of ``pause_ms``.
     """
 
     status: int = 200
@@ -32,6 +33,7 @@
     headers: typing.Sequence[tuple[bytes, bytes]] = ()
     raw: bytes | None = None
     resets: bool = False
+    pause_ms: float = 0
 
 
 class ReceivedRequest(typing.NamedTuple):
@@ -118,6 +120,7 @@
             self.in_flight -= 1
         if answer.raw is not None:
             connection.sendall(answer.raw)
+            self._clock.sleep(answer.pause_ms)
             if answer.resets:
                 connection.setsockopt(
                     socket.SOL_SOCKET,
--- a/testing/test_processes.py
+++ b/testing/test_processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 import signal
 import subprocess
 import sys
@@ -191,6 +192,81 @@
         CASE.assertEqual(entry.process.returncode, 0)
 
 
+#: Beginnings of answers, by the path of their request.
+_BEGINNINGS: typing.Final = {
+    b'/stock/unsized': b'HTTP/1.1 200 OK\r\n\r\nhello',
+    b'/stock/chunked': (
+        b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n'
+    ),
+    b'/stock/length': (
+        b'HTTP/1.1 200 OK\r\ncontent-length: 10000000\r\n\r\nhello'
+    ),
+}
+_VERSIONS: typing.Final = (b'HTTP/1.1', b'HTTP/1.0')
+_END_SIGNALS: typing.Final = (signal.SIGKILL, signal.SIGTERM)
+
+
+def _read_to_end(connection: typing.Any) -> bytes:
+    received = b''
+    while chunk := connection.recv(messages.READ_BYTES):
+        received += chunk
+    return received
+
+
+def _is_cut_answer_noticed(
+    entry: processes.EntryProcess,
+    start_line: bytes,
+    end_signal: signal.Signals,
+) -> bool:
+    """Ends an entry while it sends an answer; whether its caller notices."""
+    connection = socket.create_connection(('127.0.0.1', entry.port))
+    connection.settimeout(fixtures.TIMEOUT_S)
+    connection.sendall(b'%b\r\nHost: test\r\n\r\n' % start_line)
+    received = b''
+    while not received.endswith((b'hello', b'hello\r\n')):
+        received += connection.recv(messages.READ_BYTES)
+    entry.process.send_signal(end_signal)
+    try:
+        received += _read_to_end(connection)
+    except ConnectionResetError:
+        return True
+    finally:
+        connection.close()
+    head, _, body = received.lower().partition(b'\r\n\r\n')
+    if b'\r\ntransfer-encoding: chunked' in head:
+        return not body.endswith(b'0\r\n\r\n')
+    return b'\r\ncontent-length: ' in head and len(body) < 10_000_000
+
+
+def test_answer_cut_by_the_end_of_its_entry_does_not_look_complete() -> None:
+    """Guards against a part of an answer that callers take for all of it.
+
+    The entry is killed, or stopped while its target has paused; an answer
+    without a length looked complete. Issue 34.
+    """
+
+    def begin_answer(request: target.ReceivedRequest) -> target.Answer:
+        return target.Answer(
+            raw=_BEGINNINGS[request.head.path], pause_ms=60_000
+        )
+
+    with fixtures.folder() as folder, contextlib.ExitStack() as stack:
+        _process, line = stack.enter_context(processes.control(folder))
+        api_port, feed_port = fixtures.parse_ports(line)
+        stack.enter_context(_stock_service(api_port, begin_answer))
+        for path, version, end_signal in itertools.product(
+            _BEGINNINGS, _VERSIONS, _END_SIGNALS
+        ):
+            start_line = b'GET %b %b' % (path, version)
+            with processes.entry(
+                feed_port, arguments=['--stop_timeout_ms=100']
+            ) as entry:
+                CASE.assertTrue(
+                    _is_cut_answer_noticed(entry, start_line, end_signal),
+                    f'{start_line!r}, {end_signal.name}',
+                )
+
+
 class CallResults(typing.NamedTuple):
     """Outcomes of the answered requests and errors of the others."""
 
