Do not carry out an order whose caller has left, or that a newer one overtook

A control host had been frozen when the "end" was sent to it.

Cause: the order names no version, and the leader gave it the next one, so its place was that of its arrival, however late. The woken host read a call whose caller had closed the connection seconds ago, and nobody looked.

Change: evacuations, their ends and deregistrations are refused once their caller has closed the connection. An order names the version that it replaces, read before that look at the caller and confirmed by a majority, so that every order which the caller sends later makes the leader refuse the held one, wherever it was held. Without the leader's check the second new test fails.

--- a/src/mulberryquay/control/host_protocol.py
+++ b/src/mulberryquay/control/host_protocol.py
@@ -39,14 +39,13 @@
 
 
 class SetDomainState(typing.NamedTuple):
-    """Takes a failure domain out of service or returns it to service.
-
-    The order names no version: the leader uses the next one.
-    """
+    """Takes a failure domain out of service or returns it to service."""
 
     domain: str
     region: str
     state: str
+    #: The version that the order replaces; 0 if the domain has none.
+    replaced_version: int
 
 
 class EndTarget(typing.NamedTuple):
--- a/src/mulberryquay/control/orders.py
+++ b/src/mulberryquay/control/orders.py
@@ -33,6 +33,14 @@
 _LOG: typing.Final = logging.getLogger(__name__)
 
 
+@typing.final
+class OutdatedOrderError(errors.MulberryquayError):
+    """Another order has changed the resource since this one was received."""
+
+    code = 'outdated-order'
+    http_status = 503
+
+
 @typing.final
 class Orders:
     """Runs orders one at a time, here or at the leading host."""
@@ -62,7 +70,34 @@
         Raises NoQuorumError if that is not certain in time, and the typed
         errors of the order.
         """
+        return self._execute_until(order, self._clock.now() + ORDER_TIMEOUT_MS)
+
+    def set_domain_state(
+        self,
+        domain: str,
+        region: str,
+        domain_state: str,
+        *,
+        check_caller: typing.Callable[[], None],
+    ) -> list[typing.Any]:
+        """Executes `SetDomainState` unless its caller has left before.
+
+        A host that was frozen may read an order long after its caller sent
+        it to another host, and newer orders after that. ``check_caller``
+        raises if the caller has left. Any order that a caller sends later
+        replaces the version that is read before this check, so that this
+        one is refused then, with OutdatedOrderError.
+        """
         deadline = self._clock.now() + ORDER_TIMEOUT_MS
+        self._replica.read_barrier(timeout=ORDER_TIMEOUT_MS)
+        version = self._domain_version(domain)
+        check_caller()
+        order = host_protocol.SetDomainState(
+            domain, region, domain_state, version
+        )
+        return self._execute_until(order, deadline)
+
+    def _execute_until(self, order: Order, deadline: float) -> list[typing.Any]:
         while True:
             if self._replica.is_leader:
                 return self.decide(order, deadline)
@@ -110,6 +145,10 @@
         deadline: float,
     ) -> list[typing.Any]:
         remaining = deadline - self._clock.now() - _REPLY_MARGIN_MS
+        if remaining <= 0:
+            raise state.NoQuorumError(
+                'no time was left to ask the leader; send the order again',
+            )
         try:
             answer = self._network.call(address, order, timeout=remaining)
         except rpc.RemoteError:
@@ -151,24 +190,30 @@
         self,
         order: host_protocol.SetDomainState,
     ) -> store.Resource:
-        kind = kinds.FAILURE_DOMAIN
-        version = 1
-        try:
-            current = self._store.get(kind, order.domain)
-        except errors.NotFoundError:
-            version = 1
-        else:
-            is_same = current.spec and current.spec['state'] == order.state
-            if is_same:
+        current = self._find_domain(order.domain)
+        if current is not None and current.spec is not None:
+            if current.spec['state'] == order.state:
                 return current
-            version = current.version + 1
+        version = self._domain_version(order.domain)
+        if version != order.replaced_version:
+            raise OutdatedOrderError(
+                f'{order.domain!r}: got an order that replaces version '
+                f'{order.replaced_version}, expected {version}; send it again',
+            )
         return self._store.put(
-            kind,
+            kinds.FAILURE_DOMAIN,
             order.domain,
-            version=version,
+            version=version + 1,
             spec={'region': order.region, 'state': order.state},
         )
 
+    def _domain_version(self, domain: str) -> int:
+        current = self._find_domain(domain)
+        return 0 if current is None else current.version
+
+    def _find_domain(self, domain: str) -> store.Resource | None:
+        return self._store.find(kinds.FAILURE_DOMAIN, domain)
+
 
 def _log_order(order: Order, decision: str, term: int) -> None:
     """Logs the decision on an order, without documents and specs."""
--- a/src/mulberryquay/coordination/store.py
+++ b/src/mulberryquay/coordination/store.py
@@ -133,6 +133,10 @@
             raise errors.NotFoundError(f'there is no {kind} {name!r}')
         return resource
 
+    def find(self, kind: str, name: str) -> Resource | None:
+        """Returns the newest change of a resource, also a delete."""
+        return self._resources.get((kind, name))
+
     def list_kind(self, kind: str) -> list[Resource]:
         """Returns the live resources of a kind, sorted by name."""
         return [
--- a/src/mulberryquay/sockets.py
+++ b/src/mulberryquay/sockets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import select
 import struct
 import typing
 
@@ -89,6 +90,14 @@
     )
 
 
+def is_closed_by_peer(connection: typing.Any) -> bool:
+    """Whether the peer has closed a connection, or its side of it."""
+    poll = select.poll()
+    # Not POLLIN: bytes that were not read may come before the end.
+    poll.register(connection.fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 def address_of(configured_address: str, listener: typing.Any) -> str:
     """Returns the address of a listener with the port it is bound to."""
     host = settings.parse_address(configured_address)[0]
--- a/src/mulberryquay/web.py
+++ b/src/mulberryquay/web.py
@@ -11,6 +11,7 @@
 from gevent import monkey, pywsgi
 
 from mulberryquay import metrics as metrics_module
+from mulberryquay import sockets
 from mulberryquay.coordination import (
     clock,
     errors,
@@ -132,6 +133,18 @@
         ) from error
 
 
+def check_caller_waits() -> None:
+    """Raises CallerLeftError if the caller has closed its connection.
+
+    It may have given the request up and sent it elsewhere, and newer ones
+    after it.
+    """
+    if bottle.request.environ[_INPUT_KEY].is_closed_by_peer:
+        raise CallerLeftError(
+            'the caller has closed its connection; the request was not run',
+        )
+
+
 def query_integer(name: str, *, default: int | None = None) -> int:
     """Returns an integer query parameter; raises InvalidInputError."""
     text = bottle.request.query.get(name)
@@ -153,6 +166,14 @@
     return server
 
 
+@typing.final
+class CallerLeftError(errors.MulberryquayError):
+    """The caller does not wait for the answer any more."""
+
+    code = 'caller-left'
+    http_status = 503
+
+
 @typing.final
 class RequestTooLargeError(OSError):
     """A peer sent more bytes than a request may have."""
@@ -185,6 +206,11 @@
         #: Set by the first byte of a request.
         self._wait_limit: wait_limit.WaitLimit | None = None
 
+    @property
+    def is_closed_by_peer(self) -> bool:
+        """Whether the peer sends nothing more on the connection."""
+        return sockets.is_closed_by_peer(self._socket)
+
     def begin_request(self) -> None:
         """Starts the limits of the next request and lets other tasks run."""
         self._remaining = _MAX_OVERHEAD_BYTES
--- a/testing/control/test_group.py
+++ b/testing/control/test_group.py
@@ -132,6 +132,51 @@
         CASE.assertEqual(len(set(seen)), 1)
 
 
+def _set_domain(
+    host: fixtures.Control,
+    domain_state: str,
+    check_caller: typing.Callable[[], None] | None = None,
+) -> None:
+    """Sends an order once a leader is known to the host."""
+    orders = host.daemon.cluster.orders
+    fixtures.wait_until(lambda: host.daemon.cluster.replica.leader_address)
+    orders.set_domain_state(
+        'north-1',
+        'north',
+        domain_state,
+        check_caller=check_caller or _find_caller_waiting,
+    )
+
+
+def _find_caller_waiting() -> None:
+    """Finds that the caller of an order still waits."""
+
+
+def _return_and_take_out(host: fixtures.Control) -> None:
+    _set_domain(host, 'in')
+    _set_domain(host, 'out')
+
+
+def test_order_that_its_host_held_does_not_undo_a_newer_one() -> None:
+    """Guards against a frozen host that carries out an order when it wakes.
+
+    Meanwhile the caller has sent the order to another host, and a newer one
+    after it; the domain was in service again. Issue 34.
+    """
+    with _group() as hosts:
+        for held_by in hosts:
+            other = hosts[hosts.index(held_by) - 1]
+            _set_domain(other, 'out')
+            newer_orders = functools.partial(_return_and_take_out, other)
+            with CASE.assertRaises(errors.MulberryquayError) as refused:
+                _set_domain(held_by, 'in', newer_orders)
+            CASE.assertEqual(refused.exception.code, 'outdated-order')
+            other.daemon.cluster.wait_until_current()
+            domain = other.daemon.store.get('failure-domains', 'north-1')
+            CASE.assertEqual(domain.spec, {'region': 'north', 'state': 'out'})
+            _set_domain(held_by, 'in')
+
+
 def test_announcement_and_end_of_a_target_reach_all_hosts() -> None:
     """Guards against hosts that miss what a target sent to another host."""
     with _group() as hosts:
--- a/testing/coordination/test_group_commit.py
+++ b/testing/coordination/test_group_commit.py
@@ -67,7 +67,10 @@
 
     with _writer() as (commits, applied):
         for make_snapshot in (fail, lambda: _UNENCODABLE):
-            with CASE.assertRaises(journal.JournalFailedError):
+            with (
+                CASE.assertLogs(group_commit.__name__, 'ERROR'),
+                CASE.assertRaises(journal.JournalFailedError),
+            ):
                 commits.compact(make_snapshot)
         commits.commit(['later', 1])
         commits.compact(lambda: ['state'])
--- a/testing/platform_adapter/test_calls.py
+++ b/testing/platform_adapter/test_calls.py
@@ -10,6 +10,7 @@
 from unittest import mock
 
 import urllib3
+from gevent import socket
 
 from mulberryquay import settings
 from mulberryquay.control import daemon as control_daemon
@@ -230,6 +231,40 @@
         CASE.assertEqual(names, ['i-1'])
 
 
+def _send_and_leave(platform: _PlatformClient, path: str) -> None:
+    """Sends a call whose caller has left before the control host reads it."""
+    port = platform.daemon.api_port
+    with socket.create_connection(('127.0.0.1', port)) as connection:
+        connection.sendall(fixtures.request_bytes(path, method='POST'))
+    # Each later call is answered after the first one was read.
+    for _ in range(20):
+        platform.call('GET', '/healthz')
+
+
+def test_call_whose_caller_has_left_changes_nothing() -> None:
+    """Guards against calls that a frozen control host reads when it wakes.
+
+    Their callers have sent them to other hosts, and newer ones after them.
+    Issue 34.
+    """
+    with _platform() as platform:
+        platform.send_heartbeat('i-1')
+        platform.call('POST', '/evacuation/south-1/start')
+        for path in (
+            '/evacuation/south-1/end',
+            '/evacuation/north-1/start',
+            '/instances/i-1/deregister',
+        ):
+            _send_and_leave(platform, path)
+        store = platform.daemon.store
+        domains = store.list_kind('failure-domains')
+        CASE.assertEqual(
+            [(domain.name, domain.spec) for domain in domains],
+            [('south-1', {'region': 'south', 'state': 'out'})],
+        )
+        CASE.assertFalse(platform.daemon.targets.get('i-1').is_leaving)
+
+
 def test_zone_is_taken_out_and_back_whatever_was_sent_before() -> None:
     """Guards against refusing a repeated evacuation order."""
     with _platform() as platform:
