Refuse announcements and configurations that later steps cannot hold

Other operators report odd entries that end what reads the list of targets. It happens here: an address with an IPv6 zone of half a character got 200 and ended the task that writes to the entry (Feed._write, UnicodeEncodeError); the entry lost its lease. A zone that is no name makes connecting raise an error that nothing expected.

Cause: the checks at the boundary let through what has no encoding or is no address, and RecursionError is no ValueError.

The fuzz of configurations checks that what is accepted can be stored.

--- a/src/mulberryquay/control/announcements.py
+++ b/src/mulberryquay/control/announcements.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ipaddress
+import re
 import typing
 
 from mulberryquay import protocol
@@ -11,6 +12,7 @@
 _MAX_SLOTS: typing.Final = 10_000
 _MAX_CONNECTIONS: typing.Final = 1_000_000
 _MAX_PORT: typing.Final = 65535
+_PORT_PATTERN: typing.Final = re.compile('[1-9][0-9]{0,4}')
 _MAX_STATUS: typing.Final = 599
 
 #: The ``cold_ms`` of a target that does not report whether it is cold.
@@ -56,12 +58,21 @@
 
 def _check_address(address: str) -> None:
     host, _, port = address.rpartition(':')
-    try:
-        ipaddress.ip_address(host.strip('[]'))
-    except ValueError:
-        port = ''
-    if not port.isdecimal() or not 0 < int(port) <= _MAX_PORT:
+    if not _is_ip_address(host.strip('[]')) or not _is_port(port):
         raise schema.InvalidResourceError(
             f'announcement.address: got {address!r}, expected an IP address '
             'and a port such as 10.0.0.7:8080',
         )
+
+
+def _is_ip_address(host: str) -> bool:
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    # The zone of an IPv6 address may be any text and has no meaning elsewhere.
+    return '%' not in host
+
+
+def _is_port(text: str) -> bool:
+    return bool(_PORT_PATTERN.fullmatch(text)) and int(text) <= _MAX_PORT
--- a/src/mulberryquay/control/configuration.py
+++ b/src/mulberryquay/control/configuration.py
@@ -59,9 +59,11 @@
         raise InvalidConfigurationError(
             f'got resource {resource!r}, expected kind, name and spec',
         )
-    kind = resource.get('kind')
-    name = resource.get('name')
-    if kind not in kinds.CONFIGURED or not isinstance(name, str) or not name:
+    kind: typing.Any = resource.get('kind')
+    name: typing.Any = resource.get('name')
+    is_named = isinstance(name, str) and name and schema.is_unicode(name)
+    is_configured = isinstance(kind, str) and kind in kinds.CONFIGURED
+    if not is_configured or not is_named:
         raise InvalidConfigurationError(
             f'got {kind!r} {name!r}, expected a name and one of the kinds '
             f'{", ".join(sorted(kinds.CONFIGURED))}',
--- a/src/mulberryquay/coordination/schema.py
+++ b/src/mulberryquay/coordination/schema.py
@@ -71,6 +71,15 @@
 Fields = typing.Mapping[str, Field]
 
 
+def is_unicode(text: str) -> bool:
+    """Whether a text is valid Unicode: JSON may escape half a character."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def check_name(name: typing.Any, *, label: str) -> str:
     """Returns a valid resource name; raises InvalidResourceError.
 
@@ -132,6 +141,8 @@
         return field.default
     if not isinstance(given, str) or not given:
         _raise_invalid(given, 'a non-empty string', label=label)
+    if not is_unicode(given):
+        _raise_invalid(given, 'valid Unicode', label=label)
     if field.choices and given not in field.choices:
         _raise_invalid(
             given, f'one of: {", ".join(field.choices)}', label=label
@@ -174,6 +185,8 @@
         _raise_invalid(
             given, f'an object of at most {_MAX_NAMES} names', label=label
         )
+    if not all(is_unicode(name) for name in given):
+        _raise_invalid(given, 'names that are valid Unicode', label=label)
     weight = Number(0, _MAX_WEIGHT)
     return {
         name: _check_number(share, weight, label=f'{label}.{name}')
--- a/src/mulberryquay/entry/connections.py
+++ b/src/mulberryquay/entry/connections.py
@@ -216,7 +216,8 @@
         try:
             with gevent.Timeout(timeout / clock.MS_PER_SECOND, TimeoutError):
                 connected_socket = self._connect()
-        except OSError as error:
+        except (OSError, ValueError, OverflowError) as error:
+            # Also an address that no socket takes.
             self._open_count -= 1
             raise ConnectFailedError(
                 f'cannot connect to the target: {error}'
--- a/src/mulberryquay/web.py
+++ b/src/mulberryquay/web.py
@@ -15,6 +15,7 @@
 from mulberryquay.coordination import (
     clock,
     errors,
+    json_documents,
     read_turn,
     units,
     wait_limit,
@@ -126,7 +127,9 @@
     """Returns the request's JSON body; raises InvalidInputError."""
     body = read_body(MAX_API_BODY_BYTES)
     try:
-        return json.loads(body)
+        return json_documents.decode(body)
+    except json_documents.NestedTooDeeplyError:
+        raise
     except ValueError as error:
         raise errors.InvalidInputError(
             f'got a body that is not JSON: {error}',
--- a/testing/entry/test_connect.py
+++ b/testing/entry/test_connect.py
@@ -11,6 +11,7 @@
 
 from mulberryquay import announcer
 from mulberryquay.coordination import clock
+from mulberryquay.entry import connections
 from testing import fixtures
 
 CASE: typing.Final = unittest.TestCase()
@@ -69,3 +70,19 @@
             CASE.assertEqual(answer.outcome, 'not-run/deadline')
         took = clock.Clock().now() - started
         CASE.assertLess(took, _TIMEOUT_MS + _MAX_LATE_MS)
+
+
+def test_address_that_no_socket_takes_is_a_failed_connection() -> None:
+    """Guards against an untyped error that ends the request or the prober."""
+    for address in (
+        ('127.0.0.1', 65536),
+        ('127.0.0.1', -1),
+        ('x' * 70, 80),
+        ('a..b', 80),
+        ('\ud800', 80),
+        ('127.0.0.1\0', 80),
+    ):
+        pool = connections.ConnectionPool(address, clock.Clock())
+        with CASE.assertRaises(connections.ConnectFailedError):
+            pool.take(limit=1, timeout=_TIMEOUT_MS)
+        CASE.assertEqual(pool.open_count, 0)
--- a/testing/platform_adapter/test_calls.py
+++ b/testing/platform_adapter/test_calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 import json
 import os
 import typing
@@ -265,6 +266,84 @@
         CASE.assertFalse(platform.daemon.targets.get('i-1').is_leaving)
 
 
+#: Heartbeats of another writer; each names no target that can be used.
+_ODD_CHANGES: typing.Final[tuple[dict[str, typing.Any], ...]] = (
+    {'address': '[fe80::1%\ud800]:8080'},
+    {'address': f'[fe80::1%{"x" * 70}]:8080'},
+    {'address': '[fe80::1%a..b]:8080'},
+    {'address': '10.0.0.9:65536'},
+    {'address': '10.0.0.9:0'},
+    {'address': '10.0.0.9:-1'},
+    {'address': f'10.0.0.9:{"9" * 5000}'},
+    {'address': '10.0.0.9:\u0663\u0663'},
+    {'address': '\ud800:8080'},
+    {'service': '\ud800'},
+    {'zone': '\ud800'},
+    {'slots': 10**30},
+    {'sequence': 10**30},
+    {'born': 10**30},
+    {'cold_remaining_s': 10**400},
+    {'service': [[[]]]},
+)
+_NESTED_BODIES: typing.Final = (
+    b'[' * 100_000,
+    b'{"a":' * 100_000,
+    b'[' * 900 + b']' * 900,
+    b'{"service":' + b'[' * 900 + b']' * 900 + b'}',
+    b'{"slots":' + b'9' * 5000 + b'}',
+)
+
+
+def test_odd_heartbeat_names_no_target_and_the_others_hold() -> None:
+    """Guards against an odd entry that ends what reads the list of targets.
+
+    The stream to an entry ended on an address that has no encoding. Issue 34.
+    """
+    with _platform() as platform:
+        control = fixtures.Control(platform.daemon)
+        with fixtures.entry(control) as entry:
+            path = '/instances/i-odd/heartbeat'
+            for changes in _ODD_CHANGES:
+                CASE.assertEqual(
+                    platform.send_heartbeat('i-odd', **changes), 400, changes
+                )
+            for body in _NESTED_BODIES:
+                CASE.assertEqual(
+                    platform.call('POST', path, body)[0], 400, body[:20]
+                )
+            platform.send_heartbeat('i-1')
+            fixtures.wait_for_targets(entry, 'i-1')
+            CASE.assertEqual(list(entry.state.balancer.all_targets), ['i-1'])
+            names = [row.name for row in platform.daemon.targets.list_targets()]
+            CASE.assertEqual(names, ['i-1'])
+
+
+def test_configuration_that_cannot_be_read_is_refused_at_any_version() -> None:
+    """Guards against 500 for a document that no sending again makes valid.
+
+    One whose version is not higher was acknowledged though invalid. Issue 34.
+    """
+    with _platform() as platform:
+        first = samples.configuration(7)
+        platform.put(first)
+        for body in _NESTED_BODIES:
+            answer = platform.call('POST', '/configuration/put', body)
+            CASE.assertEqual(answer[0], 400, body[:20])
+        for version, text in itertools.product(
+            (6, 7, 8), ('\ud800', 'a\udfffb')
+        ):
+            for where in ('host', 'name', 'service'):
+                document = samples.configuration(version)
+                listener = document['listeners'][0]
+                rule = listener['rules'][0]
+                if where == 'service':
+                    document['clusters'][0]['name'] = text
+                else:
+                    (listener if where == 'host' else rule)[where] = text
+                CASE.assertEqual(platform.put(document), 400, (version, where))
+        CASE.assertEqual(platform.read_configuration(), first)
+
+
 def test_zone_is_taken_out_and_back_whatever_was_sent_before() -> None:
     """Guards against refusing a repeated evacuation order."""
     with _platform() as platform:
--- a/testing/platform_adapter/test_fuzz.py
+++ b/testing/platform_adapter/test_fuzz.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies
 
 from mulberryquay.control import configuration
-from mulberryquay.coordination import errors
+from mulberryquay.coordination import errors, packing
 from mulberryquay_platform import calls, headers
 from mulberryquay_platform import configuration as platform_configuration
 from testing import fixtures
@@ -26,7 +26,10 @@
     | strategies.floats()
     | strategies.text(max_size=8)
     | strategies.sampled_from(
-        [math.inf, -math.inf, math.nan, 1e308, 10**30, -1, 0, '', 'r', 'r-1'],
+        [
+            *(math.inf, -math.inf, math.nan, 1e308, 10**30, -1, 0, ''),
+            *('r', 'r-1', 'r20261205084714000001', '\ud800'),
+        ],
     )
 )
 _VALUES: typing.Final = strategies.recursive(
@@ -100,6 +103,11 @@
     else:
         CASE.assertIsInstance(decoded.version, int)
         CASE.assertEqual(len(checked), len(decoded.resources))
+        stored = [decoded.version, checked]
+        CASE.assertEqual(
+            packing.unpack(packing.pack(stored)),
+            json.loads(json.dumps(stored)),
+        )
 
 
 @fixtures.hypothesis_settings(60)
