--- a/src/mulberryquay/control/orders.py
+++ b/src/mulberryquay/control/orders.py
@@ -84,9 +84,9 @@
 
         A host that was frozen may read an order long after its caller sent
         it to another host, and newer orders after that. ``check_caller``
-        raises if the caller has left. Any order that a caller sends later
-        replaces the version that is read before this check, so that this
-        one is refused then, with OutdatedOrderError.
+        raises if the caller has left. The domain's version is read before
+        this check. An order that the caller sends after it raises the
+        version, and then this one fails with OutdatedOrderError.
         """
         deadline = self._clock.now() + ORDER_TIMEOUT_MS
         self._replica.read_barrier(timeout=ORDER_TIMEOUT_MS)
--- a/src/mulberryquay/coordination/json_documents.py
+++ b/src/mulberryquay/coordination/json_documents.py
@@ -7,8 +7,7 @@
 
 from mulberryquay.coordination import errors
 
-#: Arrays and objects within each other; more than any document of the APIs
-#: needs, and far below what Python can print or compare.
+#: Limit of arrays and objects within each other.
 MAX_DEPTH: typing.Final = 64
 
 
--- a/src/mulberryquay/entry/answers.py
+++ b/src/mulberryquay/entry/answers.py
@@ -81,10 +81,8 @@
     """
     framing = _framing_for(context.head, received.head)
     ends_with_connection = framing is http_heads.Framing.UNTIL_CLOSE
-    # A caller may read an answer without a length until the connection ends.
-    is_unsized = received.head.framing is http_heads.Framing.UNTIL_CLOSE
     keeps_alive = context.keeps_alive
-    if ends_with_connection or is_unsized:
+    if ends_with_connection or _is_unsized(received.head, framing):
         keeps_alive = False
         context = context._replace(keeps_alive=False)
     encoded_head = _encode_head(context, received, framing)
@@ -168,6 +166,17 @@
     return http_heads.Framing.CHUNKED
 
 
+def _is_unsized(
+    answer: http_heads.ResponseHead, framing: http_heads.Framing
+) -> bool:
+    """Whether a body has no length at the target.
+
+    A caller may then read to the end of the connection, whatever the framing.
+    """
+    has_body = framing is not http_heads.Framing.NONE
+    return has_body and answer.framing is http_heads.Framing.UNTIL_CLOSE
+
+
 def _encode_head(
     context: AnswerContext,
     received: outcomes.Received,
--- a/testing/entry/test_cut_answers.py
+++ b/testing/entry/test_cut_answers.py
@@ -89,3 +89,22 @@
         for body in (b'', b'hello'):
             cutting.answer = target.Answer(raw=_UNSIZED + body, resets=True)
             CASE.assertFalse(_is_taken_for_complete(entry, '/stock/x'), body)
+
+
+def test_unsized_answer_is_framed_and_closes_the_connection() -> None:
+    """Guards against an end that only the end of the connection tells.
+
+    A caller that reads to the end of the connection must not wait for it. The
+    answer to a HEAD request has no body, so its connection stays open.
+    """
+    cutting = _CuttingTarget()
+    with _scene(cutting) as entry:
+        cutting.answer = target.Answer(raw=_UNSIZED + b'hello')
+        answer = fixtures.ask(entry, '/stock/x')
+        CASE.assertEqual(answer.body, b'hello')
+        CASE.assertEqual(answer.headers['transfer-encoding'], 'chunked')
+        CASE.assertEqual(answer.headers['connection'], 'close')
+        cutting.answer = target.Answer(raw=_UNSIZED)
+        answer = fixtures.ask(entry, '/stock/x', method='HEAD')
+        CASE.assertEqual(answer.body, b'')
+        CASE.assertNotIn('connection', answer.headers)
