--- a/src/mulberryquay/entry/forwarder.py
+++ b/src/mulberryquay/entry/forwarder.py
@@ -148,7 +148,7 @@
         self._target = target
         self._was_relayed = target.is_peer
         self._count_rate_limited(target)
-        self.target_snapshots.append(request_log.snapshot_of(target, started))
+        self._record_choice(target, started)
         self._attempt = attempt.Attempt(
             target,
             self._request.outgoing,
@@ -164,6 +164,16 @@
         self._record_attempt(target, result, self._state.clock.now() - started)
         return result
 
+    def _record_choice(self, target: targets.TargetState, now: float) -> None:
+        snapshot = request_log.snapshot_of(target, now)
+        self.target_snapshots.append(snapshot)
+        if not target.is_peer:
+            self._state.metrics.count(
+                'mulberryquay_choices_total',
+                str(snapshot.tier),
+                snapshot.report_state,
+            )
+
     def _count_rate_limited(self, target: targets.TargetState) -> None:
         if target.rate_limit.per_s is not None:
             self._state.metrics.count(
--- a/src/mulberryquay/entry/load_prober.py
+++ b/src/mulberryquay/entry/load_prober.py
@@ -15,9 +15,6 @@
 from mulberryquay.coordination import clock
 from mulberryquay.entry import probe_budget, prober, targets
 
-#: Targets with a younger report are not probed.
-MAX_REPORT_AGE_MS: typing.Final = 60.0
-
 #: Longest wait for probes in the entry's own region and in other regions.
 NEAR_TIMEOUT_MS: typing.Final = 8.0
 FAR_TIMEOUT_MS: typing.Final = 40.0
@@ -70,7 +67,7 @@
         in_tier: typing.Sequence[targets.TargetState],
         tier: int,
     ) -> None:
-        stale_before = self._clock.now() - MAX_REPORT_AGE_MS
+        stale_before = self._clock.now() - targets.FRESH_REPORT_MAX_AGE_MS
         probes = [
             probe
             for target in in_tier
--- a/src/mulberryquay/entry/request_log.py
+++ b/src/mulberryquay/entry/request_log.py
@@ -24,6 +24,8 @@
 class TargetSnapshot(typing.NamedTuple):
     """What an entry knew of a target when it chose it."""
 
+    #: 0 in the entry's own failure domain, 1 in its region, 2 in others.
+    tier: int
     in_flight: int
     #: Calls per slot, estimated from the last report and this entry's calls.
     load: float
@@ -33,6 +35,14 @@
     #: Milliseconds since that report, -1 if there was none.
     report_age_ms: float
 
+    @property
+    def report_state(self) -> str:
+        """Whether the load report is ``fresh``, ``old`` or ``missing``."""
+        if self.report_age_ms < 0:
+            return 'missing'
+        is_fresh = self.report_age_ms <= targets.FRESH_REPORT_MAX_AGE_MS
+        return 'fresh' if is_fresh else 'old'
+
 
 class LogContext(typing.NamedTuple):
     """What the log line of a request has besides its record."""
@@ -49,6 +59,7 @@
     """Returns what is known of a target now."""
     age = now - target.reported_at
     return TargetSnapshot(
+        target.tier,
         target.in_flight,
         round(target.load(now), _DIGITS),
         target.slowness,
--- a/src/mulberryquay/entry/state.py
+++ b/src/mulberryquay/entry/state.py
@@ -75,6 +75,13 @@
         'mulberryquay_load_probes_skipped_total',
         'Load probes that were not sent because of load_probes_per_target_s.',
     ),
+    metrics.MetricDeclaration(
+        'mulberryquay_choices_total',
+        'Attempts by tier of the chosen target (0 for the own failure domain, '
+        '1 for the region, 2 for others) and whether its load report was '
+        'fresh, old or missing.',
+        labels=('tier', 'report'),
+    ),
     metrics.MetricDeclaration(
         'mulberryquay_control_bytes_total',
         'Bytes on closed streams to control hosts, by direction.',
--- a/src/mulberryquay/entry/targets.py
+++ b/src/mulberryquay/entry/targets.py
@@ -16,9 +16,9 @@
 #: Time constant of the weight of a host's reported slowness.
 SLOWNESS_DECAY_MS: typing.Final = 200.0
 
-#: For this long, a report that a target is idle on a host of usual speed
-#: makes it unnecessary to probe targets farther away.
-IDLE_REPORT_MAX_AGE_MS: typing.Final = 60.0
+#: For this long, a load report is as good as a new one: the target is not
+#: probed, nor are targets farther away if it is idle on a host of usual speed.
+FRESH_REPORT_MAX_AGE_MS: typing.Final = 60.0
 _MAX_USUAL_SLOWNESS: typing.Final = 1.3
 
 #: A load probe unanswered for longer than the floor adds its age, times the
@@ -257,7 +257,7 @@
 
     def is_reported_idle(self, now: float) -> bool:
         """Whether a recent report shows a free slot and usual speed."""
-        is_fresh = now - self._reported_at <= IDLE_REPORT_MAX_AGE_MS
+        is_fresh = now - self._reported_at <= FRESH_REPORT_MAX_AGE_MS
         return (
             is_fresh
             and self._slowness <= _MAX_USUAL_SLOWNESS
--- a/testing/entry/test_request_log.py
+++ b/testing/entry/test_request_log.py
@@ -25,7 +25,7 @@
         request_records.AttemptRecord('t', 'north-1', 1, result, 'none', 5)
         for result in results
     ]
-    snapshot = request_log.TargetSnapshot(1, 0.5, 1, 10)
+    snapshot = request_log.TargetSnapshot(0, 1, 0.5, 1, 10)
     context = request_log.LogContext('', is_idempotent, 1000, [snapshot])
     logger = logging.getLogger('mulberryquay.entry.request_log')
     with mock.patch.object(logger, 'info') as log_info:
@@ -63,3 +63,12 @@
         _count_logged(results=('shed', 'received')), _REQUEST_COUNT
     )
     CASE.assertEqual(_count_logged(is_idempotent=False), _REQUEST_COUNT)
+
+
+def test_snapshot_tells_fresh_reports_from_old_and_missing_ones() -> None:
+    """The counter of choices must show which ones were made blindly."""
+    states = [
+        request_log.TargetSnapshot(0, 0, 0, 1, age).report_state
+        for age in (0, 60, 61, -1)
+    ]
+    CASE.assertEqual(states, ['fresh', 'fresh', 'old', 'missing'])
