--- a/src/mulberryquay/announcer.py
+++ b/src/mulberryquay/announcer.py
@@ -9,6 +9,7 @@
 import gevent
 import urllib3
 
+from mulberryquay import http_pool
 from mulberryquay.coordination import clock, errors
 
 #: Renewals per lease, so that two of them may be lost.
@@ -51,9 +52,7 @@
         self._announcement = announcement
         self._addresses = list(api_addresses)
         self._clock = time_source or clock.Clock()
-        self._pool = urllib3.PoolManager(
-            timeout=_REQUEST_TIMEOUT_S, retries=False
-        )
+        self._pool = http_pool.new_manager(_REQUEST_TIMEOUT_S)
         self._task: gevent.Greenlet | None = None
         self._lease_ms = 0.0
 
--- a/src/mulberryquay/commands/api_client.py
+++ b/src/mulberryquay/commands/api_client.py
@@ -7,6 +7,7 @@
 
 import urllib3
 
+from mulberryquay import http_pool
 from mulberryquay.coordination import errors
 
 _REQUEST_TIMEOUT_S: typing.Final = 5.0
@@ -25,6 +26,13 @@
     code = 'api-unreachable'
 
 
+@typing.final
+class WatchLineTooLongError(errors.MulberryquayError):
+    """A line of a watch did not end."""
+
+    code = 'watch-line-too-long'
+
+
 class ApiRefusedError(errors.MulberryquayError):
     """The control host answered with an error of code ``api_code``."""
 
@@ -44,7 +52,9 @@
     def __init__(self, addresses: str) -> None:
         """``addresses`` is a comma-separated list of ``IP:PORT``."""
         self._addresses = addresses.split(',')
-        self._pool = urllib3.PoolManager(retries=False)
+        self._pool = http_pool.new_manager()
+        # A watch has no end, so only its lines are limited.
+        self._watch_pool = urllib3.PoolManager(retries=False)
 
     def call(self, method: str, path: str, body: Json = None) -> Json:
         """Returns the JSON answer.
@@ -57,13 +67,22 @@
         return json.loads(response.data)
 
     def stream(self, path: str) -> typing.Iterator[Json]:
-        """Yields the JSON lines of a watch."""
+        """Yields the JSON lines of a watch.
+
+        Raises ApiUnreachableError, ApiRefusedError and WatchLineTooLongError.
+        """
         response = self._open('GET', path, None, _WATCH_TIMEOUT, preload=False)
-        unfinished_line = b''
+        unfinished_parts: list[bytes] = []
         for chunk in response.stream():
-            *lines, unfinished_line = (unfinished_line + chunk).split(b'\n')
-            for line in lines:
-                yield json.loads(line)
+            *ends, begin = chunk.split(b'\n')
+            for end in ends:
+                yield json.loads(b''.join([*unfinished_parts, end]))
+                unfinished_parts = []
+            unfinished_parts.append(begin)
+            if sum(map(len, unfinished_parts)) > http_pool.MAX_ANSWER_BYTES:
+                raise WatchLineTooLongError(
+                    f'got a line of over {http_pool.MAX_ANSWER_BYTES} bytes',
+                )
 
     def _open(
         self,
@@ -75,9 +94,10 @@
         preload: bool,
     ) -> urllib3.BaseHTTPResponse:
         last_error: Exception | None = None
+        pool = self._pool if preload else self._watch_pool
         for address in self._addresses:
             try:
-                response = self._pool.request(
+                response = pool.request(
                     method,
                     f'http://{address}{path}',
                     body=None if body is None else json.dumps(body),
--- a/testing/flooding_target.py
+++ b/testing/flooding_target.py
@@ -79,7 +79,7 @@
                     return
                 received += part
             request, _, received = received.partition(b'\r\n\r\n')
-            path = request.split(b' ', 2)[1].decode()
+            path = request.split(b' ', 2)[1].decode().partition('?')[0]
             _answer(connection, path.rpartition('/')[2])
 
 
