--- a/src/mulberryquay/entry/policies/expected_time.py
+++ b/src/mulberryquay/entry/policies/expected_time.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import math
 import random
+import statistics
 import typing
 
 from mulberryquay.entry import targets
@@ -19,7 +21,7 @@
 #: Average time for which a host stays slow after it reported slowness.
 MEAN_SLOW_PERIOD_MS: typing.Final = 150.0
 
-#: Weight of the chosen target's slowness in the average slowness.
+#: Weight of the chosen target's slowness in the average of chosen ones.
 _SLOWNESS_WEIGHT: typing.Final = 0.05
 
 #: Above this number of calls per slot, a target's calls slow each other
@@ -27,6 +29,15 @@
 _CONTENTION_LOAD: typing.Final = 0.8
 _CONTENTION_FACTOR: typing.Final = 1.6
 
+
+class _UsualReport(typing.NamedTuple):
+    """The average of the last load reports of targets."""
+
+    slowness: float
+    #: Calls per slot that other entries make.
+    load: float
+
+
 Candidates = typing.Sequence[targets.TargetState]
 
 
@@ -43,15 +54,16 @@
     def __init__(self, rng: random.Random) -> None:
         """Breaks ties with ``rng``."""
         self._rng = rng
-        self._mean_slowness = 1.0
+        self._chosen_slowness = 1.0
 
     def choose(self, candidates: Candidates, now: float) -> targets.TargetState:
         """Returns the target with the least expected time."""
         baseline = _median_latency(candidates)
-        work = baseline / max(1.0, self._mean_slowness)
+        work = baseline / max(1.0, self._chosen_slowness)
+        usual = _usual_report(candidates)
         scored = [
             (
-                self._expected_ms(target, work, now)
+                _expected_ms(target, work, usual, now)
                 * target.latency_penalty(baseline, now),
                 self._rng.random(),
                 target,
@@ -59,36 +71,52 @@
             for target in candidates
         ]
         chosen = min(scored, key=lambda item: item[:2])[-1]
-        self._mean_slowness += _SLOWNESS_WEIGHT * (
-            chosen.slowness - self._mean_slowness
+        self._chosen_slowness += _SLOWNESS_WEIGHT * (
+            chosen.slowness - self._chosen_slowness
         )
         return chosen
 
-    def _expected_ms(
-        self,
-        target: targets.TargetState,
-        work: float,
-        now: float,
-    ) -> float:
-        """Returns the expected time of one more call in ms.
-
-        The reported slowness is assumed for `MEAN_SLOW_PERIOD_MS`, weighted
-        by the report's age, and the mean slowness for the remaining work.
-        """
-        slowness = max(1.0, target.slowness)
-        mean_slowness = max(1.0, self._mean_slowness)
-        slow_period = MEAN_SLOW_PERIOD_MS * target.report_weight(now)
-        done = slow_period / slowness
-        expected = slow_period + max(0.0, work - done) * mean_slowness
-        load = target.load(now)
-        if load > _CONTENTION_LOAD:
-            expected *= _CONTENTION_FACTOR
-        queued_load = load - 1
-        if queued_load > 0:
-            expected += queued_load * work * mean_slowness
-        return (
-            expected + TIER_COST_MS[target.tier] + target.probe_delay_penalty_ms
-        )
+
+def _usual_report(candidates: Candidates) -> _UsualReport:
+    """Returns what is expected of a target without a recent report.
+
+    It is the average of all last reports, however old: hosts change often, so
+    an old report tells little of its target, but all of them tell how many
+    are slow or busy.
+    """
+    reported = [
+        target for target in candidates if target.reported_at > -math.inf
+    ]
+    if not reported:
+        return _UsualReport(slowness=1, load=0)
+    return _UsualReport(
+        statistics.fmean(max(1.0, target.slowness) for target in reported),
+        statistics.fmean(target.reported_load for target in reported),
+    )
+
+
+def _expected_ms(
+    target: targets.TargetState,
+    work: float,
+    usual: _UsualReport,
+    now: float,
+) -> float:
+    """Returns the expected time of one more call in ms.
+
+    The reported slowness is assumed for `MEAN_SLOW_PERIOD_MS`, weighted by
+    the report's age, and the usual slowness for the remaining work.
+    """
+    slowness = max(1.0, target.slowness)
+    slow_period = MEAN_SLOW_PERIOD_MS * target.report_weight(now)
+    done = slow_period / slowness
+    expected = slow_period + max(0.0, work - done) * usual.slowness
+    load = target.load(now, usual.load)
+    if load > _CONTENTION_LOAD:
+        expected *= _CONTENTION_FACTOR
+    queued_load = load - 1
+    if queued_load > 0:
+        expected += queued_load * work * usual.slowness
+    return expected + TIER_COST_MS[target.tier] + target.probe_delay_penalty_ms
 
 
 def _median_latency(candidates: Candidates) -> float:
--- a/src/mulberryquay/entry/targets.py
+++ b/src/mulberryquay/entry/targets.py
@@ -189,6 +189,11 @@
         """The last reported slowness of the target's host; 1 is as usual."""
         return self._slowness
 
+    @property
+    def reported_load(self) -> float:
+        """Calls per slot of other entries, as last reported."""
+        return self._reported_calls / self.row.slots
+
     @property
     def reported_at(self) -> float:
         """When the newest load report was made."""
@@ -272,13 +277,15 @@
         """Records that the load probe ended, with or without an answer."""
         self._load_probe_began_at = 0.0
 
-    def load(self, now: float) -> float:
-        """Estimates calls per slot from own calls and the decayed report."""
-        other_calls = self._reported_calls
-        if other_calls:
-            age = now - self._reported_at
-            other_calls *= math.exp(-age / REPORT_DECAY_MS)
-        return (self.in_flight + other_calls) / self.row.slots
+    def load(self, now: float, usual_load: float = 0) -> float:
+        """Estimates calls per slot from own calls and the last report.
+
+        The report counts by its age: what other entries make decays to
+        ``usual_load`` calls per slot.
+        """
+        weight = math.exp((self._reported_at - now) / REPORT_DECAY_MS)
+        other_load = usual_load + weight * (self.reported_load - usual_load)
+        return self.in_flight / self.row.slots + other_load
 
     def record_answer(
         self,
--- a/testing/entry/test_expected_time.py
+++ b/testing/entry/test_expected_time.py
@@ -126,3 +126,36 @@
     CASE.assertGreater(reassigned.suspended_until, time_source.now())
     reassigned.record_answer(5, reported=None)
     CASE.assertFalse(reassigned.has_failed)
+
+
+def test_target_known_to_be_idle_wins_over_those_with_old_reports() -> None:
+    """Guards against choosing an unknown target as if it were an idle one."""
+    time_source = clock.ManualClock(start=1000)
+    unknown = [
+        _new_target_state(time_source, f'old-{number}', slowness=slowness)
+        for number, slowness in enumerate((1, 1, 4, 1, 1, 4))
+    ]
+    time_source.advance(1000)
+    idle = _new_target_state(time_source, 'idle')
+    slow = _new_target_state(time_source, 'slow', slowness=4)
+    policy = expected_time.ExpectedTime(random.Random(1))
+    for _ in range(30):
+        chosen = policy.choose([*unknown, slow, idle], time_source.now())
+        CASE.assertEqual(chosen.row.name, 'idle')
+    chosen = policy.choose([*unknown, slow], time_source.now())
+    CASE.assertNotEqual(chosen.row.name, 'slow')
+
+
+def test_usual_load_is_expected_of_a_target_with_an_old_report() -> None:
+    """A target must not count as idle because its report is old."""
+    time_source = clock.ManualClock(start=1000)
+    busy = [
+        _new_target_state(time_source, f'busy-{number}', running=9)
+        for number in range(3)
+    ]
+    time_source.advance(1000)
+    half_full = _new_target_state(time_source, 'half-full', running=3)
+    policy = expected_time.ExpectedTime(random.Random(1))
+    for _ in range(30):
+        chosen = policy.choose([*busy, half_full], time_source.now())
+        CASE.assertEqual(chosen.row.name, 'half-full')
