--- a/src/mulberryquay/coordination/token_bucket.py
+++ b/src/mulberryquay/coordination/token_bucket.py
@@ -25,6 +25,12 @@
         self._tokens = burst
         self._filled_at = time_source.now()
 
+    @property
+    def tokens(self) -> float:
+        """The number of tokens that can be taken now."""
+        self._fill()
+        return self._tokens
+
     def set_limits(self, *, rate: float, burst: float) -> None:
         """Changes the rate and the burst from now on; keeps the tokens."""
         if (rate, burst) != (self._rate, self._burst):
--- a/src/mulberryquay/entry/load_prober.py
+++ b/src/mulberryquay/entry/load_prober.py
@@ -68,29 +68,39 @@
         tier: int,
     ) -> None:
         stale_before = self._clock.now() - targets.FRESH_REPORT_MAX_AGE_MS
-        probes = [
-            probe
-            for target in in_tier
-            if target.reported_at < stale_before
-            and (probe := self._probe(target)) is not None
+        stale = [
+            target for target in in_tier if target.reported_at < stale_before
         ]
+        probes = self._probes_of(stale)
         if probes:
             timeout_ms = (
                 FAR_TIMEOUT_MS if tier == _FAR_TIER else NEAR_TIMEOUT_MS
             )
             gevent.joinall(probes, timeout=timeout_ms / clock.MS_PER_SECOND)
 
-    def _probe(self, target: targets.TargetState) -> gevent.Greenlet | None:
-        """Returns the running probe of a target, or starts one.
-
-        Returns None if the budget has none left.
-        """
-        name = target.row.name
-        running_probe = self._running_probes.get(name)
-        if running_probe is not None and not running_probe.ready():
-            return running_probe
-        if not self._budget.take(target):
-            return None
-        running_probe = self._prober.start_load_probe(target)
-        self._running_probes[name] = running_probe
-        return running_probe
+    def _probes_of(
+        self, stale: typing.Sequence[targets.TargetState]
+    ) -> list[gevent.Greenlet]:
+        """Returns running probes, and starts those that the budget allows."""
+        probes: list[gevent.Greenlet] = []
+        wanted = []
+        for target in stale:
+            probe = self._running_probe(target)
+            if probe is None:
+                wanted.append(target)
+            else:
+                probes.append(probe)
+        for target in self._budget.take_some(wanted):
+            probes.append(self._start_probe(target))
+        return probes
+
+    def _running_probe(
+        self, target: targets.TargetState
+    ) -> gevent.Greenlet | None:
+        probe = self._running_probes.get(target.row.name)
+        return None if probe is None or probe.ready() else probe
+
+    def _start_probe(self, target: targets.TargetState) -> gevent.Greenlet:
+        probe = self._prober.start_load_probe(target)
+        self._running_probes[target.row.name] = probe
+        return probe
--- a/src/mulberryquay/entry/probe_budget.py
+++ b/src/mulberryquay/entry/probe_budget.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+import math
+import random
 import typing
 
 from mulberryquay.coordination import clock, shares, token_bucket
@@ -20,6 +22,26 @@
 _BURST_S: typing.Final = 1.0
 
 
+def select(
+    remaining: typing.Mapping[str, float], rng: random.Random
+) -> list[str]:
+    """Returns the targets to probe for a request, in random order.
+
+    ``remaining`` has the probes of each target that its budget allows now.
+    Half of the targets with only one left are kept for the requests that
+    follow: some new reports for each request serve callers better than all of
+    them for one request and none for the next.
+    """
+    last = [name for name, left in remaining.items() if 1 <= left < 2]
+    kept = frozenset(rng.sample(last, len(last) // 2))
+    selected = [
+        name
+        for name, left in remaining.items()
+        if left >= 1 and name not in kept
+    ]
+    return rng.sample(selected, len(selected))
+
+
 @typing.final
 class ProbeBudget:
     """This entry's part of the load probes of each target."""
@@ -32,12 +54,15 @@
         region: str,
         per_target_s: float,
         on_skipped: typing.Callable[[], None],
+        rng: random.Random | None = None,
     ) -> None:
         """Sets the ``region`` of this entry and the rate in probes a second.
 
         ``per_target_s`` holds for all entries together; 0 for no limit.
-        ``on_skipped`` is called for each probe for which nothing is left.
+        ``on_skipped`` is called for each probe that is not granted. ``rng``
+        selects the targets that are probed if not all can be.
         """
+        self._rng = rng or random.Random()
         self._on_skipped = on_skipped
         self._share_view = share_view
         self._clock = time_source
@@ -46,8 +71,32 @@
 
     def take(self, target: targets.TargetState) -> bool:
         """Takes a probe of a target from the budget; False if none is left."""
+        is_granted = not self._per_target_s or self._bucket(target).take()
+        if not is_granted:
+            self._on_skipped()
+        return is_granted
+
+    def take_some(
+        self, wanted: typing.Sequence[targets.TargetState]
+    ) -> list[targets.TargetState]:
+        """Takes probes of some targets from the budget and returns these."""
+        known = {target.row.name: target for target in wanted}
+        remaining = {
+            name: self._remaining(target) for name, target in known.items()
+        }
+        selected = select(remaining, self._rng)
+        for _ in range(len(wanted) - len(selected)):
+            self._on_skipped()
+        granted = [known[name] for name in selected]
+        return [target for target in granted if self.take(target)]
+
+    def _remaining(self, target: targets.TargetState) -> float:
+        """Returns the number of probes of a target that may be sent now."""
         if not self._per_target_s:
-            return True
+            return math.inf
+        return self._bucket(target).tokens
+
+    def _bucket(self, target: targets.TargetState) -> token_bucket.TokenBucket:
         per_s = self._part(target.row.region)
         burst = max(1.0, per_s * _BURST_S)
         bucket = target.load_probe_budget
@@ -57,10 +106,7 @@
             )
             target.load_probe_budget = bucket
         bucket.set_limits(rate=per_s, burst=burst)
-        is_granted = bucket.take()
-        if not is_granted:
-            self._on_skipped()
-        return is_granted
+        return bucket
 
     def _part(self, region: str) -> float:
         all_entries = self._share_view.member_count
--- a/testing/entry/test_probe_budget.py
+++ b/testing/entry/test_probe_budget.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import random
 import typing
 import unittest
 
@@ -158,3 +159,14 @@
     CASE.assertLessEqual(probes, _PER_TARGET_S * (_DURATION_S + 1))
     CASE.assertGreater(probes, 0)
     CASE.assertGreater(skipped, 0)
+
+
+def test_half_of_the_last_probes_are_kept_for_later_requests() -> None:
+    """One request must not take what the next ones need."""
+    rng = random.Random(1)
+    remaining = {f'last-{number}': 1.5 for number in range(5)}
+    selected = probe_budget.select({**remaining, 'rich': 2, 'empty': 0.9}, rng)
+    CASE.assertEqual(len(selected), 4)
+    CASE.assertIn('rich', selected)
+    CASE.assertNotIn('empty', selected)
+    CASE.assertEqual(probe_budget.select({'last': 1}, rng), ['last'])
