--- a/src/mulberryquay/entry/load_prober.py
+++ b/src/mulberryquay/entry/load_prober.py
@@ -53,10 +53,8 @@
         nearest = min((target.tier for target in candidates), default=0)
         for tier in range(nearest, _FAR_TIER + 1):
             in_tier = [target for target in candidates if target.tier == tier]
-            if tier == _FAR_TIER:
-                if nearest < _FAR_TIER:
-                    return
-                in_tier = in_tier[:_FAR_SAMPLE]
+            if tier == _FAR_TIER and nearest < _FAR_TIER:
+                return
             self._probe_stale(in_tier, tier)
             now = self._clock.now()
             if any(target.is_reported_idle(now) for target in in_tier):
@@ -71,7 +69,11 @@
         stale = [
             target for target in in_tier if target.reported_at < stale_before
         ]
-        probes = self._probes_of(stale)
+        at_most = len(stale)
+        if tier == _FAR_TIER:
+            fresh_count = len(in_tier) - len(stale)
+            at_most = max(0, _FAR_SAMPLE - fresh_count)
+        probes = self._probes_of(stale, at_most)
         if probes:
             timeout_ms = (
                 FAR_TIMEOUT_MS if tier == _FAR_TIER else NEAR_TIMEOUT_MS
@@ -79,9 +81,12 @@
             gevent.joinall(probes, timeout=timeout_ms / clock.MS_PER_SECOND)
 
     def _probes_of(
-        self, stale: typing.Sequence[targets.TargetState]
+        self, stale: typing.Sequence[targets.TargetState], at_most: int
     ) -> list[gevent.Greenlet]:
-        """Returns running probes, and starts those that the budget allows."""
+        """Returns running probes, and starts those that the budget allows.
+
+        Starts none beyond ``at_most`` running ones.
+        """
         probes: list[gevent.Greenlet] = []
         wanted = []
         for target in stale:
@@ -90,7 +95,8 @@
                 wanted.append(target)
             else:
                 probes.append(probe)
-        for target in self._budget.take_some(wanted):
+        missing = max(0, at_most - len(probes))
+        for target in self._budget.take_some(wanted, at_most=missing):
             probes.append(self._start_probe(target))
         return probes
 
--- a/src/mulberryquay/entry/probe_budget.py
+++ b/src/mulberryquay/entry/probe_budget.py
@@ -77,15 +77,15 @@
         return is_granted
 
     def take_some(
-        self, wanted: typing.Sequence[targets.TargetState]
+        self, wanted: typing.Sequence[targets.TargetState], *, at_most: int
     ) -> list[targets.TargetState]:
         """Takes probes of some targets from the budget and returns these."""
         known = {target.row.name: target for target in wanted}
         remaining = {
             name: self._remaining(target) for name, target in known.items()
         }
-        selected = select(remaining, self._rng)
-        for _ in range(len(wanted) - len(selected)):
+        selected = select(remaining, self._rng)[:at_most]
+        for _ in range(min(at_most, len(wanted)) - len(selected)):
             self._on_skipped()
         granted = [known[name] for name in selected]
         return [target for target in granted if self.take(target)]
