--- a/src/mulberryquay/control/host_protocol.py
+++ b/src/mulberryquay/control/host_protocol.py
@@ -110,7 +110,7 @@
     #: 0 if no list is waiting for confirmations.
     pending_epoch: int
     pending: list[str]
-    #: Rows of name, region and address.
+    #: Rows of name, region, failure domain and address.
     peers: list[list[str]]
 
 
--- a/src/mulberryquay/control/membership.py
+++ b/src/mulberryquay/control/membership.py
@@ -56,7 +56,8 @@
 
     committed: shares.EntryList
     pending: shares.EntryList | None
-    #: Rows of name, region and address of entries that accept relays.
+    #: Rows of name, region, domain and address of entries that accept
+    #: relays.
     peers: list[list[str]]
 
 
@@ -224,7 +225,12 @@
         epoch = max(newest.epoch, self._term * _EPOCHS_PER_TERM) + 1
         self._pending = shares.EntryList(epoch, members)
         self._peers = [
-            [name, status.row.region, status.row.peer_address]
+            [
+                name,
+                status.row.region,
+                status.row.domain,
+                status.row.peer_address,
+            ]
             for name, status in self._entries.items()
             if not status.row.is_leaving
         ]
--- a/src/mulberryquay/coordination/shares.py
+++ b/src/mulberryquay/coordination/shares.py
@@ -75,6 +75,16 @@
     members: Members
 
 
+class GroupSizes(typing.NamedTuple):
+    """Numbers of entry processes by their distance to a target."""
+
+    domain: int
+    #: In other failure domains of the target's region.
+    region: int
+    #: In other regions.
+    elsewhere: int
+
+
 @typing.final
 class ShareView:
     """One entry process's shares, also while the entry list changes."""
@@ -86,7 +96,9 @@
         self._pending: EntryList | None = None
         self._regions: dict[str, str] = {}
         self._cache: dict[tuple[str, int], int] = {}
+        self._domains: dict[str, str] = {}
         self._region_counts: dict[str, int] = {}
+        self._group_sizes: dict[tuple[str, str], GroupSizes] = {}
 
     @property
     def committed(self) -> EntryList:
@@ -134,6 +146,33 @@
         self._regions = regions
         self._clear_caches()
 
+    def update_domains(self, domains: dict[str, str]) -> None:
+        """Sets the failure domain of each entry process by name."""
+        self._domains = domains
+        self._clear_caches()
+
+    def group_sizes(self, region: str, domain: str) -> GroupSizes:
+        """Returns how many entry processes are how near to a target.
+
+        Each number is that of the list that has more entry processes there.
+        """
+        sizes = self._group_sizes.get((region, domain))
+        if sizes is None:
+            sizes = GroupSizes(
+                *map(
+                    max,
+                    zip(
+                        *(
+                            self._sizes_in(entries.members, region, domain)
+                            for entries in self._lists()
+                        ),
+                        strict=True,
+                    ),
+                )
+            )
+            self._group_sizes[region, domain] = sizes
+        return sizes
+
     def count_in(self, region: str) -> int:
         """Returns the number of entry processes in a region.
 
@@ -185,9 +224,25 @@
             member for member in members if self._regions.get(member) == region
         )
 
+    def _sizes_in(
+        self, members: Members, region: str, domain: str
+    ) -> GroupSizes:
+        in_region = self._members_in(members, region)
+        in_domain = [
+            member
+            for member in in_region
+            if self._domains.get(member) == domain
+        ]
+        return GroupSizes(
+            len(in_domain),
+            len(in_region) - len(in_domain),
+            len(members) - len(in_region),
+        )
+
     def _clear_caches(self) -> None:
         self._cache.clear()
         self._region_counts.clear()
+        self._group_sizes.clear()
 
     def _lists(self) -> list[EntryList]:
         return [self._committed, *filter(None, [self._pending])]
--- a/src/mulberryquay/entry/control_view.py
+++ b/src/mulberryquay/entry/control_view.py
@@ -129,7 +129,10 @@
         """Sets the entries that accept relayed requests."""
         self._state.relays.update_peers(peers)
         self._state.share_view.update_regions(
-            {name: region for name, region, _ in peers}
+            {name: region for name, region, *_ in peers}
+        )
+        self._state.share_view.update_domains(
+            {name: domain for name, _region, domain, _address in peers}
         )
         self._state.balancer.refresh_limits()
 
--- a/src/mulberryquay/entry/daemon.py
+++ b/src/mulberryquay/entry/daemon.py
@@ -125,6 +125,7 @@
                     self._state.share_view,
                     self._state.clock,
                     region=self._state.region,
+                    domain=values['domain'],
                     per_target_s=values['load_probes_per_target_s'],
                     on_skipped=functools.partial(
                         self._state.metrics.count,
--- a/src/mulberryquay/entry/probe_budget.py
+++ b/src/mulberryquay/entry/probe_budget.py
@@ -1,9 +1,10 @@
 """Limits the load probes that all entries together send to a target.
 
 An entry asks targets for their load whenever it serves a request, so the sum
-over entries grows with their number and with the traffic. Each entry may use
-an equal part of the rate: those in the target's region have most of it between
-them, all others have the rest.
+over entries grows with their number and with the traffic. Entries at the same
+distance to a target have equal parts of the rate. Those in its failure domain,
+which ask it first, have most of it between them, those in others of its region
+some, and all others the rest.
 """
 
 from __future__ import annotations
@@ -12,12 +13,16 @@
 import random
 import typing
 
+from mulberryquay import protocol
 from mulberryquay.coordination import clock, shares, token_bucket
 from mulberryquay.entry import targets
 
 #: Part of the rate that the entries in a target's region use together.
 _NEAR_PART: typing.Final = 0.75
 
+#: Part of the rate that those in its failure domain use, if there are others.
+_DOMAIN_PART: typing.Final = 0.55
+
 #: An entry may use what it saved in this time at once, at least one probe.
 _BURST_S: typing.Final = 1.0
 
@@ -52,6 +57,7 @@
         time_source: clock.Clock,
         *,
         region: str,
+        domain: str,
         per_target_s: float,
         on_skipped: typing.Callable[[], None],
         rng: random.Random | None = None,
@@ -67,6 +73,7 @@
         self._share_view = share_view
         self._clock = time_source
         self._region = region
+        self._domain = domain
         self._per_target_s = per_target_s
 
     def take(self, target: targets.TargetState) -> bool:
@@ -97,7 +104,7 @@
         return self._bucket(target).tokens
 
     def _bucket(self, target: targets.TargetState) -> token_bucket.TokenBucket:
-        per_s = self._part(target.row.region)
+        per_s = self._part(target.row)
         burst = max(1.0, per_s * _BURST_S)
         bucket = target.load_probe_budget
         if bucket is None:
@@ -108,10 +115,14 @@
         bucket.set_limits(rate=per_s, burst=burst)
         return bucket
 
-    def _part(self, region: str) -> float:
-        all_entries = self._share_view.member_count
-        near = self._share_view.count_in(region)
-        if region == self._region:
-            return self._per_target_s * _NEAR_PART / (near or all_entries)
-        far = max(1, all_entries - near)
-        return self._per_target_s * (1 - _NEAR_PART) / far
+    def _part(self, row: protocol.TargetRow) -> float:
+        sizes = self._share_view.group_sizes(row.region, row.domain)
+        if row.region != self._region:
+            return (
+                self._per_target_s * (1 - _NEAR_PART) / max(1, sizes.elsewhere)
+            )
+        if row.domain == self._domain:
+            part = _DOMAIN_PART if sizes.region else _NEAR_PART
+            return self._per_target_s * part / max(1, sizes.domain)
+        part = _NEAR_PART - _DOMAIN_PART if sizes.domain else _NEAR_PART
+        return self._per_target_s * part / max(1, sizes.region)
--- a/src/mulberryquay/entry/relays.py
+++ b/src/mulberryquay/entry/relays.py
@@ -55,10 +55,10 @@
         return self._entry in newest.members
 
     def update_peers(self, peers: Peers) -> None:
-        """Sets the live entries, as rows of name, region and address."""
+        """Sets the live entries, as rows of `protocol.PeersChanged`."""
         rows = {
             name: _peer_row(name, region, address)
-            for name, region, address in peers
+            for name, region, _domain, address in peers
             if name != self._entry
         }
         for gone in set(self._peers) - set(rows):
--- a/src/mulberryquay/protocol.py
+++ b/src/mulberryquay/protocol.py
@@ -7,7 +7,7 @@
 from mulberryquay.coordination import wire
 
 #: Increased with each incompatible change to a message.
-PROTOCOL_VERSION: typing.Final = 5
+PROTOCOL_VERSION: typing.Final = 6
 
 
 class Hello(typing.NamedTuple):
@@ -107,7 +107,7 @@
 class PeersChanged(typing.NamedTuple):
     """The live entries that accept relayed requests."""
 
-    #: Rows of name, region and ``IP:PORT``.
+    #: Rows of name, region, failure domain and ``IP:PORT``.
     peers: list[list[str]]
 
 
--- a/testing/coordination/test_shares.py
+++ b/testing/coordination/test_shares.py
@@ -149,3 +149,20 @@
     view.commit(shares.EntryList(1, ('entry-1',)))
     view.propose(shares.EntryList(2, ('entry-2',)))
     CASE.assertEqual(view.rate_share('t', 5, region='north'), 0)
+
+
+def test_group_sizes_count_entries_by_their_distance() -> None:
+    """Parts of a rate must fit the larger list while the list changes."""
+    view = shares.ShareView('entry-0')
+    members = tuple(f'entry-{number}' for number in range(6))
+    view.commit(shares.EntryList(1, members[:5]))
+    view.update_regions(
+        {name: 'north' if name < 'entry-3' else 'south' for name in members}
+    )
+    view.update_domains(
+        {name: 'a' if name < 'entry-2' else 'b' for name in members}
+    )
+    CASE.assertEqual(view.group_sizes('north', 'a'), (2, 1, 2))
+    CASE.assertEqual(view.group_sizes('north', 'c'), (0, 3, 2))
+    view.propose(shares.EntryList(2, members[1:]))
+    CASE.assertEqual(view.group_sizes('north', 'a'), (2, 1, 3))
--- a/testing/entry/test_load_prober.py
+++ b/testing/entry/test_load_prober.py
@@ -33,15 +33,22 @@
     entry_count: int = 1,
     per_target_s: float = 0,
 ) -> load_prober.LoadProber:
-    """Returns the prober of one of ``entry_count`` entries of a region."""
+    """Returns the prober of one of ``entry_count`` entries of a region.
+
+    They are in three failure domains, the first of them in that of targets.
+    """
     view = shares.ShareView(entry)
     members = tuple(f'entry-{number}' for number in range(entry_count))
     view.commit(shares.EntryList(1, members))
     view.update_regions(dict.fromkeys(members, 'north'))
+    view.update_domains(
+        {name: f'north-{1 + rank % 3}' for rank, name in enumerate(members)}
+    )
     budget = probe_budget.ProbeBudget(
         view,
         time_source,
         region='north',
+        domain='north-1',
         per_target_s=per_target_s,
         on_skipped=lambda: None,
     )
--- a/testing/entry/test_probe_budget.py
+++ b/testing/entry/test_probe_budget.py
@@ -26,20 +26,27 @@
     """Ignores that a probe was not sent."""
 
 
+class _Place(typing.NamedTuple):
+    region: str
+    domain: str
+
+
 def _budgets(
-    regions: dict[str, str], per_target_s: float, time_source: clock.Clock
+    places: dict[str, _Place], per_target_s: float, time_source: clock.Clock
 ) -> list[probe_budget.ProbeBudget]:
-    """Returns the budget of each entry, by the region of each."""
+    """Returns the budget of each entry, by the place of each."""
     budgets = []
-    for entry, region in regions.items():
+    for entry, (region, domain) in places.items():
         view = shares.ShareView(entry)
-        view.commit(shares.EntryList(1, tuple(regions)))
-        view.update_regions(regions)
+        view.commit(shares.EntryList(1, tuple(places)))
+        view.update_regions({name: at.region for name, at in places.items()})
+        view.update_domains({name: at.domain for name, at in places.items()})
         budgets.append(
             probe_budget.ProbeBudget(
                 view,
                 time_source,
                 region=region,
+                domain=domain,
                 per_target_s=per_target_s,
                 on_skipped=_ignore_skipped,
             )
@@ -50,17 +57,25 @@
 @fixtures.hypothesis_settings(50)
 @hypothesis.given(
     strategies.lists(
-        strategies.sampled_from(('north', 'south')), min_size=1, max_size=40
+        strategies.sampled_from(
+            (
+                _Place('north', 'north-1'),
+                _Place('north', 'north-2'),
+                _Place('south', 'south-1'),
+            )
+        ),
+        min_size=1,
+        max_size=40,
     ),
     strategies.floats(1, 200),
 )
 def test_eager_entries_keep_the_budget_of_a_target(
-    entry_regions: list[str], per_target_s: float
+    entry_places: list[_Place], per_target_s: float
 ) -> None:
     """The sum over entries must not grow with their number."""
     manual_clock = clock.ManualClock()
-    regions = {
-        f'entry-{number}': region for number, region in enumerate(entry_regions)
+    places = {
+        f'entry-{number}': place for number, place in enumerate(entry_places)
     }
     budgets = [
         (
@@ -69,7 +84,7 @@
                 fixtures.warm_row('t', '127.0.0.1:1'), manual_clock
             ),
         )
-        for budget in _budgets(regions, per_target_s, manual_clock)
+        for budget in _budgets(places, per_target_s, manual_clock)
     ]
     granted = 0
     for _ in range(1000):
@@ -85,10 +100,12 @@
     view = shares.ShareView('entry-0')
     view.commit(shares.EntryList(1, ('entry-0',)))
     view.update_regions({'entry-0': 'north', 'entry-1': 'north'})
+    view.update_domains({'entry-0': 'north-1', 'entry-1': 'north-1'})
     budget = probe_budget.ProbeBudget(
         view,
         manual_clock,
         region='north',
+        domain='north-1',
         per_target_s=8,
         on_skipped=_ignore_skipped,
     )
@@ -170,3 +187,21 @@
     CASE.assertIn('rich', selected)
     CASE.assertNotIn('empty', selected)
     CASE.assertEqual(probe_budget.select({'last': 1}, rng), ['last'])
+
+
+def test_entries_of_a_domain_have_most_probes_of_its_targets() -> None:
+    """The entries that ask a target first must not starve beside others."""
+    manual_clock = clock.ManualClock()
+    places = {
+        f'entry-{number}': _Place('north', f'north-{1 + number % 3}')
+        for number in range(42)
+    }
+    budgets = _budgets(places, 54, manual_clock)
+    row = fixtures.warm_row('t', '127.0.0.1:1')
+    granted = 0
+    for budget, place in zip(budgets, places.values(), strict=True):
+        if place.domain == row.domain:
+            known = targets.TargetState(row, manual_clock)
+            for _ in range(10):
+                granted += _granted_in_a_second(budget, known, manual_clock)
+    CASE.assertGreater(granted, 54 * 10 / 2)
