--- a/testing/entry/test_probe_budget.py
+++ b/testing/entry/test_probe_budget.py
@@ -198,10 +198,11 @@
     }
     budgets = _budgets(places, 54, manual_clock)
     row = fixtures.warm_row('t', '127.0.0.1:1')
-    granted = 0
-    for budget, place in zip(budgets, places.values(), strict=True):
-        if place.domain == row.domain:
-            known = targets.TargetState(row, manual_clock)
-            for _ in range(10):
-                granted += _granted_in_a_second(budget, known, manual_clock)
+    granted = sum(
+        _granted_in_a_second(budget, known, manual_clock)
+        for budget, place in zip(budgets, places.values(), strict=True)
+        if place.domain == row.domain
+        for known in [targets.TargetState(row, manual_clock)]
+        for _ in range(10)
+    )
     CASE.assertGreater(granted, 54 * 10 / 2)
