--- a/src/mulberryquay/entry/load_prober.py
+++ b/src/mulberryquay/entry/load_prober.py
@@ -15,10 +15,6 @@
 from mulberryquay.coordination import clock
 from mulberryquay.entry import probe_budget, prober, targets
 
-#: Longest wait for probes in the entry's own region and in other regions.
-NEAR_TIMEOUT_MS: typing.Final = 8.0
-FAR_TIMEOUT_MS: typing.Final = 40.0
-
 #: Largest number of targets in other regions probed for one request.
 _FAR_SAMPLE: typing.Final = 4
 
@@ -75,9 +71,7 @@
             at_most = max(0, _FAR_SAMPLE - fresh_count)
         probes = self._probes_of(stale, at_most)
         if probes:
-            timeout_ms = (
-                FAR_TIMEOUT_MS if tier == _FAR_TIER else NEAR_TIMEOUT_MS
-            )
+            timeout_ms = targets.LOAD_PROBE_MS[tier]
             gevent.joinall(probes, timeout=timeout_ms / clock.MS_PER_SECOND)
 
     def _probes_of(
--- a/src/mulberryquay/entry/targets.py
+++ b/src/mulberryquay/entry/targets.py
@@ -21,9 +21,12 @@
 FRESH_REPORT_MAX_AGE_MS: typing.Final = 60.0
 _MAX_USUAL_SLOWNESS: typing.Final = 1.3
 
-#: A load probe unanswered for longer than the floor adds its age, times the
-#: weight, to the target's expected time.
-_PROBE_DELAY_FLOOR_MS: typing.Final = 8.0
+#: Longest usual time of a load probe, by tier of the target. It may open a
+#: connection, which takes one more round trip.
+LOAD_PROBE_MS: typing.Final = (8.0, 8.0, 60.0)
+
+#: A load probe that takes longer than usual adds its age, times the weight, to
+#: the target's expected time.
 _PROBE_DELAY_WEIGHT: typing.Final = 4.0
 
 #: A target is penalized when its recent average latency exceeds the usual
@@ -207,7 +210,7 @@
         probe_delay = self._clock.now() - self._load_probe_began_at
         return (
             0
-            if probe_delay < _PROBE_DELAY_FLOOR_MS
+            if probe_delay < LOAD_PROBE_MS[self.tier]
             else probe_delay * _PROBE_DELAY_WEIGHT
         )
 
--- a/testing/entry/test_expected_time.py
+++ b/testing/entry/test_expected_time.py
@@ -159,3 +159,17 @@
     for _ in range(30):
         chosen = policy.choose([*busy, half_full], time_source.now())
         CASE.assertEqual(chosen.row.name, 'half-full')
+
+
+def test_probe_of_another_region_may_take_two_round_trips() -> None:
+    """A far target must not be penalized because it was asked for its load."""
+    time_source = clock.ManualClock(start=1000)
+    near = _new_target_state(time_source, 'near')
+    far = _new_target_state(time_source, 'far', tier=2)
+    for state in (near, far):
+        state.begin_load_probe()
+    time_source.advance(50)
+    CASE.assertGreater(near.probe_delay_penalty_ms, 0)
+    CASE.assertEqual(far.probe_delay_penalty_ms, 0)
+    time_source.advance(50)
+    CASE.assertGreater(far.probe_delay_penalty_ms, 0)
