--- a/src/mulberryquay/coordination/shares.py
+++ b/src/mulberryquay/coordination/shares.py
@@ -97,7 +97,6 @@
         self._regions: dict[str, str] = {}
         self._cache: dict[tuple[str, int], int] = {}
         self._domains: dict[str, str] = {}
-        self._region_counts: dict[str, int] = {}
         self._group_sizes: dict[tuple[str, str], GroupSizes] = {}
 
     @property
@@ -158,35 +157,16 @@
         """
         sizes = self._group_sizes.get((region, domain))
         if sizes is None:
+            by_list = [
+                self._sizes_in(entries.members, region, domain)
+                for entries in self._lists()
+            ]
             sizes = GroupSizes(
-                *map(
-                    max,
-                    zip(
-                        *(
-                            self._sizes_in(entries.members, region, domain)
-                            for entries in self._lists()
-                        ),
-                        strict=True,
-                    ),
-                )
+                *(max(counts) for counts in zip(*by_list, strict=True))
             )
             self._group_sizes[region, domain] = sizes
         return sizes
 
-    def count_in(self, region: str) -> int:
-        """Returns the number of entry processes in a region.
-
-        Counts the members of the list that has more of them there.
-        """
-        count = self._region_counts.get(region)
-        if count is None:
-            count = max(
-                len(self._members_in(entries.members, region))
-                for entries in self._lists()
-            )
-            self._region_counts[region] = count
-        return count
-
     def rate_share(self, target: str, per_s: float, *, region: str) -> float:
         """Returns the smaller part of a rate under the two lists.
 
@@ -241,7 +221,6 @@
 
     def _clear_caches(self) -> None:
         self._cache.clear()
-        self._region_counts.clear()
         self._group_sizes.clear()
 
     def _lists(self) -> list[EntryList]:
--- a/testing/entry/test_probe_budget.py
+++ b/testing/entry/test_probe_budget.py
@@ -168,7 +168,8 @@
             fixtures.wait_for_targets(entry, 'probed')
         fixtures.wait_until(
             lambda: all(
-                entry.state.share_view.count_in('north') == len(entries)
+                sum(entry.state.share_view.group_sizes('north', '')[:2])
+                == len(entries)
                 for entry in entries
             )
         )
