--- a/testing/test_http_pool.py
+++ b/testing/test_http_pool.py
@@ -56,24 +56,28 @@
         return child.returncode, printed
 
 
-def test_command_ends_an_api_answer_without_end() -> None:
-    """Guards against a client that keeps an answer until memory runs out."""
+def _check_command_ends(
+    verb: str, kinds: typing.Sequence[str], error_code: str
+) -> None:
+    """Checks that a command ends each kind of answer with a typed error."""
     with processes.flooding_target() as port:
-        for name in _KINDS:
+        for name in kinds:
             with CASE.subTest(name):
-                code, printed = _run_command(port, name, 'get')
+                code, printed = _run_command(port, name, verb)
                 CASE.assertNotEqual(code, 0, printed)
-                CASE.assertIn('api-unreachable', printed)
+                CASE.assertIn(error_code, printed)
+
+
+def test_command_ends_an_api_answer_without_end() -> None:
+    """Guards against a client that keeps an answer until memory runs out."""
+    _check_command_ends('get', _KINDS, 'api-unreachable')
 
 
 def test_command_ends_a_line_of_a_watch_without_end() -> None:
     """Guards against a watch that keeps a line until memory runs out."""
-    with processes.flooding_target() as port:
-        for name in ('large-chunks', 'no-length'):
-            with CASE.subTest(name):
-                code, printed = _run_command(port, name, 'watch')
-                CASE.assertNotEqual(code, 0, printed)
-                CASE.assertIn('watch-line-too-long', printed)
+    _check_command_ends(
+        'watch', ('large-chunks', 'no-length'), 'watch-line-too-long'
+    )
 
 
 def test_answer_without_end_to_an_announcement_is_an_error() -> None:
