Authenticate client accounts by key; add a room for decisions under load

Change: `accounts.keys` keeps digests of keys; `entry.authentication` finds the account and replaces key and name on what is forwarded; public routes need no key. The first `AccountRates` gives each entry an equal part.

--- /dev/null
+++ b/src/mulberryquay/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Client accounts: the keys by which callers show who they are."""
--- /dev/null
+++ b/src/mulberryquay/accounts/keys.py
@@ -0,0 +1,45 @@
+"""Keys of client accounts, kept and compared as digests only."""
+
+from __future__ import annotations
+
+import hashlib
+import typing
+
+#: A digest is written in this many hexadecimal digits.
+DIGEST_LENGTH: typing.Final = 32
+
+_DIGEST_BYTES: typing.Final = DIGEST_LENGTH // 2
+_PURPOSE: typing.Final = b'mulberryquay-key'
+_SCHEME: typing.Final = b'bearer'
+
+
+def digest_of(key: bytes) -> str:
+    """Returns the digest under which a key is kept."""
+    return hashlib.blake2b(
+        key, digest_size=_DIGEST_BYTES, person=_PURPOSE
+    ).hexdigest()
+
+
+def read_bearer(credentials: bytes | None) -> bytes | None:
+    """Returns the key of an ``Authorization`` header, None without one."""
+    if credentials is None:
+        return None
+    scheme, _, key = credentials.partition(b' ')
+    key = key.strip()
+    return key if scheme.lower() == _SCHEME and key else None
+
+
+@typing.final
+class KeyRing:
+    """The accounts by the digests of their keys.
+
+    A look-up compares digests, so its time tells nothing of a key.
+    """
+
+    def __init__(self, accounts: typing.Mapping[str, str]) -> None:
+        """``accounts`` has the name of an account by each digest."""
+        self._accounts = accounts
+
+    def find(self, key: bytes) -> str | None:
+        """Returns the name of the account that holds a key."""
+        return self._accounts.get(digest_of(key))
--- a/src/mulberryquay/commands/reference.py
+++ b/src/mulberryquay/commands/reference.py
@@ -137,6 +137,8 @@
             return f'number from {least} to {most}', f'`{default_rate}`'
         case schema.Weights():
             return 'object of names with a weight each', '`{}`'
+        case schema.Digests(length):
+            return f'list of digests of {length} hexadecimal digits', '`[]`'
 
 
 if __name__ == '__main__':
--- a/src/mulberryquay/control/configuration.py
+++ b/src/mulberryquay/control/configuration.py
@@ -47,6 +47,7 @@
             (kind, name, schema.check_spec(spec, fields, label=label))
         )
     _check_unique(checked)
+    _check_keys(checked)
     services = {name for kind, name, _ in checked if kind == kinds.SERVICE}
     for kind, name, spec in checked:
         if kind == kinds.ROUTE:
@@ -79,6 +80,20 @@
         )
 
 
+def _check_keys(resources: Resources) -> None:
+    holders: dict[str, str] = {}
+    for kind, name, spec in resources:
+        if kind != kinds.CLIENT_ACCOUNT:
+            continue
+        for digest in spec['key_digests']:
+            holder = holders.setdefault(digest, name)
+            if holder != name:
+                raise InvalidConfigurationError(
+                    f'client accounts {holder!r} and {name!r}: '
+                    'key_digests: expected no key in both',
+                )
+
+
 def _check_route(
     name: str,
     spec: schema.Spec,
--- a/src/mulberryquay/control/kinds.py
+++ b/src/mulberryquay/control/kinds.py
@@ -4,6 +4,7 @@
 
 import typing
 
+from mulberryquay.accounts import keys
 from mulberryquay.coordination import schema, units
 from mulberryquay.kernel import plugins
 
@@ -35,6 +36,7 @@
 _DEFAULT_CLASS_VALUE: typing.Final = 50
 _MAX_RATE: typing.Final = 1_000_000
 _MAX_ATTEMPTS: typing.Final = 100
+_MAX_RANK: typing.Final = 1000
 _DEFAULT_HEAD_BYTES: typing.Final = 32768
 DEFAULT_HEAD_TIMEOUT_MS: typing.Final = 30_000
 DEFAULT_IDLE_TIMEOUT_MS: typing.Final = 75_000
@@ -68,11 +70,17 @@
     'timeout_ms': schema.Integer(0, _MAX_TIMEOUT_MS),
     'objective_ms': schema.Integer(0, _MAX_TIMEOUT_MS),
     'max_attempts': schema.Integer(0, _MAX_ATTEMPTS),
+    'public': schema.Flag(),
 }
 
 CLIENT_ACCOUNT_FIELDS: typing.Final[schema.Fields] = {
     'home_regions': schema.Names(),
     'max_in_flight': schema.Integer(0, _MAX_COUNT, default=_MAX_COUNT),
+    'authenticated': schema.Flag(),
+    'key_digests': schema.Digests(keys.DIGEST_LENGTH),
+    'rank': schema.Integer(0, _MAX_RANK),
+    'rate_per_s': schema.Number(0, _MAX_RATE),
+    'burst': schema.Number(0, _MAX_RATE),
 }
 
 SERVICE_CLASS_FIELDS: typing.Final[schema.Fields] = {
--- a/src/mulberryquay/coordination/schema.py
+++ b/src/mulberryquay/coordination/schema.py
@@ -14,7 +14,9 @@
     'and 0-9'
 )
 _NAME_PATTERN: typing.Final = re.compile('[a-z0-9]([a-z0-9.-]{0,62})')
+_HEX_PATTERN: typing.Final = re.compile('[0-9a-f]+')
 _MAX_NAMES: typing.Final = 64
+_MAX_DIGESTS: typing.Final = 1024
 _MAX_WEIGHT: typing.Final = 1_000_000
 
 
@@ -55,6 +57,12 @@
     """A map of names to weights, such as ``{"a": 90, "b": 10}``."""
 
 
+class Digests(typing.NamedTuple):
+    """A list of distinct digests of ``length`` hexadecimal digits."""
+
+    length: int
+
+
 class Flag(typing.NamedTuple):
     """A boolean."""
 
@@ -67,7 +75,7 @@
     default: tuple[str, ...] = ()
 
 
-Field = Text | Integer | Number | Flag | Names | Weights
+Field = Text | Integer | Number | Flag | Names | Weights | Digests
 Fields = typing.Mapping[str, Field]
 
 
@@ -134,6 +142,8 @@
             return _check_number(given, field, label=label)
         case Weights():
             return _check_weights(given, label=label)
+        case Digests():
+            return _check_digests(given, field, label=label)
 
 
 def _check_text(given: typing.Any, field: Text, *, label: str) -> str:
@@ -207,6 +217,28 @@
     return names
 
 
+def _check_digests(
+    given: typing.Any, field: Digests, *, label: str
+) -> list[str]:
+    if given is None:
+        return []
+    if not isinstance(given, list) or len(given) > _MAX_DIGESTS:
+        _raise_invalid(
+            given, f'a list of at most {_MAX_DIGESTS} digests', label=label
+        )
+    for digest in given:
+        is_digest = isinstance(digest, str) and _HEX_PATTERN.fullmatch(digest)
+        if not is_digest or len(digest) != field.length:
+            _raise_invalid(
+                digest,
+                f'{field.length} hexadecimal digits in lower case',
+                label=label,
+            )
+    if len(set(given)) != len(given):
+        _raise_invalid(given, 'a list without repeats', label=label)
+    return given
+
+
 def _raise_invalid(
     given: typing.Any, expected: str, *, label: str
 ) -> typing.NoReturn:
--- a/src/mulberryquay/entry/admission.py
+++ b/src/mulberryquay/entry/admission.py
@@ -4,7 +4,10 @@
 
 import typing
 
+from mulberryquay.coordination import clock
+from mulberryquay.decisions import permits
 from mulberryquay.entry import (
+    authentication,
     header_names,
     http_heads,
     outcomes,
@@ -38,11 +41,15 @@
 
 
 def admit(
-    entry_state: state.EntryState, head: http_heads.RequestHead
+    entry_state: state.EntryState,
+    head: http_heads.RequestHead,
+    *,
+    is_relayed: bool,
 ) -> Admission:
     """Returns the route, service and limits that apply to a request.
 
-    Raises RefusedError, always with the outcome not-run.
+    ``is_relayed`` says that another entry relayed it. Raises RefusedError,
+    always with the outcome not-run.
     """
     if not (entry_state.is_fresh or entry_state.options.serves_stale):
         raise outcomes.not_run(
@@ -56,8 +63,10 @@
         )
     host = head.find(header_names.HOST) or b''
     route = entry_state.routing_table.find_route(head.path, host)
+    account = authentication.identify(
+        entry_state, head, route, is_relayed=is_relayed
+    )
     service = entry_state.splits.choose(route)
-    account = _find_account(entry_state, head)
     regions = routing.allowed_regions(route, account)
     _check_regions(entry_state, regions)
     depth = _read_number(head, header_names.DEPTH, 0, _MAX_DEPTH_HEADER)
@@ -93,6 +102,20 @@
         )
 
 
+def take_permit(entry_state: state.EntryState, admitted: Admission) -> None:
+    """Raises RefusedError if the account of a request is over its rate."""
+    if admitted.account is None:
+        return
+    permit = entry_state.account_rates.take(admitted.account.rate)
+    if isinstance(permit, permits.OverRate):
+        raise outcomes.not_run(
+            outcomes.Reason.OVER_RATE,
+            f'client account {admitted.account.name!r} has reached its rate '
+            f'of {admitted.account.rate.per_s:g} requests a second',
+            retry_after_s=permit.retry_after_ms / clock.MS_PER_SECOND,
+        )
+
+
 def check_time_before_stop(
     entry_state: state.EntryState, admitted: Admission
 ) -> None:
@@ -110,16 +133,6 @@
         )
 
 
-def _find_account(
-    entry_state: state.EntryState,
-    head: http_heads.RequestHead,
-) -> routing.ClientAccount | None:
-    name = head.find(header_names.ACCOUNT)
-    if name is None:
-        return None
-    return entry_state.routing_table.find_account(name.decode('latin-1'))
-
-
 def _check_regions(
     entry_state: state.EntryState,
     regions: frozenset[str] | None,
--- a/src/mulberryquay/entry/dialect.py
+++ b/src/mulberryquay/entry/dialect.py
@@ -33,6 +33,9 @@
 
     #: Id of a request; on an answer, of the request that it belongs to.
     request_id: bytes = header_names.REQUEST_ID
+    #: Client account of a request. Where accounts are authenticated, entries
+    #: set it; else callers do.
+    account: bytes = header_names.ACCOUNT
     #: How long the caller waits for the answer, in ms from now.
     timeout: bytes = header_names.TIMEOUT
     #: On an answer: the load of the target.
@@ -78,7 +81,7 @@
         return header_names.HeaderFilter(
             header_names.KNOWN_HEADERS
             | dialect_headers
-            | {self.signature, self.rate_limit},
+            | {self.signature, self.rate_limit, self.account},
             header_names.NOT_FORWARDED | dialect_headers,
         )
 
--- a/src/mulberryquay/entry/exchange.py
+++ b/src/mulberryquay/entry/exchange.py
@@ -283,7 +283,9 @@
         )
 
     def _admit(self) -> forwarder.AdmittedRequest:
-        admitted = admission.admit(self._state, self._head)
+        admitted = admission.admit(
+            self._state, self._head, is_relayed=self._is_relayed
+        )
         self._admission = admitted
         if admitted.account is not None:
             self._account_slot = self._state.account_slots.acquire(
@@ -291,6 +293,8 @@
             )
         service = admitted.service
         admission.check_time_before_stop(self._state, admitted)
+        if not self._is_relayed:
+            admission.take_permit(self._state, admitted)
         limit = self._wait_limit()
         self._wait_before_run(limit)
         body = self._body.read_replayable(service, limit)
--- a/src/mulberryquay/entry/header_names.py
+++ b/src/mulberryquay/entry/header_names.py
@@ -53,6 +53,7 @@
 #: How long the caller waits for the answer, in milliseconds from now.
 TIMEOUT: typing.Final = b'mulberryquay-timeout-ms'
 
+AUTHORIZATION: typing.Final = b'authorization'
 HOST: typing.Final = b'host'
 CONTENT_ENCODING: typing.Final = b'content-encoding'
 
@@ -89,7 +90,14 @@
 
 #: Headers that this system reads.
 KNOWN_HEADERS: typing.Final = NOT_FORWARDED | frozenset(
-    (ACCOUNT, IDEMPOTENCY_KEY, HOST, CONTENT_ENCODING, RATE_LIMIT),
+    (
+        ACCOUNT,
+        AUTHORIZATION,
+        IDEMPOTENCY_KEY,
+        HOST,
+        CONTENT_ENCODING,
+        RATE_LIMIT,
+    ),
 )
 
 DEFAULT_FILTER: typing.Final = HeaderFilter(KNOWN_HEADERS, NOT_FORWARDED)
--- a/src/mulberryquay/entry/outcomes.py
+++ b/src/mulberryquay/entry/outcomes.py
@@ -44,6 +44,8 @@
     NO_CONFIGURATION = 'no-configuration'
     NO_ROUTE = 'no-route'
     UNKNOWN_ACCOUNT = 'unknown-account'
+    UNKNOWN_KEY = 'unknown-key'
+    OVER_RATE = 'over-rate'
     ACCOUNT_LIMIT = 'account-limit'
     OUTSIDE_HOME_REGIONS = 'outside-home-regions'
     NO_TARGET = 'no-target'
@@ -82,6 +84,8 @@
     Reason.REQUEST_TIMEOUT: 408,
     Reason.NO_ROUTE: 404,
     Reason.UNKNOWN_ACCOUNT: 403,
+    Reason.UNKNOWN_KEY: 401,
+    Reason.OVER_RATE: 429,
     Reason.ACCOUNT_LIMIT: 429,
     Reason.OUTSIDE_HOME_REGIONS: 421,
     Reason.TOO_DEEP: 508,
@@ -104,6 +108,7 @@
 _TEMPORARY_REASONS: typing.Final = frozenset(
     (
         Reason.ACCOUNT_LIMIT,
+        Reason.OVER_RATE,
         Reason.NO_CONFIGURATION,
         Reason.NO_TARGET,
         Reason.OVERLOADED,
--- a/src/mulberryquay/entry/outgoing.py
+++ b/src/mulberryquay/entry/outgoing.py
@@ -4,12 +4,15 @@
 
 import typing
 
+from mulberryquay.decisions import callers
 from mulberryquay.entry import (
     admission,
     attempt,
+    authentication,
     forwarder,
     header_names,
     http_heads,
+    routing,
     service_queue,
     state,
 )
@@ -43,6 +46,9 @@
         incoming.deadline,
         admitted.route.max_attempts,
         may_relay=not incoming.is_relayed,
+        caller=(
+            admitted.account.caller if admitted.account else callers.ANONYMOUS
+        ),
     )
     depth = admitted.depth + (not incoming.is_relayed)
     return forwarder.AdmittedRequest(
@@ -50,7 +56,9 @@
         attempt.OutgoingRequest(
             head.method,
             head.path,
-            _headers(entry_state, head, incoming, depth),
+            _headers(
+                entry_state, head, admitted.account, incoming, depth=depth
+            ),
             head.framing,
             incoming.body,
             incoming.remaining_body,
@@ -64,12 +72,16 @@
 def _headers(
     entry_state: state.EntryState,
     head: http_heads.RequestHead,
+    account: routing.ClientAccount | None,
     incoming: Incoming,
+    *,
     depth: int,
 ) -> http_heads.Headers:
     header_dialect = entry_state.dialect
     headers = [
-        *head.forwarded_headers,
+        *authentication.replace_credentials(
+            entry_state, head.forwarded_headers, account
+        ),
         (header_dialect.request_id, incoming.request_id.encode('latin-1')),
     ]
     if header_dialect.sends_depth:
--- a/src/mulberryquay/entry/routing.py
+++ b/src/mulberryquay/entry/routing.py
@@ -4,8 +4,10 @@
 
 import typing
 
+from mulberryquay.accounts import keys
 from mulberryquay.control import kinds
 from mulberryquay.coordination import schema, store, units
+from mulberryquay.decisions import callers, permits
 from mulberryquay.entry import messages, outcomes
 
 
@@ -59,6 +61,8 @@
     name: str
     home_regions: tuple[str, ...]
     max_in_flight: int
+    caller: callers.Caller
+    rate: permits.RateLimit
 
 
 class WeightedService(typing.NamedTuple):
@@ -83,6 +87,8 @@
     objective_ms: int
     #: Attempts in total, including the first one.
     max_attempts: int
+    #: Whether callers need no key.
+    is_public: bool = False
 
 
 ResourcesByKey = dict[tuple[str, str], store.Resource]
@@ -109,6 +115,13 @@
             name: _make_account(name, spec)
             for name, spec in specs[kinds.CLIENT_ACCOUNT].items()
         }
+        self._authenticates_callers = any(
+            spec.get('authenticated')
+            for spec in specs[kinds.CLIENT_ACCOUNT].values()
+        )
+        self._key_ring = keys.KeyRing(
+            _holders_by_digest(specs[kinds.CLIENT_ACCOUNT])
+        )
         self._routes = {
             (route.host, route.path_prefix): route
             for route in self._make_routes(specs[kinds.ROUTE])
@@ -146,6 +159,16 @@
         """The declared services by name."""
         return self._services
 
+    @property
+    def authenticates_callers(self) -> bool:
+        """Whether callers need a key, except on public routes."""
+        return self._authenticates_callers
+
+    @property
+    def key_ring(self) -> keys.KeyRing:
+        """The client accounts by key."""
+        return self._key_ring
+
     def find_route(self, path: bytes, host: bytes = b'') -> Route:
         """Returns the route with the longest prefix of whole segments.
 
@@ -214,6 +237,7 @@
                 spec['timeout_ms'] or weighted_services[0].service.timeout_ms,
                 spec['objective_ms'],
                 spec['max_attempts'] or service_class.max_attempts,
+                spec.get('public', False),
             )
 
 
@@ -256,6 +280,14 @@
     return specs
 
 
+def _holders_by_digest(accounts: dict[str, schema.Spec]) -> dict[str, str]:
+    return {
+        digest: name
+        for name, spec in accounts.items()
+        for digest in spec.get('key_digests', ())
+    }
+
+
 def _make_class(name: str, spec: schema.Spec) -> ServiceClass:
     return ServiceClass(
         name,
@@ -299,4 +331,8 @@
         name,
         tuple(spec['home_regions']),
         spec['max_in_flight'],
+        callers.Caller(name, spec.get('rank', 0)),
+        permits.RateLimit(
+            name, spec.get('rate_per_s', 0), spec.get('burst', 0)
+        ),
     )
--- a/src/mulberryquay/entry/service_queue.py
+++ b/src/mulberryquay/entry/service_queue.py
@@ -11,6 +11,7 @@
 from gevent import event
 
 from mulberryquay.coordination import clock
+from mulberryquay.decisions import callers
 from mulberryquay.entry import outcomes, relays, routing, targets
 
 #: Longest time that a request waits for a target.
@@ -38,6 +39,7 @@
     max_attempts: int = 3
     #: Whether the request may be relayed to another entry.
     may_relay: bool = True
+    caller: callers.Caller = callers.ANONYMOUS
 
 
 class Policy(typing.Protocol):
--- a/src/mulberryquay/entry/state.py
+++ b/src/mulberryquay/entry/state.py
@@ -13,7 +13,9 @@
     shares,
     watchdog,
 )
+from mulberryquay.decisions import permits
 from mulberryquay.entry import (
+    account_rates,
     account_slots,
     balancer,
     caller_watch,
@@ -200,6 +202,10 @@
         #: Probes targets for their load before one is chosen; None if off.
         self.load_prober: LoadReportRefresher | None = None
         self.account_slots = account_slots.AccountSlots(self.share_view)
+        #: Grants permits under the rates of client accounts.
+        self.account_rates: permits.AccountRates = account_rates.EqualParts(
+            self.share_view, self.clock
+        )
         self.in_flight = 0
         self.is_fresh = False
         self.planned_stop = planned_stop.PlannedStop(self.clock)
--- /dev/null
+++ b/testing/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of client accounts and their keys."""
--- /dev/null
+++ b/testing/accounts/test_authentication.py
@@ -0,0 +1,102 @@
+"""Tests of requests that carry the key of a client account."""
+
+from __future__ import annotations
+
+import contextlib
+import typing
+
+from mulberryquay.accounts import keys
+from mulberryquay.standin import target
+from testing import fixtures
+
+_KEY: typing.Final = b'n4ryrbbkf83fgfwrz56a'
+_WITH_KEY: typing.Final = {
+    'Authorization': f'Bearer {_KEY.decode()}',
+    'Mulberryquay-Account': 'forged',
+}
+
+
+def _declare(control: fixtures.Control, **spec: typing.Any) -> None:
+    control.put(
+        'client-accounts',
+        'yard',
+        **{
+            'authenticated': True,
+            'key_digests': [keys.digest_of(_KEY)],
+            **spec,
+        },
+    )
+    control.declare('stock')
+    control.declare('prices', route={'public': True})
+    control.wait_in_force()
+
+
+@contextlib.contextmanager
+def _targets(
+    control: fixtures.Control, received: list[target.ReceivedRequest]
+) -> typing.Iterator[None]:
+    def handle(request: target.ReceivedRequest) -> target.Answer:
+        received.append(request)
+        return target.Answer()
+
+    with (
+        fixtures.announced_target(control, 'stock-a', handler=handle),
+        fixtures.announced_target(
+            control, 'prices-a', service='prices', handler=handle
+        ),
+    ):
+        yield
+
+
+def test_targets_get_the_account_and_never_the_key() -> None:
+    """A key that is passed on lets its receiver act as the account."""
+    received: list[target.ReceivedRequest] = []
+    with fixtures.control() as control, fixtures.entry(control) as entry:
+        _declare(control)
+        with _targets(control, received):
+            fixtures.wait_for_targets(entry, 'stock-a', 'prices-a')
+            for path in ('/stock/x', '/prices/x'):
+                answer = fixtures.ask(entry, path, headers=_WITH_KEY)
+                assert answer.status == 200, answer
+    accounts = [
+        request.head.find(b'mulberryquay-account') for request in received
+    ]
+    assert accounts == [b'yard', None], accounts
+    for request in received:
+        assert request.head.find(b'authorization') is None
+
+
+def test_request_without_a_known_key_is_refused_and_does_not_run() -> None:
+    """Without its own key, a caller could use the room of another."""
+    received: list[target.ReceivedRequest] = []
+    with fixtures.control() as control, fixtures.entry(control) as entry:
+        _declare(control)
+        with _targets(control, received):
+            fixtures.wait_for_targets(entry, 'stock-a', 'prices-a')
+            for headers in (
+                {},
+                {'Authorization': 'Bearer unknown'},
+                {'Authorization': _KEY.decode()},
+                {'Mulberryquay-Account': 'yard'},
+            ):
+                refused = fixtures.ask(entry, '/stock/x', headers=headers)
+                assert refused.status == 401, refused
+                assert refused.outcome == 'not-run/unknown-key', refused
+    assert not received
+
+
+def test_requests_over_the_rate_are_told_when_to_return() -> None:
+    """One account must not use the room of all others."""
+    received: list[target.ReceivedRequest] = []
+    with fixtures.control() as control, fixtures.entry(control) as entry:
+        _declare(control, rate_per_s=0.01, burst=2)
+        with _targets(control, received):
+            fixtures.wait_for_targets(entry, 'stock-a', 'prices-a')
+            answers = [
+                fixtures.ask(entry, '/stock/x', headers=_WITH_KEY)
+                for _ in range(3)
+            ]
+    assert [answer.status for answer in answers] == [200, 200, 429], answers
+    assert answers[-1].outcome == 'not-run/over-rate', answers
+    assert 0 < float(answers[-1].headers['retry-after']) <= 100
+    assert len(received) == 2
--- /dev/null
+++ b/testing/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions; none needs a network or waits."""
