Keep rates of client accounts by permits from the leader of the control hosts

Change: with account_rates=leases an entry asks a control host for permits, which asks the leader; permits expire after 300 ms. A new leader begins without permits; while none answers, each host lends its share of account_slack. Decisions are plain code in decisions/; protocol version 7.

--- a/src/mulberryquay/control/cluster.py
+++ b/src/mulberryquay/control/cluster.py
@@ -18,6 +18,7 @@
     host_protocol,
     membership,
     orders,
+    permit_desk,
     replicated_state,
     target_cache,
 )
@@ -30,6 +31,7 @@
     wire,
 )
 from mulberryquay.coordination.replication import disk, replica
+from mulberryquay.decisions import rate_slack
 
 #: A control host that sent no update for this long is left out of the list
 #: of hosts that entries get.
@@ -52,6 +54,7 @@
     #: Whether these hosts form a new group if their data folders are empty.
     is_founding: bool
     data_folder: pathlib.Path
+    account_slack: rate_slack.SlackLimits = rate_slack.SlackLimits()
 
 
 @typing.final
@@ -76,6 +79,7 @@
         self._hosts: dict[str, tuple[host_protocol.HostInfo, float]] = {}
         self._replica_network = rpc.Clients(host_protocol.CODEC)
         self._network = rpc.Clients(host_protocol.CODEC)
+        self._permit_network = rpc.Clients(host_protocol.CODEC)
         self.state = replicated_state.ReplicatedState()
         self.targets = directory.Directory(
             time_source,
@@ -110,6 +114,14 @@
             self._network,
             time_source,
         )
+        self.permits = permit_desk.PermitDesk(
+            self.replica,
+            self._permit_network,
+            self.state.store,
+            time_source,
+            address=config.info.address,
+            slack=config.account_slack,
+        )
         self.feed = feed.Feed(
             self.state.store,
             self.targets,
@@ -143,6 +155,7 @@
         self._cache.start()
         self._broadcast.start()
         self.reports.start()
+        self.permits.start()
         self.feed.start(feed_listener)
         self._task = gevent.spawn(self._watch_leadership)
 
@@ -154,11 +167,13 @@
         self.feed.stop()
         self._cache.stop()
         self.reports.stop()
+        self.permits.stop()
         self._broadcast.stop()
         self.replica.stop()
         if self._server is not None:
             self._server.stop()
         self._network.close()
+        self._permit_network.close()
         self._replica_network.close()
 
     def publish(self, message: Message) -> None:
@@ -235,6 +250,7 @@
         if self.replica.is_leader and not leads:
             return
         self.entries.set_leader_term(self.replica.term if leads else 0)
+        self.permits.set_leader_term(self.replica.term if leads else 0)
         if leads:
             self.entries.update()
             self._publish_lists()
@@ -245,6 +261,8 @@
                 return self._handle_host_update(request)
             case host_protocol.EntriesReported():
                 return self.reports.handle_report(request)
+            case host_protocol.PermitsRequested():
+                return self.permits.handle(request)
         if isinstance(request, host_protocol.ORDERS):
             deadline = self._clock.now() + orders.ORDER_TIMEOUT_MS
             return host_protocol.OrderResult(
--- a/src/mulberryquay/control/daemon.py
+++ b/src/mulberryquay/control/daemon.py
@@ -13,11 +13,15 @@
     directory,
     host_protocol,
     membership,
+    permit_desk,
 )
 from mulberryquay.coordination import clock, crash_guard, units
 from mulberryquay.coordination import store as store_module
+from mulberryquay.decisions import rate_slack
 from mulberryquay.kernel import plugins
 
+_PERCENT: typing.Final = 100
+
 SETTINGS: typing.Final = (
     settings.Setting(
         'data_folder',
@@ -81,6 +85,28 @@
         minimum=units.SECOND_MS,
         maximum=units.MINUTE_MS,
     ),
+    settings.Setting(
+        'account_slack',
+        0,
+        'requests of a client account beyond its rate that all control hosts '
+        'together may grant in account_window_ms while none of them is known '
+        'to lead; the same on all control hosts',
+        maximum=units.MAX_INT64,
+    ),
+    settings.Setting(
+        'account_slack_percent',
+        0,
+        'further such requests, in percent of what the rate and the burst '
+        'allow in account_window_ms',
+        maximum=_PERCENT,
+    ),
+    settings.Setting(
+        'account_window_ms',
+        5 * units.SECOND_MS,
+        'milliseconds in which account_slack is granted once',
+        minimum=units.SECOND_MS,
+        maximum=10 * units.MINUTE_MS,
+    ),
     settings.LOG_LEVEL,
 )
 
@@ -153,7 +179,7 @@
         if a port cannot be bound.
         """
         time_source = time_source or clock.Clock()
-        self._metrics = metrics.Metrics(METRICS)
+        self._metrics = metrics.Metrics((*METRICS, *permit_desk.METRICS))
         self._api_listener = sockets.listen(values['api_listen'])
         self._feed_listener = sockets.listen(values['feed_listen'])
         self._host_listener = sockets.listen(values['host_listen'])
@@ -172,10 +198,16 @@
                 contacts or (address,),
                 values['found'],
                 pathlib.Path(values['data_folder']),
+                rate_slack.SlackLimits(
+                    values['account_slack'],
+                    values['account_slack_percent'] / _PERCENT,
+                    values['account_window_ms'],
+                ),
             ),
             time_source,
             lease=values['target_lease_ms'],
         )
+        self._cluster.permits.metrics = self._metrics
         self._kernel = kernel
 
     @property
--- a/src/mulberryquay/control/feed.py
+++ b/src/mulberryquay/control/feed.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import logging
 import typing
 
@@ -26,6 +27,7 @@
     store,
     wire,
 )
+from mulberryquay.decisions import permits
 
 #: How long an entry may act on its state, counted from when it sent the last
 #: heartbeat that was answered.
@@ -225,6 +227,12 @@
                 case protocol.ConnectionLost() | protocol.RequestCleared():
                     self.target_reports.apply_crash(message)
                     self._group.publish(message)
+                case protocol.PermitsAsked(number, account, count):
+                    self._group.permits.ask(
+                        account,
+                        count,
+                        functools.partial(_send_decision, outbound, number),
+                    )
                 case protocol.EntryLeaving():
                     self._update_entry(entry, is_leaving=True)
                 case protocol.EntryLeft():
@@ -370,3 +378,13 @@
         self._broadcast(
             protocol.TargetsChanged(rows, [], is_complete=True),
         )
+
+
+def _send_decision(
+    outbound: queue.Queue, number: int, decision: permits.Decision
+) -> None:
+    """Sends the answer to an entry's question, unless the entry lags."""
+    try:
+        outbound.put_nowait(protocol.PermitsDecided(number, list(decision)))
+    except queue.Full:
+        _LOG.debug('decision on permits not sent')
--- a/src/mulberryquay/control/feed_messages.py
+++ b/src/mulberryquay/control/feed_messages.py
@@ -5,7 +5,7 @@
 import typing
 
 from mulberryquay import protocol
-from mulberryquay.control import directory, entry_reports
+from mulberryquay.control import directory, entry_reports, permit_desk
 from mulberryquay.coordination import shares
 
 
@@ -20,6 +20,10 @@
     def reports(self) -> entry_reports.EntryReports:
         """The task that reports connected entries to the leader."""
 
+    @property
+    def permits(self) -> permit_desk.PermitDesk:
+        """Decides on the permits of client accounts."""
+
     def wait_until_current(self) -> None:
         """Waits until this host has every change acknowledged so far.
 
--- a/src/mulberryquay/control/host_protocol.py
+++ b/src/mulberryquay/control/host_protocol.py
@@ -131,6 +131,22 @@
     is_leader: bool
 
 
+class PermitsRequested(typing.NamedTuple):
+    """Asks the leader for permits of client accounts."""
+
+    #: How many, by name of the account.
+    counts: dict[str, int]
+
+
+class PermitsAllotted(typing.NamedTuple):
+    """Answers `PermitsRequested`."""
+
+    #: Whether the receiver leads; otherwise it has granted nothing.
+    is_leader: bool
+    #: Rows of `decisions.permits.Decision` by name of the account.
+    decisions: dict[str, list[typing.Any]]
+
+
 ORDERS: typing.Final = (
     PutResource,
     PutConfiguration,
@@ -158,5 +174,7 @@
         HostUpdateAck,
         EntriesReported,
         EntriesReportAck,
+        PermitsRequested,
+        PermitsAllotted,
     ),
 )
--- a/src/mulberryquay/coordination/clock.py
+++ b/src/mulberryquay/coordination/clock.py
@@ -21,6 +21,10 @@
         """Returns the monotonic time; comparable within one process only."""
         return time.monotonic() * MS_PER_SECOND
 
+    def elapsed(self) -> Milliseconds:
+        """Returns a monotonic time that also counts suspension."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME) * MS_PER_SECOND
+
     def wall(self) -> Milliseconds:
         """Returns the time since the Unix epoch; it may jump."""
         return time.time() * MS_PER_SECOND
@@ -46,6 +50,10 @@
         """Returns the set time."""
         return self._now
 
+    def elapsed(self) -> Milliseconds:
+        """Returns the set time."""
+        return self._now
+
     def wall(self) -> Milliseconds:
         """Returns the set time."""
         return self._now
--- a/src/mulberryquay/decisions/permits.py
+++ b/src/mulberryquay/decisions/permits.py
@@ -5,6 +5,9 @@
 import dataclasses
 import typing
 
+#: How long an entry may use a permit, counted from when it asked for it.
+PERMIT_LIFE_MS: typing.Final = 300.0
+
 
 class RateLimit(typing.NamedTuple):
     """The rate that all entries together grant to a client account."""
@@ -29,12 +32,29 @@
     retry_after_ms: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Undecided:
+    """Nobody who knows what the account has used could be asked."""
+
+
 #: The answer to a request for a permit.
-Permit = Granted | OverRate
+Permit = Granted | OverRate | Undecided
+
+
+class Decision(typing.NamedTuple):
+    """How many of the permits that were asked for an account gets."""
+
+    granted: int
+    #: If fewer than were asked for: when the next is there, in ms from now.
+    next_ms: float = 0
+    #: If fewer than were asked for: when a caller should return, in ms.
+    return_ms: float = 0
+    #: Whether what the account has used was known.
+    is_known: bool = True
 
 
 class AccountRates(typing.Protocol):
     """Grants permits so that all entries together keep each rate."""
 
     def take(self, limit: RateLimit) -> Permit:
-        """Takes a permit for one request, now."""
+        """Takes a permit for one request; may wait for a moment."""
--- a/src/mulberryquay/entry/admission.py
+++ b/src/mulberryquay/entry/admission.py
@@ -107,13 +107,21 @@
     if admitted.account is None:
         return
     permit = entry_state.account_rates.take(admitted.account.rate)
-    if isinstance(permit, permits.OverRate):
-        raise outcomes.not_run(
-            outcomes.Reason.OVER_RATE,
-            f'client account {admitted.account.name!r} has reached its rate '
-            f'of {admitted.account.rate.per_s:g} requests a second',
-            retry_after_s=permit.retry_after_ms / clock.MS_PER_SECOND,
-        )
+    account = admitted.account.name
+    match permit:
+        case permits.OverRate(retry_after_ms):
+            raise outcomes.not_run(
+                outcomes.Reason.OVER_RATE,
+                f'client account {account!r} has reached its rate of '
+                f'{admitted.account.rate.per_s:g} requests a second',
+                retry_after_s=retry_after_ms / clock.MS_PER_SECOND,
+            )
+        case permits.Undecided():
+            raise outcomes.not_run(
+                outcomes.Reason.NO_PERMIT,
+                'no control host could say whether client account '
+                f'{account!r} is within its rate',
+            )
 
 
 def check_time_before_stop(
--- a/src/mulberryquay/entry/control_link.py
+++ b/src/mulberryquay/entry/control_link.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import random
 import typing
 
@@ -44,10 +45,13 @@
             domain=domain,
         )
         self._view = control_view.ControlView(entry_state, self._hosts)
+        entry_state.leased_rates.hosts = self
         self._streams = [
             control_stream.ControlStream(self._view, self._make_hello)
             for _ in range(FOLLOWED_HOSTS)
         ]
+        #: In the order in which they are asked for permits.
+        self._asked_streams = collections.deque(self._streams)
 
     @property
     def revision(self) -> int:
@@ -93,6 +97,20 @@
         """Reports that a target answered a request reported earlier."""
         self._send_to_one(protocol.RequestCleared(fingerprint))
 
+    def ask_permits(
+        self, question: protocol.PermitsAsked, *, is_repeated: bool
+    ) -> bool:
+        """Sends a question to one control host, repeated to another.
+
+        Returns False if there is none.
+        """
+        if is_repeated:
+            self._asked_streams.rotate()
+        return any(
+            stream.is_connected and stream.send(question)
+            for stream in self._asked_streams
+        )
+
     def _send_to_one(self, message: tuple[typing.Any, ...]) -> None:
         """Sends to one control host, which forwards to the others."""
         for stream in self._streams:
--- a/src/mulberryquay/entry/control_stream.py
+++ b/src/mulberryquay/entry/control_stream.py
@@ -137,8 +137,8 @@
     def _handle(self, message: typing.Any) -> None:
         view = self._view
         match message:
-            case protocol.HeartbeatAnswer():
-                self._handle_heartbeat_answer(message)
+            case protocol.HeartbeatAnswer() | protocol.PermitsDecided():
+                self._handle_answer(message)
             case protocol.ConfigSlice():
                 self._handle_slice(message)
             case protocol.ConfigDelta(resources):
@@ -172,6 +172,14 @@
         self._view.replica.apply_snapshot(config_slice.revision, resources)
         self._view.update_freshness()
 
+    def _handle_answer(
+        self, answer: protocol.HeartbeatAnswer | protocol.PermitsDecided
+    ) -> None:
+        if isinstance(answer, protocol.PermitsDecided):
+            self._view.receive_permits(answer)
+        else:
+            self._handle_heartbeat_answer(answer)
+
     def _handle_heartbeat_answer(
         self, answer: protocol.HeartbeatAnswer
     ) -> None:
--- a/src/mulberryquay/entry/control_view.py
+++ b/src/mulberryquay/entry/control_view.py
@@ -136,6 +136,10 @@
         )
         self._state.balancer.refresh_limits()
 
+    def receive_permits(self, answer: protocol.PermitsDecided) -> None:
+        """Applies a decision on permits of a client account."""
+        self._state.leased_rates.receive(answer)
+
     def block_request(self, fingerprint: bytes, duration: float) -> None:
         """Refuses, for ``duration`` ms, a request that crashes targets."""
         _LOG.warning(
--- a/src/mulberryquay/entry/daemon.py
+++ b/src/mulberryquay/entry/daemon.py
@@ -288,6 +288,7 @@
         set_gauge('mulberryquay_waiting', entry_state.balancer.waiting_count)
         set_gauge('mulberryquay_config_revision', self._control_link.revision)
         set_gauge('mulberryquay_config_fresh', int(entry_state.is_fresh))
+        entry_state.leased_rates.update_gauges()
 
 
 def _address_or_none(address: str) -> tuple[str, int] | None:
@@ -304,6 +305,7 @@
         values['outside_homes'] == entry_settings.FORWARD_OUTSIDE,
         values['retry_percent'] / entry_settings.PERCENT,
         values['retry_reserve'],
+        values['account_rates'] == entry_settings.LEASES,
         balancer.TargetLimits(
             values['min_calls'],
             values['load_limit_percent'] / entry_settings.PERCENT,
--- a/src/mulberryquay/entry/entry_settings.py
+++ b/src/mulberryquay/entry/entry_settings.py
@@ -17,6 +17,8 @@
 PERCENT: typing.Final = 100
 REFUSE_OUTSIDE: typing.Final = 'refuse'
 FORWARD_OUTSIDE: typing.Final = 'forward'
+PARTS: typing.Final = 'parts'
+LEASES: typing.Final = 'leases'
 
 #: The policy with the best results in the table in docs/DESIGN.md.
 DEFAULT_POLICY: typing.Final = 'hot-cold'
@@ -185,6 +187,13 @@
         'may make at once; 0 gives each entry a reserve of its own',
         maximum=units.MAX_INT64,
     ),
+    settings.Setting(
+        'account_rates',
+        PARTS,
+        'how the rates of client accounts are kept: by an equal part for '
+        'each entry, or by leases that the control hosts grant on demand',
+        choices=(PARTS, LEASES),
+    ),
     settings.Setting(
         'pipelined_requests',
         state.PipeliningLimits().max_requests,
--- a/src/mulberryquay/entry/outcomes.py
+++ b/src/mulberryquay/entry/outcomes.py
@@ -46,6 +46,7 @@
     UNKNOWN_ACCOUNT = 'unknown-account'
     UNKNOWN_KEY = 'unknown-key'
     OVER_RATE = 'over-rate'
+    NO_PERMIT = 'no-permit'
     ACCOUNT_LIMIT = 'account-limit'
     OUTSIDE_HOME_REGIONS = 'outside-home-regions'
     NO_TARGET = 'no-target'
@@ -109,6 +110,7 @@
     (
         Reason.ACCOUNT_LIMIT,
         Reason.OVER_RATE,
+        Reason.NO_PERMIT,
         Reason.NO_CONFIGURATION,
         Reason.NO_TARGET,
         Reason.OVERLOADED,
@@ -134,6 +136,7 @@
     Reason.TARGET_SHED: 0.05,
     Reason.MISDIRECTED: 0.05,
     Reason.ENTRY_STOPPING: 0.05,
+    Reason.NO_PERMIT: 0.2,
     Reason.QUEUE_TIMEOUT: 0.2,
     Reason.OVERLOADED: 0.2,
 }
--- a/src/mulberryquay/entry/state.py
+++ b/src/mulberryquay/entry/state.py
@@ -22,6 +22,7 @@
     claim_client,
     crash_tracker,
     dialect,
+    leased_rates,
     outcomes,
     planned_stop,
     relays,
@@ -144,6 +145,8 @@
     #: Further retries of a service that all entries together may make at once;
     #: 0 gives each entry its own reserve.
     retry_reserve: float = 0
+    #: Whether permits of client accounts are asked for at control hosts.
+    leases_rates: bool = False
     target_limits: balancer.TargetLimits = balancer.TargetLimits()
     pipelining: PipeliningLimits = PipeliningLimits()
 
@@ -170,7 +173,7 @@
         self.header_filter = self.dialect.header_filter
         self.region = region
         self.clock = time_source or clock.Clock()
-        self.metrics = metrics.Metrics(METRICS)
+        self.metrics = metrics.Metrics((*METRICS, *leased_rates.METRICS))
         self.routing_table = routing.RoutingTable({})
         self.share_view = shares.ShareView(name)
         target_context = targets.TargetContext(
@@ -206,6 +209,9 @@
         self.account_rates: permits.AccountRates = account_rates.EqualParts(
             self.share_view, self.clock
         )
+        self._leased_rates = leased_rates.LeasedRates(self.clock, self.metrics)
+        if self.options.leases_rates:
+            self.account_rates = self._leased_rates
         self.in_flight = 0
         self.is_fresh = False
         self.planned_stop = planned_stop.PlannedStop(self.clock)
@@ -219,6 +225,11 @@
         """The names of the headers exchanged with callers and targets."""
         return self.options.dialect
 
+    @property
+    def leased_rates(self) -> leased_rates.LeasedRates:
+        """The permits that control hosts granted to this entry."""
+        return self._leased_rates
+
     def next_request_id(self) -> str:
         """Returns an id that is unique over all entries and restarts."""
         return f'{self._request_prefix}{next(self._request_numbers):x}'
--- a/src/mulberryquay/protocol.py
+++ b/src/mulberryquay/protocol.py
@@ -7,7 +7,7 @@
 from mulberryquay.coordination import wire
 
 #: Increased with each incompatible change to a message.
-PROTOCOL_VERSION: typing.Final = 6
+PROTOCOL_VERSION: typing.Final = 7
 
 
 class Hello(typing.NamedTuple):
@@ -171,6 +171,22 @@
     duration_ms: int
 
 
+class PermitsAsked(typing.NamedTuple):
+    """An entry needs permits of a client account; see `PermitsDecided`."""
+
+    number: int
+    account: str
+    amount: int
+
+
+class PermitsDecided(typing.NamedTuple):
+    """Answers the `PermitsAsked` with the same number."""
+
+    number: int
+    #: Row of `decisions.permits.Decision`.
+    decision: list[typing.Any]
+
+
 class EntryLeaving(typing.NamedTuple):
     """The entry is stopping: it gives up its share of the targets."""
 
@@ -200,5 +216,7 @@
         RequestBlocked,
         EntryLeaving,
         EntryLeft,
+        PermitsAsked,
+        PermitsDecided,
     ),
 )
--- a/testing/virtual_time.py
+++ b/testing/virtual_time.py
@@ -26,6 +26,10 @@
         """Returns the virtual time in ms."""
         return self._now
 
+    def elapsed(self) -> float:
+        """Returns the virtual time in ms."""
+        return self._now
+
     def wall(self) -> float:
         """Returns the virtual time in ms."""
         return self._now
