--- a/src/mulberryquay/control/permit_desk.py
+++ b/src/mulberryquay/control/permit_desk.py
@@ -258,6 +258,7 @@
             extra={
                 'account': limit.account,
                 'rate_per_s': limit.per_s,
+                'burst': limit.burst,
                 'asked': asked,
                 'granted': decision.granted,
             },
--- /dev/null
+++ b/testing/decisions/test_rates.py
@@ -0,0 +1,319 @@
+"""Tests of permits under the rates of accounts, with a clock of their own."""
+
+from __future__ import annotations
+
+import collections
+import random
+import typing
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from mulberryquay.decisions import (
+    held_permits,
+    permits,
+    rate_keeper,
+    rate_slack,
+)
+from testing import fixtures
+
+CASE: typing.Final = unittest.TestCase()
+
+_STEP_MS: typing.Final = 5.0
+_WINDOW_MS: typing.Final = 5000.0
+_ENTRIES: typing.Final = 5
+_SECOND_MS: typing.Final = 1000.0
+_BUCKET_START_MS: typing.Final = 1e6
+_SLACK: typing.Final = rate_slack.SlackLimits(18, 0.04, _WINDOW_MS)
+_HOSTS: typing.Final = ('host-1', 'host-2', 'host-3')
+
+
+class _Entry:
+    """What an entry holds, its questions on the way, and how it fares."""
+
+    def __init__(self) -> None:
+        self.held = held_permits.HeldPermits()
+        self.waiting = 0
+        #: Decisions with the times when they were asked for and arrive.
+        self.answers: list[tuple[float, float, permits.Decision]] = []
+        self.frozen_until = 0.0
+        self.cut_until = 0.0
+
+
+class _Group:
+    """Entries and a leader, played in steps by a fake clock."""
+
+    def __init__(
+        self, limit: permits.RateLimit, entries: int, *, delay_ms: float = 25
+    ) -> None:
+        self.now = _BUCKET_START_MS
+        self.limit = limit
+        self.entries = [_Entry() for _ in range(entries)]
+        self.leader: rate_keeper.RateKeeper | None = rate_keeper.RateKeeper(
+            self.now
+        )
+        self.leader_until = float('inf')
+        self.slack = {host: rate_slack.RateSlack(_SLACK) for host in _HOSTS}
+        self.delay_ms = delay_ms
+        self.sent_at: list[float] = []
+        self.questions = 0
+        self.refused = 0
+
+    def request(self, number: int) -> None:
+        """Plays a request at an entry; it waits if it has no permit."""
+        entry = self.entries[number]
+        if entry.frozen_until > self.now:
+            return
+        match entry.held.take(self.limit, self.now):
+            case permits.Granted():
+                self.sent_at.append(self.now)
+            case None:
+                entry.waiting += 1
+            case _:
+                self.refused += 1
+        self._ask(number, entry)
+
+    def step(self) -> None:
+        """Lets time pass; answers arrive."""
+        self.now += _STEP_MS
+        for number, entry in enumerate(self.entries):
+            if entry.frozen_until > self.now:
+                continue
+            due = [answer for answer in entry.answers if answer[1] <= self.now]
+            for answer in due:
+                entry.answers.remove(answer)
+                self._receive(entry, answer)
+            if due:
+                self._ask(number, entry)
+
+    def elect(self) -> None:
+        """Another leader follows, which knows nothing of the earlier one."""
+        self.leader = rate_keeper.RateKeeper(self.now)
+
+    def most_in_window(self) -> int:
+        """Returns the most requests sent in any window."""
+        window: collections.deque[float] = collections.deque()
+        most = 0
+        for moment in self.sent_at:
+            window.append(moment)
+            while window[0] <= moment - _WINDOW_MS:
+                window.popleft()
+            most = max(most, len(window))
+        return most
+
+    def _receive(
+        self, entry: _Entry, answer: tuple[float, float, permits.Decision]
+    ) -> None:
+        entry.held.receive(answer[2], asked_at=answer[0], now=self.now)
+        for _ in range(entry.waiting):
+            match entry.held.retake(self.limit, self.now):
+                case permits.Granted():
+                    self.sent_at.append(self.now)
+                case None:
+                    return
+                case _:
+                    self.refused += 1
+            entry.waiting -= 1
+
+    def _ask(self, number: int, entry: _Entry) -> None:
+        if entry.answers:
+            return
+        count = entry.held.count_to_ask(entry.waiting, self.now)
+        if not count:
+            return
+        self.questions += 1
+        is_lost = entry.cut_until > self.now
+        decision = permits.Decision(0, 200, 200, is_known=False)
+        if not is_lost:
+            decision = self._decide(number, count)
+        entry.answers.append((self.now, self.now + self.delay_ms, decision))
+
+    def _decide(self, number: int, count: int) -> permits.Decision:
+        if self.leader is not None:
+            return self.leader.ask(self.limit, count, self.now)
+        host = _HOSTS[number % len(_HOSTS)]
+        return self.slack[host].ask(
+            self.limit, count, self.now, rate_slack.Deciders(host, _HOSTS)
+        )
+
+
+def _bound(limit: permits.RateLimit, *, lent: bool) -> float:
+    """Returns what may pass in a window: permits live 300 ms after it."""
+    window_s = _WINDOW_MS / _SECOND_MS
+    life_s = permits.PERMIT_LIFE_MS / _SECOND_MS
+    bound = limit.per_s * (window_s + life_s) + max(1, limit.burst)
+    if lent:
+        bound += _SLACK.requests
+        bound += _SLACK.part * (limit.per_s * window_s + limit.burst)
+    return bound
+
+
+_EVENTS: typing.Final = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(
+            ('calls', 'calls', 'calls', 'freeze', 'cut', 'lose', 'elect')
+        ),
+        strategies.integers(0, _ENTRIES - 1),
+        strategies.integers(1, 60),
+        strategies.integers(0, 400),
+    ),
+    max_size=60,
+)
+
+
+@fixtures.hypothesis_settings(60)
+@hypothesis.given(
+    _EVENTS,
+    strategies.sampled_from((0.5, 2, 20, 100)),
+    strategies.sampled_from((0.0, 1, 5, 100)),
+)
+def test_no_window_exceeds_its_bound(
+    history: list[tuple[str, int, int, int]], per_s: float, burst: float
+) -> None:
+    """Losses, freezes, cuts and new leaders must not add to the sum."""
+    limit = permits.RateLimit('yard', per_s, burst)
+    group = _Group(limit, _ENTRIES)
+    for kind, number, amount, steps in history:
+        entry = group.entries[number]
+        match kind:
+            case 'calls':
+                for _ in range(amount):
+                    group.request(number)
+            case 'freeze':
+                entry.frozen_until = group.now + 10 * amount
+            case 'cut':
+                entry.cut_until = group.now + 10 * amount
+            case 'lose':
+                group.leader = None
+            case _:
+                group.elect()
+        for _ in range(steps):
+            group.step()
+    assert group.most_in_window() <= _bound(limit, lent=True)
+
+
+@fixtures.hypothesis_settings(60)
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from((1.0, 10.0, 80.0)),
+            strategies.integers(0, 50),
+            strategies.integers(0, 300),
+        ),
+        min_size=1,
+        max_size=20,
+    )
+)
+def test_changed_rates_bind_at_once(
+    changes: list[tuple[float, int, int]],
+) -> None:
+    """A rate that was lowered must not leave the permits of the old one."""
+    group = _Group(permits.RateLimit('yard', 80, 80), _ENTRIES)
+    for per_s, amount, steps in changes:
+        group.limit = permits.RateLimit('yard', per_s, per_s)
+        started = len(group.sent_at)
+        begun = group.now
+        for step in range(steps):
+            if amount and step % 10 == 0:
+                for _ in range(amount):
+                    group.request(step % _ENTRIES)
+            group.step()
+        passed_s = (group.now - begun + permits.PERMIT_LIFE_MS) / _SECOND_MS
+        sent = len(group.sent_at) - started
+        held = sum(entry.held.held(group.now) for entry in group.entries)
+        # Permits of the earlier rate live for a moment.
+        earlier = 80 * permits.PERMIT_LIFE_MS / _SECOND_MS + 80
+        assert sent + held <= per_s * passed_s + per_s + earlier
+
+
+def _play(
+    group: _Group, per_s: float, seconds: float, choose: typing.Any
+) -> None:
+    """Plays callers who come at a steady rate."""
+    started = group.now
+    due = started
+    while group.now < started + seconds * _SECOND_MS:
+        while due <= group.now:
+            group.request(choose())
+            due += _SECOND_MS / per_s
+        group.step()
+
+
+def test_nearly_all_of_a_rate_is_usable_wherever_callers_are() -> None:
+    """Equal parts refused nearly all at one entry of many."""
+    for entries in (15, 116, 300):
+        for per_s in (2.0, 20.0, 200.0):
+            rng = random.Random(1)
+            places: dict[str, typing.Any] = {
+                'one': lambda: 0,
+                'evenly': lambda: rng.randrange(entries),
+            }
+            for place, choose in places.items():
+                limit = permits.RateLimit('yard', per_s, per_s)
+                group = _Group(limit, entries)
+                _play(group, 7 * per_s, 20, choose)
+                usable = 20 * per_s
+                assert len(group.sent_at) >= 0.95 * usable, (
+                    entries,
+                    per_s,
+                    place,
+                    len(group.sent_at),
+                )
+                most = group.most_in_window()
+                assert most <= _bound(limit, lent=False), (per_s, place, most)
+
+
+def test_callers_within_a_small_rate_are_never_refused() -> None:
+    """A rate of 2 a second must work at many more entries."""
+    for entries in (116, 296):
+        rng = random.Random(2)
+        group = _Group(permits.RateLimit('yard', 2, 2), entries)
+        for _ in range(200):
+            group.step()
+        _play(group, 1.8, 30, lambda: rng.randrange(entries))
+        CASE.assertEqual(group.refused, 0)
+        CASE.assertGreaterEqual(len(group.sent_at), 53)
+
+
+def test_entry_that_asks_far_more_is_refused_without_a_question() -> None:
+    """Questions for each refused request would load the leader."""
+    group = _Group(permits.RateLimit('yard', 10, 10), 1)
+    _play(group, 500, 10, lambda: 0)
+    CASE.assertGreater(group.refused, 4000)
+    CASE.assertLess(group.questions, 200)
+
+
+def test_hosts_lend_no_more_than_the_slack_together() -> None:
+    """Hosts without a leader do not know of each other."""
+    limit = permits.RateLimit('yard', 10, 10)
+    total = 0
+    for host in _HOSTS:
+        slack = rate_slack.RateSlack(_SLACK)
+        deciders = rate_slack.Deciders(host, _HOSTS)
+        total += slack.ask(limit, 100, 0, deciders).granted
+        total += slack.ask(limit, 100, _WINDOW_MS - 1, deciders).granted
+        later = slack.ask(limit, 1, _WINDOW_MS, deciders)
+        CASE.assertEqual(later.granted, 1)
+    CASE.assertEqual(total, 18 + 2)
+    outside = rate_slack.RateSlack(_SLACK)
+    refused = outside.ask(limit, 1, 0, rate_slack.Deciders('other', _HOSTS))
+    CASE.assertFalse(refused.is_known)
+
+
+def test_refused_callers_return_one_after_the_other() -> None:
+    """Callers who return together are refused together."""
+    keeper = rate_keeper.RateKeeper(0)
+    limit = permits.RateLimit('yard', 10, 1)
+    returns = [keeper.ask(limit, 1, 50).return_ms for _ in range(5)]
+    CASE.assertEqual(returns, [50, 150, 250, 350, 450])
+
+
+def test_permits_of_a_frozen_entry_are_gone_when_it_wakes() -> None:
+    """What is spent late would add to what others got meanwhile."""
+    held = held_permits.HeldPermits()
+    held.receive(permits.Decision(5), asked_at=0, now=20)
+    CASE.assertEqual(held.held(299), 5)
+    CASE.assertEqual(held.held(permits.PERMIT_LIFE_MS), 0)
+    held.receive(permits.Decision(5), asked_at=0, now=5000)
+    CASE.assertEqual(held.held(5000), 0)
