Refuse keys that were taken away, also for requests that wait

Change: the key is checked again before each attempt if the revision changed; revoked keys are told from unknown ones, with the revision. A single order with a key of another account is refused with both names. stale_config gains serve-keyless for entries that are cut off. Errors on digests quote nothing.

--- a/src/mulberryquay/accounts/keys.py
+++ b/src/mulberryquay/accounts/keys.py
@@ -9,6 +9,8 @@
 DIGEST_LENGTH: typing.Final = 32
 
 _DIGEST_BYTES: typing.Final = DIGEST_LENGTH // 2
+#: Revoked keys that are remembered, the newest, to tell them from others.
+_MAX_REVOKED: typing.Final = 1000
 _PURPOSE: typing.Final = b'mulberryquay-key'
 _SCHEME: typing.Final = b'bearer'
 
@@ -39,7 +41,29 @@
     def __init__(self, accounts: typing.Mapping[str, str]) -> None:
         """``accounts`` has the name of an account by each digest."""
         self._accounts = accounts
+        self._revoked: dict[str, int] = {}
 
-    def find(self, key: bytes) -> str | None:
+    def follow(self, earlier: KeyRing, revision: int) -> None:
+        """Remembers the keys of an earlier ring that ``revision`` revoked."""
+        known = {
+            **earlier._revoked,
+            **{
+                digest: revision
+                for digest in earlier._accounts
+                if digest not in self._accounts
+            },
+        }
+        newest = list(known.items())[-_MAX_REVOKED:]
+        self._revoked = {
+            digest: revoked_in
+            for digest, revoked_in in newest
+            if digest not in self._accounts
+        }
+
+    def holder_of(self, digest: str) -> str | None:
         """Returns the name of the account that holds a key."""
-        return self._accounts.get(digest_of(key))
+        return self._accounts.get(digest)
+
+    def revoked_in(self, digest: str) -> int:
+        """Returns the revision that revoked a key, 0 if none is known."""
+        return self._revoked.get(digest, 0)
--- a/src/mulberryquay/commands/explain.py
+++ b/src/mulberryquay/commands/explain.py
@@ -87,6 +87,10 @@
     outcomes.Reason.BREAKS_TARGETS: (
         'targets failed when they ran the request, so it is refused'
     ),
+    outcomes.Reason.NO_PERMIT: (
+        'no control host answered in time whether the client account was '
+        'within its rate'
+    ),
     outcomes.Reason.NO_ROUTE: (
         'the configuration in force has no route for this request'
     ),
--- a/src/mulberryquay/control/configuration.py
+++ b/src/mulberryquay/control/configuration.py
@@ -16,7 +16,9 @@
 
 _MAX_RESOURCES: typing.Final = 100_000
 
-Resources = list[tuple[str, str, schema.Spec]]
+#: Kind, name and validated spec of a resource.
+Checked = tuple[str, str, schema.Spec]
+Resources = list[Checked]
 
 
 @typing.final
@@ -47,7 +49,7 @@
             (kind, name, schema.check_spec(spec, fields, label=label))
         )
     _check_unique(checked)
-    _check_keys(checked)
+    check_keys(checked)
     services = {name for kind, name, _ in checked if kind == kinds.SERVICE}
     for kind, name, spec in checked:
         if kind == kinds.ROUTE:
@@ -80,12 +82,13 @@
         )
 
 
-def _check_keys(resources: Resources) -> None:
+def check_keys(resources: typing.Iterable[Checked]) -> None:
+    """Raises InvalidConfigurationError if two accounts have one key."""
     holders: dict[str, str] = {}
     for kind, name, spec in resources:
         if kind != kinds.CLIENT_ACCOUNT:
             continue
-        for digest in spec['key_digests']:
+        for digest in spec.get('key_digests', ()):
             holder = holders.setdefault(digest, name)
             if holder != name:
                 raise InvalidConfigurationError(
--- a/src/mulberryquay/control/orders.py
+++ b/src/mulberryquay/control/orders.py
@@ -8,12 +8,13 @@
 from gevent import lock
 
 from mulberryquay.control import (
+    configuration,
     directory,
     host_protocol,
     kinds,
     replicated_state,
 )
-from mulberryquay.coordination import clock, errors, rpc, store
+from mulberryquay.coordination import clock, errors, rpc, schema, store
 from mulberryquay.coordination.replication import replica, state
 
 #: Time in which an order is answered or refused. Callers turn to the next
@@ -162,6 +163,7 @@
     def _apply(self, order: Order) -> list[typing.Any]:
         match order:
             case host_protocol.PutResource(kind, name, version, spec):
+                self._check_keys(kind, name, spec)
                 resource = self._store.put(
                     kind,
                     name,
@@ -186,6 +188,19 @@
             kinds=kinds.CONFIGURED,
         )
 
+    def _check_keys(
+        self, kind: str, name: str, spec: schema.Spec | None
+    ) -> None:
+        """Raises InvalidConfigurationError if another account has a key."""
+        if kind != kinds.CLIENT_ACCOUNT or spec is None:
+            return
+        others = [
+            (kind, other.name, other.spec)
+            for other in self._store.list_kind(kind)
+            if other.name != name and other.spec
+        ]
+        configuration.check_keys([*others, (kind, name, spec)])
+
     def _set_domain(
         self,
         order: host_protocol.SetDomainState,
--- a/src/mulberryquay/coordination/schema.py
+++ b/src/mulberryquay/coordination/schema.py
@@ -224,18 +224,20 @@
         return []
     if not isinstance(given, list) or len(given) > _MAX_DIGESTS:
         _raise_invalid(
-            given, f'a list of at most {_MAX_DIGESTS} digests', label=label
+            type(given).__name__,
+            f'a list of at most {_MAX_DIGESTS} digests',
+            label=label,
         )
     for digest in given:
         is_digest = isinstance(digest, str) and _HEX_PATTERN.fullmatch(digest)
         if not is_digest or len(digest) != field.length:
-            _raise_invalid(
-                digest,
+            # What stands there may be the key itself.
+            raise InvalidResourceError(
+                f'{label}: got a digest of another form, expected '
                 f'{field.length} hexadecimal digits in lower case',
-                label=label,
             )
     if len(set(given)) != len(given):
-        _raise_invalid(given, 'a list without repeats', label=label)
+        _raise_invalid('a repeat', 'a list without repeats', label=label)
     return given
 
 
--- a/src/mulberryquay/entry/admission.py
+++ b/src/mulberryquay/entry/admission.py
@@ -31,7 +31,7 @@
     route: routing.Route
     #: The service chosen for the request among those of its route.
     service: routing.Service
-    account: routing.ClientAccount | None
+    identity: authentication.Identity
     #: Regions that may serve the request, None for all.
     regions: frozenset[str] | None
     #: Depth of the request in a tree of nested calls, from 0.
@@ -39,6 +39,11 @@
     #: Milliseconds from the request's arrival to its deadline.
     timeout_ms: int
 
+    @property
+    def account(self) -> routing.ClientAccount | None:
+        """The client account; None if the request has none."""
+        return self.identity.account
+
 
 def admit(
     entry_state: state.EntryState,
@@ -63,11 +68,12 @@
         )
     host = head.find(header_names.HOST) or b''
     route = entry_state.routing_table.find_route(head.path, host)
-    account = authentication.identify(
+    identity = authentication.identify(
         entry_state, head, route, is_relayed=is_relayed
     )
+    authentication.check_still_allowed(entry_state, identity)
     service = entry_state.splits.choose(route)
-    regions = routing.allowed_regions(route, account)
+    regions = routing.allowed_regions(route, identity.account)
     _check_regions(entry_state, regions)
     depth = _read_number(head, header_names.DEPTH, 0, _MAX_DEPTH_HEADER)
     if depth >= MAX_DEPTH:
@@ -85,7 +91,7 @@
     return Admission(
         route,
         service,
-        account,
+        identity,
         regions,
         depth,
         min(timeout, route.timeout_ms),
--- a/src/mulberryquay/entry/authentication.py
+++ b/src/mulberryquay/entry/authentication.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import typing
+
 from mulberryquay.accounts import keys
 from mulberryquay.entry import (
     header_names,
@@ -15,7 +17,20 @@
     state,
 )
 
-_CHALLENGE = (b'www-authenticate', b'Bearer')
+_CHALLENGE: typing.Final = (b'www-authenticate', b'Bearer')
+
+
+class Identity(typing.NamedTuple):
+    """Who sent a request, and in which revision that was found."""
+
+    account: routing.ClientAccount | None = None
+    #: Digest of the key; empty if there was none or another entry has it.
+    digest: str = ''
+    revision: int = 0
+
+
+#: The identity of a request that needs no account.
+ANONYMOUS: typing.Final = Identity()
 
 
 def identify(
@@ -24,26 +39,70 @@
     route: routing.Route,
     *,
     is_relayed: bool,
-) -> routing.ClientAccount | None:
-    """Returns the account of a request, None if it has none.
+) -> Identity:
+    """Returns the account of a request, and the key that shows it.
 
     The entry that relayed a request has authenticated it. Raises RefusedError.
     """
     table = entry_state.routing_table
     if not table.authenticates_callers or is_relayed:
         named = head.find(entry_state.dialect.account)
-        return table.find_account(named.decode('latin-1')) if named else None
+        if not named:
+            return ANONYMOUS
+        name = named.decode('latin-1')
+        if table.authenticates_callers and not table.has_account(name):
+            raise _refusal(table, '')
+        return Identity(table.find_account(name), '', table.revision)
     if route.is_public:
-        return None
+        return ANONYMOUS
     key = keys.read_bearer(head.find(header_names.AUTHORIZATION))
-    holder = table.key_ring.find(key) if key else None
+    digest = keys.digest_of(key) if key else ''
+    holder = table.key_ring.holder_of(digest)
     if holder is None:
+        raise _refusal(table, digest)
+    return Identity(table.find_account(holder), digest, table.revision)
+
+
+def check_still_allowed(
+    entry_state: state.EntryState, identity: Identity
+) -> None:
+    """Raises RefusedError if a newer configuration refuses the request.
+
+    It is called before each attempt, as a request may have waited.
+    """
+    table = entry_state.routing_table
+    account = identity.account
+    if account is None or not table.authenticates_callers:
+        return
+    options = entry_state.options
+    if options.distrusts_stale_keys and not entry_state.is_fresh:
         raise outcomes.not_run(
-            outcomes.Reason.UNKNOWN_KEY,
-            'the request has no key of a client account',
+            outcomes.Reason.STALE_CONFIGURATION,
+            'no control host confirms that the key is still valid',
+        )
+    if table.revision == identity.revision:
+        return
+    if identity.digest:
+        is_allowed = table.key_ring.holder_of(identity.digest) == account.name
+    else:
+        is_allowed = table.has_account(account.name)
+    if not is_allowed:
+        raise _refusal(table, identity.digest)
+
+
+def _refusal(table: routing.RoutingTable, digest: str) -> outcomes.RefusedError:
+    revoked_in = table.key_ring.revoked_in(digest)
+    if revoked_in:
+        return outcomes.not_run(
+            outcomes.Reason.REVOKED_KEY,
+            f'revision {revoked_in} took the key from its client account',
             headers=[_CHALLENGE],
         )
-    return table.find_account(holder)
+    return outcomes.not_run(
+        outcomes.Reason.UNKNOWN_KEY,
+        'the request has no key of a client account',
+        headers=[_CHALLENGE],
+    )
 
 
 def replace_credentials(
--- a/src/mulberryquay/entry/config_replica.py
+++ b/src/mulberryquay/entry/config_replica.py
@@ -81,6 +81,7 @@
         entry_state.routing_table = routing.RoutingTable(
             self._resources,
             revision=revision,
+            earlier=entry_state.routing_table,
         )
         entry_state.balancer.configure(entry_state.routing_table.services)
         entry_state.balancer.apply_domains_out(
--- a/src/mulberryquay/entry/daemon.py
+++ b/src/mulberryquay/entry/daemon.py
@@ -301,7 +301,8 @@
 ) -> state.EntryOptions:
     return state.EntryOptions(
         _find_dialect(kernel, values['dialect']),
-        values['stale_config'] == entry_settings.SERVE_STALE,
+        values['stale_config'] != entry_settings.REFUSE_STALE,
+        values['stale_config'] == entry_settings.SERVE_KEYLESS_STALE,
         values['outside_homes'] == entry_settings.FORWARD_OUTSIDE,
         values['retry_percent'] / entry_settings.PERCENT,
         values['retry_reserve'],
--- a/src/mulberryquay/entry/entry_settings.py
+++ b/src/mulberryquay/entry/entry_settings.py
@@ -10,6 +10,7 @@
 
 SERVE_STALE: typing.Final = 'serve'
 REFUSE_STALE: typing.Final = 'refuse'
+SERVE_KEYLESS_STALE: typing.Final = 'serve-keyless'
 
 #: Largest number of requests read ahead; each may hold a buffered answer.
 MAX_PIPELINED: typing.Final = 64
@@ -115,8 +116,9 @@
         'stale_config',
         REFUSE_STALE,
         'what to do with requests while no control host confirms that the '
-        'configuration is current: refuse them as not run, or serve them',
-        choices=(REFUSE_STALE, SERVE_STALE),
+        'configuration is current: refuse them as not run, serve them, or '
+        'serve only those that need no key, as keys may have been revoked',
+        choices=(REFUSE_STALE, SERVE_STALE, SERVE_KEYLESS_STALE),
     ),
     settings.Setting(
         'dialect',
--- a/src/mulberryquay/entry/forwarder.py
+++ b/src/mulberryquay/entry/forwarder.py
@@ -8,6 +8,7 @@
 
 from mulberryquay.entry import (
     attempt,
+    authentication,
     crash_tracker,
     header_names,
     http_heads,
@@ -31,6 +32,7 @@
     outgoing: attempt.OutgoingRequest
     #: Whether the caller allows retries.
     may_retry: bool
+    identity: authentication.Identity = authentication.ANONYMOUS
 
 
 @typing.final
@@ -100,7 +102,15 @@
             self._state.load_prober.refresh_reports(
                 self._queue.eligible_targets(criteria, excluded),
             )
-        return self._queue.acquire(criteria, excluded)
+        target = self._queue.acquire(criteria, excluded)
+        try:
+            authentication.check_still_allowed(
+                self._state, self._request.identity
+            )
+        except outcomes.RefusedError:
+            self._queue.release(target)
+            raise
+        return target
 
     def finish(self, received: outcomes.Received) -> None:
         """Releases the target after its answer was read completely."""
@@ -235,7 +245,7 @@
         if not self._is_retryable(result) or not self._has_attempts_left():
             return False
         reason = _result_and_reason(result)[1].value
-        is_free = self._was_relayed and _reached_no_target(result)
+        is_free = self._was_relayed and outcomes.reached_no_target(result)
         is_granted = is_free or self._budget.withdraw()
         request_log.log_retry(
             self._request.outgoing.request_id,
@@ -371,17 +381,6 @@
     return digest.digest()
 
 
-def _reached_no_target(result: outcomes.AttemptResult) -> bool:
-    """Whether a relay added no load to a target, so that a retry is free."""
-    match result:
-        case outcomes.NotSent():
-            return True
-        case outcomes.Shed(reason):
-            return reason in outcomes.REASONS_BEFORE_TARGETS
-        case _:
-            return False
-
-
 def _result_and_reason(
     result: outcomes.AttemptResult,
 ) -> tuple[str, outcomes.Reason]:
--- a/src/mulberryquay/entry/outcomes.py
+++ b/src/mulberryquay/entry/outcomes.py
@@ -45,6 +45,7 @@
     NO_ROUTE = 'no-route'
     UNKNOWN_ACCOUNT = 'unknown-account'
     UNKNOWN_KEY = 'unknown-key'
+    REVOKED_KEY = 'revoked-key'
     OVER_RATE = 'over-rate'
     NO_PERMIT = 'no-permit'
     ACCOUNT_LIMIT = 'account-limit'
@@ -86,6 +87,7 @@
     Reason.NO_ROUTE: 404,
     Reason.UNKNOWN_ACCOUNT: 403,
     Reason.UNKNOWN_KEY: 401,
+    Reason.REVOKED_KEY: 401,
     Reason.OVER_RATE: 429,
     Reason.ACCOUNT_LIMIT: 429,
     Reason.OUTSIDE_HOME_REGIONS: 421,
@@ -233,3 +235,14 @@
 
 #: How one attempt on one target ended.
 AttemptResult = Received | NotSent | Shed | Lost
+
+
+def reached_no_target(result: AttemptResult) -> bool:
+    """Whether a relay added no load to a target, so that a retry is free."""
+    match result:
+        case NotSent():
+            return True
+        case Shed(reason):
+            return reason in REASONS_BEFORE_TARGETS
+        case _:
+            return False
--- a/src/mulberryquay/entry/routing.py
+++ b/src/mulberryquay/entry/routing.py
@@ -98,8 +98,17 @@
 class RoutingTable:
     """An immutable view of the configuration at one revision."""
 
-    def __init__(self, resources: ResourcesByKey, *, revision: int = 0) -> None:
-        """Builds the table without routes whose service or class is missing."""
+    def __init__(
+        self,
+        resources: ResourcesByKey,
+        *,
+        revision: int = 0,
+        earlier: RoutingTable | None = None,
+    ) -> None:
+        """Builds the table without routes whose service or class is missing.
+
+        It tells keys that ``earlier`` had from keys that were never known.
+        """
         self._revision = revision
         specs = _specs_by_kind(resources)
         self._classes = {
@@ -122,6 +131,8 @@
         self._key_ring = keys.KeyRing(
             _holders_by_digest(specs[kinds.CLIENT_ACCOUNT])
         )
+        if earlier is not None:
+            self._key_ring.follow(earlier.key_ring, revision)
         self._routes = {
             (route.host, route.path_prefix): route
             for route in self._make_routes(specs[kinds.ROUTE])
@@ -201,6 +212,10 @@
             'no route serves this path; declare one with `apply`',
         )
 
+    def has_account(self, name: str) -> bool:
+        """Whether a client account is declared."""
+        return name in self._accounts
+
     def find_account(self, name: str) -> ClientAccount:
         """Returns a client account; raises RefusedError if undeclared."""
         account = self._accounts.get(name)
--- a/src/mulberryquay/entry/state.py
+++ b/src/mulberryquay/entry/state.py
@@ -137,6 +137,8 @@
     dialect: dialect.HeaderDialect = dialect.OWN
     #: Whether requests are served while no freshness lease holds.
     serves_stale: bool = False
+    #: Whether requests with a key are refused then.
+    distrusts_stale_keys: bool = False
     #: Whether an entry outside the home regions of a request forwards it to
     #: a target there instead of refusing it.
     forwards_to_home_regions: bool = False
--- a/testing/decisions/test_rates.py
+++ b/testing/decisions/test_rates.py
@@ -227,6 +227,10 @@
         assert sent + held <= per_s * passed_s + per_s + earlier
 
 
+def _first() -> int:
+    return 0
+
+
 def _play(
     group: _Group, per_s: float, seconds: float, choose: typing.Any
 ) -> None:
@@ -246,7 +250,7 @@
         for per_s in (2.0, 20.0, 200.0):
             rng = random.Random(1)
             places: dict[str, typing.Any] = {
-                'one': lambda: 0,
+                'one': _first,
                 'evenly': lambda: rng.randrange(entries),
             }
             for place, choose in places.items():
@@ -279,7 +283,7 @@
 def test_entry_that_asks_far_more_is_refused_without_a_question() -> None:
     """Questions for each refused request would load the leader."""
     group = _Group(permits.RateLimit('yard', 10, 10), 1)
-    _play(group, 500, 10, lambda: 0)
+    _play(group, 500, 10, _first)
     CASE.assertGreater(group.refused, 4000)
     CASE.assertLess(group.questions, 200)
 
