Add key-digest, and a golden session of keys

Change: key-digest reads the key from standard input. The golden session makes a digest, asks with and without key, tries one key for two accounts, revokes.

--- a/src/mulberryquay/kernel/plugins.py
+++ b/src/mulberryquay/kernel/plugins.py
@@ -23,6 +23,7 @@
     'mulberryquay.commands.daemons',
     'mulberryquay.commands.clients',
     'mulberryquay.commands.explain',
+    'mulberryquay.commands.key_digest',
     'mulberryquay.commands.showcase',
 )
 
--- a/src/mulberryquay/main.py
+++ b/src/mulberryquay/main.py
@@ -39,7 +39,7 @@
     """Returns the usage text with the list of subcommands."""
     lines = ['usage: mulberryquay COMMAND [FLAGS] [ARGUMENTS]', '']
     for name in kernel.commands.names:
-        lines.append(f'  {name:<9} {kernel.commands.get(name).summary}')
+        lines.append(f'  {name:<10} {kernel.commands.get(name).summary}')
     lines += ['', 'mulberryquay COMMAND --help lists the flags of a command.']
     return '\n'.join(lines)
 
--- a/testing/sessions.py
+++ b/testing/sessions.py
@@ -9,6 +9,7 @@
 import pathlib
 import re
 import typing
+from unittest import mock
 
 from mulberryquay import main
 from testing import fixtures
@@ -44,13 +45,21 @@
         """Adds a comment line to the transcript."""
         self._lines += ['', f'# {text}']
 
-    def run(self, *arguments: str) -> None:
-        """Runs a subcommand and records its output and exit code."""
+    def run(self, *arguments: str, typed: str | None = None) -> None:
+        """Runs a subcommand and records its output and exit code.
+
+        One that reads what is ``typed`` uses no resource API.
+        """
+        flags = [f'--api={self._api}'] if typed is None else []
+        typed_input = io.StringIO(typed)
         output = io.StringIO()
         error_output = io.StringIO()
         with contextlib.redirect_stdout(output):
-            with contextlib.redirect_stderr(error_output):
-                code = main.run([*arguments, f'--api={self._api}'])
+            with (
+                contextlib.redirect_stderr(error_output),
+                mock.patch('sys.stdin', typed_input),
+            ):
+                code = main.run([*arguments, *flags])
         self._lines.append(f'$ mulberryquay {" ".join(arguments)}')
         self._lines += output.getvalue().splitlines()
         self._lines += error_output.getvalue().splitlines()
--- a/testing/test_sessions.py
+++ b/testing/test_sessions.py
@@ -6,6 +6,7 @@
 import pathlib
 import typing
 
+from mulberryquay.accounts import keys
 from testing import fixtures, sessions
 
 _RESOURCES: typing.Final[tuple[tuple[str, str, typing.Any], ...]] = (
@@ -96,3 +97,63 @@
         session.run('restore', 'north-1')
         session.ask(entry, '/stock/canvas')
         assert leaving.in_flight == 0
+
+
+def _write_account(
+    folder: pathlib.Path, name: str, version: int, *held: str
+) -> str:
+    """Returns the path of a file that declares an account with keys."""
+    path = folder / f'{name}.json'
+    spec = {
+        'authenticated': True,
+        'key_digests': [keys.digest_of(key.encode()) for key in held],
+    }
+    resource = {
+        'kind': 'client-accounts',
+        'name': name,
+        'version': version,
+        'spec': spec,
+    }
+    path.write_text(json.dumps([resource]))
+    return str(path)
+
+
+def test_session_of_keys() -> None:
+    """Guards against commands and errors that show a key.
+
+    The session makes a digest, declares accounts, asks with and without a
+    key, tries to give one key to two accounts and takes it away.
+    """
+    first, second = 'n4ryrbbkf83fgfwrz56a', 'w63is47qdqiqrh4jcda9'
+    with_key = {'Authorization': f'Bearer {first}'}
+    with (
+        fixtures.folder() as folder,
+        fixtures.control() as control,
+        fixtures.entry(control) as entry,
+    ):
+        session = sessions.Session(control.api)
+        session.add_comment('the digest of a key that is typed')
+        session.run('key-digest', typed=f'{first}\n')
+        session.add_comment('nothing is typed')
+        session.run('key-digest', typed='')
+        control.declare('stock')
+        with fixtures.announced_target(control, 'stock-a'):
+            fixtures.wait_for_targets(entry, 'stock-a')
+            session.add_comment('an account with one key')
+            path = _write_account(folder, 'yard', 1, first)
+            session.run('apply', '-f', path)
+            session.run('get', 'client-accounts', 'yard')
+            session.add_comment('without a key, then with it')
+            session.ask(entry, '/stock/canvas')
+            session.ask(entry, '/stock/canvas', headers=with_key)
+            session.add_comment('the same key for another account')
+            path = _write_account(folder, 'counter', 1, second, first)
+            session.run('apply', '-f', path)
+            session.add_comment('another key in its place')
+            path = _write_account(folder, 'yard', 2, second)
+            session.run('apply', '-f', path)
+            session.ask(entry, '/stock/canvas', headers=with_key)
+        session.compare('keys')
+    golden = (sessions.GOLDEN_FOLDER / 'keys.txt').read_text()
+    assert first not in golden
+    assert second not in golden
