--- a/src/mulberryquay/entry/routing.py
+++ b/src/mulberryquay/entry/routing.py
@@ -120,10 +120,9 @@
             name: _make_service(name, spec, self._limits)
             for name, spec in specs[kinds.SERVICE].items()
         }
-        self._accounts = {
-            name: _make_account(name, spec)
-            for name, spec in specs[kinds.CLIENT_ACCOUNT].items()
-        }
+        self._account_specs = specs[kinds.CLIENT_ACCOUNT]
+        #: Those that were asked for; of many accounts few come to an entry.
+        self._accounts: dict[str, ClientAccount] = {}
         self._authenticates_callers = any(
             spec.get('authenticated')
             for spec in specs[kinds.CLIENT_ACCOUNT].values()
@@ -214,16 +213,21 @@
 
     def has_account(self, name: str) -> bool:
         """Whether a client account is declared."""
-        return name in self._accounts
+        return name in self._account_specs
 
     def find_account(self, name: str) -> ClientAccount:
         """Returns a client account; raises RefusedError if undeclared."""
         account = self._accounts.get(name)
-        if account is None:
+        if account is not None:
+            return account
+        spec = self._account_specs.get(name)
+        if spec is None:
             raise outcomes.not_run(
                 outcomes.Reason.UNKNOWN_ACCOUNT,
                 f'client account {name!r} is not declared',
             )
+        account = _make_account(name, spec)
+        self._accounts[name] = account
         return account
 
     def _make_routes(
--- a/testing/decisions/test_rates.py
+++ b/testing/decisions/test_rates.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import collections
 import random
 import typing
 import unittest
@@ -17,135 +16,22 @@
     rate_slack,
 )
 from testing import fixtures
+from testing.decisions import rate_play
 
 CASE: typing.Final = unittest.TestCase()
 
-_STEP_MS: typing.Final = 5.0
-_WINDOW_MS: typing.Final = 5000.0
 _ENTRIES: typing.Final = 5
 _SECOND_MS: typing.Final = 1000.0
-_BUCKET_START_MS: typing.Final = 1e6
-_SLACK: typing.Final = rate_slack.SlackLimits(18, 0.04, _WINDOW_MS)
-_HOSTS: typing.Final = ('host-1', 'host-2', 'host-3')
-
-
-class _Entry:
-    """What an entry holds, its questions on the way, and how it fares."""
-
-    def __init__(self) -> None:
-        self.held = held_permits.HeldPermits()
-        self.waiting = 0
-        #: Decisions with the times when they were asked for and arrive.
-        self.answers: list[tuple[float, float, permits.Decision]] = []
-        self.frozen_until = 0.0
-        self.cut_until = 0.0
-
-
-class _Group:
-    """Entries and a leader, played in steps by a fake clock."""
-
-    def __init__(
-        self, limit: permits.RateLimit, entries: int, *, delay_ms: float = 25
-    ) -> None:
-        self.now = _BUCKET_START_MS
-        self.limit = limit
-        self.entries = [_Entry() for _ in range(entries)]
-        self.leader: rate_keeper.RateKeeper | None = rate_keeper.RateKeeper(
-            self.now
-        )
-        self.leader_until = float('inf')
-        self.slack = {host: rate_slack.RateSlack(_SLACK) for host in _HOSTS}
-        self.delay_ms = delay_ms
-        self.sent_at: list[float] = []
-        self.questions = 0
-        self.refused = 0
-
-    def request(self, number: int) -> None:
-        """Plays a request at an entry; it waits if it has no permit."""
-        entry = self.entries[number]
-        if entry.frozen_until > self.now:
-            return
-        match entry.held.take(self.limit, self.now):
-            case permits.Granted():
-                self.sent_at.append(self.now)
-            case None:
-                entry.waiting += 1
-            case _:
-                self.refused += 1
-        self._ask(number, entry)
-
-    def step(self) -> None:
-        """Lets time pass; answers arrive."""
-        self.now += _STEP_MS
-        for number, entry in enumerate(self.entries):
-            if entry.frozen_until > self.now:
-                continue
-            due = [answer for answer in entry.answers if answer[1] <= self.now]
-            for answer in due:
-                entry.answers.remove(answer)
-                self._receive(entry, answer)
-            if due:
-                self._ask(number, entry)
-
-    def elect(self) -> None:
-        """Another leader follows, which knows nothing of the earlier one."""
-        self.leader = rate_keeper.RateKeeper(self.now)
-
-    def most_in_window(self) -> int:
-        """Returns the most requests sent in any window."""
-        window: collections.deque[float] = collections.deque()
-        most = 0
-        for moment in self.sent_at:
-            window.append(moment)
-            while window[0] <= moment - _WINDOW_MS:
-                window.popleft()
-            most = max(most, len(window))
-        return most
-
-    def _receive(
-        self, entry: _Entry, answer: tuple[float, float, permits.Decision]
-    ) -> None:
-        entry.held.receive(answer[2], asked_at=answer[0], now=self.now)
-        for _ in range(entry.waiting):
-            match entry.held.retake(self.limit, self.now):
-                case permits.Granted():
-                    self.sent_at.append(self.now)
-                case None:
-                    return
-                case _:
-                    self.refused += 1
-            entry.waiting -= 1
-
-    def _ask(self, number: int, entry: _Entry) -> None:
-        if entry.answers:
-            return
-        count = entry.held.count_to_ask(entry.waiting, self.now)
-        if not count:
-            return
-        self.questions += 1
-        is_lost = entry.cut_until > self.now
-        decision = permits.Decision(0, 200, 200, is_known=False)
-        if not is_lost:
-            decision = self._decide(number, count)
-        entry.answers.append((self.now, self.now + self.delay_ms, decision))
-
-    def _decide(self, number: int, count: int) -> permits.Decision:
-        if self.leader is not None:
-            return self.leader.ask(self.limit, count, self.now)
-        host = _HOSTS[number % len(_HOSTS)]
-        return self.slack[host].ask(
-            self.limit, count, self.now, rate_slack.Deciders(host, _HOSTS)
-        )
 
 
 def _bound(limit: permits.RateLimit, *, lent: bool) -> float:
     """Returns what may pass in a window: permits live 300 ms after it."""
-    window_s = _WINDOW_MS / _SECOND_MS
+    window_s = rate_play.WINDOW_MS / _SECOND_MS
     life_s = permits.PERMIT_LIFE_MS / _SECOND_MS
     bound = limit.per_s * (window_s + life_s) + max(1, limit.burst)
     if lent:
-        bound += _SLACK.requests
-        bound += _SLACK.part * (limit.per_s * window_s + limit.burst)
+        bound += rate_play.SLACK.requests
+        bound += rate_play.SLACK.part * (limit.per_s * window_s + limit.burst)
     return bound
 
 
@@ -173,7 +59,7 @@
 ) -> None:
     """Losses, freezes, cuts and new leaders must not add to the sum."""
     limit = permits.RateLimit('yard', per_s, burst)
-    group = _Group(limit, _ENTRIES)
+    group = rate_play.Group(limit, _ENTRIES)
     for kind, number, amount, steps in history:
         entry = group.entries[number]
         match kind:
@@ -209,7 +95,7 @@
     changes: list[tuple[float, int, int]],
 ) -> None:
     """A rate that was lowered must not leave the permits of the old one."""
-    group = _Group(permits.RateLimit('yard', 80, 80), _ENTRIES)
+    group = rate_play.Group(permits.RateLimit('yard', 80, 80), _ENTRIES)
     for per_s, amount, steps in changes:
         group.limit = permits.RateLimit('yard', per_s, per_s)
         started = len(group.sent_at)
@@ -231,19 +117,6 @@
     return 0
 
 
-def _play(
-    group: _Group, per_s: float, seconds: float, choose: typing.Any
-) -> None:
-    """Plays callers who come at a steady rate."""
-    started = group.now
-    due = started
-    while group.now < started + seconds * _SECOND_MS:
-        while due <= group.now:
-            group.request(choose())
-            due += _SECOND_MS / per_s
-        group.step()
-
-
 def test_nearly_all_of_a_rate_is_usable_wherever_callers_are() -> None:
     """Equal parts refused nearly all at one entry of many."""
     for entries in (15, 116, 300):
@@ -255,8 +128,8 @@
             }
             for place, choose in places.items():
                 limit = permits.RateLimit('yard', per_s, per_s)
-                group = _Group(limit, entries)
-                _play(group, 7 * per_s, 20, choose)
+                group = rate_play.Group(limit, entries)
+                rate_play.play(group, 7 * per_s, 20, choose)
                 usable = 20 * per_s
                 assert len(group.sent_at) >= 0.95 * usable, (
                     entries,
@@ -272,18 +145,18 @@
     """A rate of 2 a second must work at many more entries."""
     for entries in (116, 296):
         rng = random.Random(2)
-        group = _Group(permits.RateLimit('yard', 2, 2), entries)
+        group = rate_play.Group(permits.RateLimit('yard', 2, 2), entries)
         for _ in range(200):
             group.step()
-        _play(group, 1.8, 30, lambda: rng.randrange(entries))
+        rate_play.play(group, 1.8, 30, lambda: rng.randrange(entries))
         CASE.assertEqual(group.refused, 0)
         CASE.assertGreaterEqual(len(group.sent_at), 53)
 
 
 def test_entry_that_asks_far_more_is_refused_without_a_question() -> None:
     """Questions for each refused request would load the leader."""
-    group = _Group(permits.RateLimit('yard', 10, 10), 1)
-    _play(group, 500, 10, _first)
+    group = rate_play.Group(permits.RateLimit('yard', 10, 10), 1)
+    rate_play.play(group, 500, 10, _first)
     CASE.assertGreater(group.refused, 4000)
     CASE.assertLess(group.questions, 200)
 
@@ -292,16 +165,20 @@
     """Hosts without a leader do not know of each other."""
     limit = permits.RateLimit('yard', 10, 10)
     total = 0
-    for host in _HOSTS:
-        slack = rate_slack.RateSlack(_SLACK)
-        deciders = rate_slack.Deciders(host, _HOSTS)
+    for host in rate_play.HOSTS:
+        slack = rate_slack.RateSlack(rate_play.SLACK)
+        deciders = rate_slack.Deciders(host, rate_play.HOSTS)
         total += slack.ask(limit, 100, 0, deciders).granted
-        total += slack.ask(limit, 100, _WINDOW_MS - 1, deciders).granted
-        later = slack.ask(limit, 1, _WINDOW_MS, deciders)
+        total += slack.ask(
+            limit, 100, rate_play.WINDOW_MS - 1, deciders
+        ).granted
+        later = slack.ask(limit, 1, rate_play.WINDOW_MS, deciders)
         CASE.assertEqual(later.granted, 1)
     CASE.assertEqual(total, 18 + 2)
-    outside = rate_slack.RateSlack(_SLACK)
-    refused = outside.ask(limit, 1, 0, rate_slack.Deciders('other', _HOSTS))
+    outside = rate_slack.RateSlack(rate_play.SLACK)
+    refused = outside.ask(
+        limit, 1, 0, rate_slack.Deciders('other', rate_play.HOSTS)
+    )
     CASE.assertFalse(refused.is_known)
 
 
