--- a/src/mulberryquay/control/daemon.py
+++ b/src/mulberryquay/control/daemon.py
@@ -157,6 +157,7 @@
         labels=('direction',),
         is_gauge=True,
     ),
+    *permit_desk.METRICS,
 )
 
 _LOG: typing.Final = logging.getLogger(__name__)
@@ -179,7 +180,7 @@
         if a port cannot be bound.
         """
         time_source = time_source or clock.Clock()
-        self._metrics = metrics.Metrics((*METRICS, *permit_desk.METRICS))
+        self._metrics = metrics.Metrics(METRICS)
         self._api_listener = sockets.listen(values['api_listen'])
         self._feed_listener = sockets.listen(values['feed_listen'])
         self._host_listener = sockets.listen(values['host_listen'])
--- a/src/mulberryquay/decisions/held_permits.py
+++ b/src/mulberryquay/decisions/held_permits.py
@@ -75,7 +75,9 @@
             return None
         if self._refused_unknown:
             return permits.Undecided()
-        return permits.OverRate(self._next_return(limit, now))
+        return permits.OverRate(
+            self._next_return(limit, now), len(self._recent)
+        )
 
     def count_to_ask(self, waiting: int, now: float) -> int:
         """Returns how many permits to ask for now, 0 for none."""
--- a/src/mulberryquay/decisions/permits.py
+++ b/src/mulberryquay/decisions/permits.py
@@ -30,6 +30,8 @@
 
     #: When the account may send its next request, in ms from now.
     retry_after_ms: float
+    #: Requests of the account at this entry in the last second, if counted.
+    recent: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/mulberryquay/entry/admission.py
+++ b/src/mulberryquay/entry/admission.py
@@ -115,11 +115,13 @@
     permit = entry_state.account_rates.take(admitted.account.rate)
     account = admitted.account.name
     match permit:
-        case permits.OverRate(retry_after_ms):
+        case permits.OverRate(retry_after_ms, recent):
+            seen = f'; this one holds no permit and got {recent} in a second'
             raise outcomes.not_run(
                 outcomes.Reason.OVER_RATE,
                 f'client account {account!r} has reached its rate of '
-                f'{admitted.account.rate.per_s:g} requests a second',
+                f'{admitted.account.rate.per_s:g} requests a second over all '
+                f'entries{seen if recent else ""}',
                 retry_after_s=retry_after_ms / clock.MS_PER_SECOND,
             )
         case permits.Undecided():
--- a/src/mulberryquay/entry/state.py
+++ b/src/mulberryquay/entry/state.py
@@ -110,6 +110,7 @@
         '1 while a control host confirms that the configuration is current.',
         is_gauge=True,
     ),
+    *leased_rates.METRICS,
 )
 
 
@@ -175,7 +176,7 @@
         self.header_filter = self.dialect.header_filter
         self.region = region
         self.clock = time_source or clock.Clock()
-        self.metrics = metrics.Metrics((*METRICS, *leased_rates.METRICS))
+        self.metrics = metrics.Metrics(METRICS)
         self.routing_table = routing.RoutingTable({})
         self.share_view = shares.ShareView(name)
         target_context = targets.TargetContext(
--- a/testing/accounts/test_leases.py
+++ b/testing/accounts/test_leases.py
@@ -70,6 +70,7 @@
         ]
     statuses = [answer.status for answer in answers]
     assert statuses == [200] * 4 + [429] * 5, statuses
+    assert b'got 3 in a second' in answers[-1].body, answers[-1]
     returns = [float(a.headers['retry-after']) for a in answers[4:]]
     assert len(set(returns)) == len(returns), returns
 
