Keep client accounts packed in entries

Change: an entry keeps the specs of accounts as packed rows and their digests in one sorted string; an account is unpacked when it is first asked for. A table reuses the key ring of the earlier one if no account changed.

--- a/benchmarks/accounts.py
+++ b/benchmarks/accounts.py
@@ -20,6 +20,7 @@
 from mulberryquay.decisions import held_permits, permits
 from mulberryquay.entry import (
     authentication,
+    config_replica,
     http_heads,
     routing,
     state,
@@ -108,9 +109,7 @@
 
 def _identify_us(*, is_public: bool) -> float:
     accounts = 81
-    entry_state = state.EntryState(
-        name='entry', region='north', domain='north-1', new_policy=_no_policy
-    )
+    entry_state = _entry_state()
     entry_state.routing_table = routing.RoutingTable(_resources(accounts))
     route = routing.Route(
         'stock',
@@ -149,14 +148,20 @@
     return (time.process_time() - started) / _CALLS * _US_PER_S
 
 
+def _entry_state() -> state.EntryState:
+    return state.EntryState(
+        name='entry', region='north', domain='north-1', new_policy=_no_policy
+    )
+
+
 def _state_mb() -> float:
     tracemalloc.start()
     before = tracemalloc.get_traced_memory()[0]
-    resources = _resources(_ACCOUNTS)
-    kept = (resources, routing.RoutingTable(resources))
+    entry_state = _entry_state()
+    replica = config_replica.ConfigReplica(entry_state)
+    replica.apply_snapshot(_ACCOUNTS, _resources(_ACCOUNTS).values())
     after = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
-    del kept
     return (after - before) / _BYTES_PER_MB
 
 
--- a/src/mulberryquay/accounts/keys.py
+++ b/src/mulberryquay/accounts/keys.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import array
+import bisect
 import hashlib
 import typing
 
@@ -33,37 +35,59 @@
 
 @typing.final
 class KeyRing:
-    """The accounts by the digests of their keys.
+    """The accounts by the digests of their keys, in little memory.
 
     A look-up compares digests, so its time tells nothing of a key.
     """
 
-    def __init__(self, accounts: typing.Mapping[str, str]) -> None:
-        """``accounts`` has the name of an account by each digest."""
-        self._accounts = accounts
+    def __init__(self, holders: typing.Iterable[tuple[str, str]]) -> None:
+        """``holders`` has each digest with the name of its account."""
+        pairs = sorted(holders)
+        names = sorted({name for _, name in pairs})
+        numbers = {name: number for number, name in enumerate(names)}
+        self._digests = bytes.fromhex(''.join(digest for digest, _ in pairs))
+        self._names = names
+        #: Number of the name for each digest, in their order.
+        self._holders = array.array('I', [numbers[name] for _, name in pairs])
         self._revoked: dict[str, int] = {}
 
     def follow(self, earlier: KeyRing, revision: int) -> None:
         """Remembers the keys of an earlier ring that ``revision`` revoked."""
+        present = set(self._list())
         known = {
             **earlier._revoked,
             **{
                 digest: revision
-                for digest in earlier._accounts
-                if digest not in self._accounts
+                for digest in earlier._list()
+                if digest not in present
             },
         }
         newest = list(known.items())[-_MAX_REVOKED:]
         self._revoked = {
             digest: revoked_in
             for digest, revoked_in in newest
-            if digest not in self._accounts
+            if digest not in present
         }
 
     def holder_of(self, digest: str) -> str | None:
         """Returns the name of the account that holds a key."""
-        return self._accounts.get(digest)
+        if len(digest) != DIGEST_LENGTH:
+            return None
+        sought = bytes.fromhex(digest)
+        place = bisect.bisect_left(
+            range(len(self._holders)), sought, key=self._at
+        )
+        if place == len(self._holders) or self._at(place) != sought:
+            return None
+        return self._names[self._holders[place]]
 
     def revoked_in(self, digest: str) -> int:
         """Returns the revision that revoked a key, 0 if none is known."""
         return self._revoked.get(digest, 0)
+
+    def _list(self) -> list[str]:
+        return [self._at(place).hex() for place in range(len(self._holders))]
+
+    def _at(self, place: int) -> bytes:
+        start = place * _DIGEST_BYTES
+        return self._digests[start : start + _DIGEST_BYTES]
--- a/src/mulberryquay/entry/config_replica.py
+++ b/src/mulberryquay/entry/config_replica.py
@@ -5,6 +5,7 @@
 import logging
 import typing
 
+from mulberryquay.control import kinds
 from mulberryquay.coordination import errors, store, wire
 from mulberryquay.entry import routing, state
 
@@ -27,6 +28,7 @@
         """Starts without configuration."""
         self._state = entry_state
         self._resources: routing.ResourcesByKey = {}
+        self._accounts: routing.PackedAccounts = {}
         self._revision = 0
         self._is_complete = False
 
@@ -55,9 +57,9 @@
                 f'{self._revision} or later; accepted changes must not be '
                 'undone',
             )
-        self._resources = {
-            (resource.kind, resource.name): resource for resource in resources
-        }
+        self._resources = {}
+        self._accounts = {}
+        self._keep(list(resources))
         self._activate(revision)
 
     def apply_delta(self, changes: typing.Sequence[store.Resource]) -> None:
@@ -72,16 +74,41 @@
                 f'got configuration revision {new_changes[0].revision}, '
                 f'expected {self._revision + 1}',
             )
-        for change in new_changes:
-            self._resources[change.kind, change.name] = change
+        self._keep(new_changes)
         self._activate(new_changes[-1].revision)
 
+    def _keep(self, changes: typing.Sequence[store.Resource]) -> None:
+        accounts = {
+            change.name: change
+            for change in changes
+            if change.kind == kinds.CLIENT_ACCOUNT
+        }
+        self._resources.update(
+            {
+                (change.kind, change.name): change
+                for change in changes
+                if change.kind != kinds.CLIENT_ACCOUNT
+            }
+        )
+        if not accounts:
+            return
+        unchanged = {
+            name: packed
+            for name, packed in self._accounts.items()
+            if name not in accounts
+        }
+        self._accounts = {
+            **unchanged,
+            **routing.pack_accounts(accounts.values()),
+        }
+
     def _activate(self, revision: int) -> None:
         entry_state = self._state
         entry_state.routing_table = routing.RoutingTable(
             self._resources,
             revision=revision,
             earlier=entry_state.routing_table,
+            accounts=self._accounts,
         )
         entry_state.balancer.configure(entry_state.routing_table.services)
         entry_state.balancer.apply_domains_out(
--- a/src/mulberryquay/entry/routing.py
+++ b/src/mulberryquay/entry/routing.py
@@ -4,7 +4,7 @@
 
 import typing
 
-from mulberryquay.accounts import keys
+from mulberryquay.accounts import keys, packed_accounts
 from mulberryquay.control import kinds
 from mulberryquay.coordination import schema, store, units
 from mulberryquay.decisions import callers, permits
@@ -93,6 +93,9 @@
 
 ResourcesByKey = dict[tuple[str, str], store.Resource]
 
+#: Packed specs of client accounts by name.
+PackedAccounts = dict[str, bytes]
+
 
 @typing.final
 class RoutingTable:
@@ -104,10 +107,12 @@
         *,
         revision: int = 0,
         earlier: RoutingTable | None = None,
+        accounts: PackedAccounts | None = None,
     ) -> None:
         """Builds the table without routes whose service or class is missing.
 
         It tells keys that ``earlier`` had from keys that were never known.
+        ``accounts`` are those among ``resources`` unless they are given.
         """
         self._revision = revision
         specs = _specs_by_kind(resources)
@@ -120,18 +125,22 @@
             name: _make_service(name, spec, self._limits)
             for name, spec in specs[kinds.SERVICE].items()
         }
-        self._account_specs = specs[kinds.CLIENT_ACCOUNT]
+        if accounts is None:
+            accounts = pack_accounts(resources.values())
+        self._packed_accounts = accounts
         #: Those that were asked for; of many accounts few come to an entry.
         self._accounts: dict[str, ClientAccount] = {}
-        self._authenticates_callers = any(
-            spec.get('authenticated')
-            for spec in specs[kinds.CLIENT_ACCOUNT].values()
-        )
-        self._key_ring = keys.KeyRing(
-            _holders_by_digest(specs[kinds.CLIENT_ACCOUNT])
-        )
-        if earlier is not None:
-            self._key_ring.follow(earlier.key_ring, revision)
+        if earlier is not None and earlier._packed_accounts is accounts:
+            self._authenticates_callers = earlier.authenticates_callers
+            self._key_ring = earlier.key_ring
+        else:
+            account_specs = _unpack_accounts(accounts)
+            self._authenticates_callers = any(
+                spec.get('authenticated') for spec in account_specs.values()
+            )
+            self._key_ring = _make_key_ring(account_specs)
+            if earlier is not None:
+                self._key_ring.follow(earlier.key_ring, revision)
         self._routes = {
             (route.host, route.path_prefix): route
             for route in self._make_routes(specs[kinds.ROUTE])
@@ -213,20 +222,20 @@
 
     def has_account(self, name: str) -> bool:
         """Whether a client account is declared."""
-        return name in self._account_specs
+        return name in self._packed_accounts
 
     def find_account(self, name: str) -> ClientAccount:
         """Returns a client account; raises RefusedError if undeclared."""
         account = self._accounts.get(name)
         if account is not None:
             return account
-        spec = self._account_specs.get(name)
-        if spec is None:
+        packed = self._packed_accounts.get(name)
+        if packed is None:
             raise outcomes.not_run(
                 outcomes.Reason.UNKNOWN_ACCOUNT,
                 f'client account {name!r} is not declared',
             )
-        account = _make_account(name, spec)
+        account = _make_account(name, _unpack_account(packed))
         self._accounts[name] = account
         return account
 
@@ -288,7 +297,6 @@
             kinds.SERVICE,
             kinds.FAILURE_DOMAIN,
             kinds.ROUTE,
-            kinds.CLIENT_ACCOUNT,
             kinds.SERVICE_CLASS,
             kinds.LIMITS,
         )
@@ -299,14 +307,37 @@
     return specs
 
 
-def _holders_by_digest(accounts: dict[str, schema.Spec]) -> dict[str, str]:
+def pack_accounts(
+    resources: typing.Iterable[store.Resource],
+) -> PackedAccounts:
+    """Returns the live client accounts among resources."""
     return {
-        digest: name
-        for name, spec in accounts.items()
-        for digest in spec.get('key_digests', ())
+        resource.name: packed_accounts.pack_spec(
+            resource.spec, kinds.CLIENT_ACCOUNT_FIELDS
+        )
+        for resource in resources
+        if resource.kind == kinds.CLIENT_ACCOUNT and resource.spec is not None
     }
 
 
+def _unpack_accounts(accounts: PackedAccounts) -> dict[str, schema.Spec]:
+    return {name: _unpack_account(packed) for name, packed in accounts.items()}
+
+
+def _make_key_ring(specs: dict[str, schema.Spec]) -> keys.KeyRing:
+    return keys.KeyRing(
+        (digest, name)
+        for name, spec in specs.items()
+        for digest in spec['key_digests']
+    )
+
+
+def _unpack_account(packed: bytes) -> schema.Spec:
+    return packed_accounts.unpack_spec(
+        packed, kinds.CLIENT_ACCOUNT_FIELDS, digest_length=keys.DIGEST_LENGTH
+    )
+
+
 def _make_class(name: str, spec: schema.Spec) -> ServiceClass:
     return ServiceClass(
         name,
