--- a/testing/accounts/test_revocation.py
+++ b/testing/accounts/test_revocation.py
@@ -11,6 +11,7 @@
 
 from mulberryquay.accounts import keys
 from mulberryquay.commands import api_client
+from mulberryquay.entry import authentication, http_heads, outcomes
 from mulberryquay.standin import target
 from testing import fixtures
 
@@ -133,3 +134,42 @@
             served = fixtures.ask(entry, '/prices/x')
     assert refused.outcome == 'not-run/stale-configuration', refused
     assert served.status == 200, served
+
+
+def test_relayed_request_of_a_vanished_account_is_refused() -> None:
+    """The entry that relayed it may have an older configuration."""
+    with fixtures.control() as control, fixtures.entry(control) as entry:
+        _declare(control, 1, _KEY)
+        control.declare('stock')
+        control.wait_in_force()
+        entry_state = entry.state
+        route = entry_state.routing_table.find_route(b'/stock/x')
+        name_header = entry_state.dialect.account
+        relayed = {
+            name: http_heads.RequestHead(
+                b'GET',
+                b'/stock/x',
+                [],
+                [(name_header, name.encode())],
+                http_heads.Framing.NONE,
+                0,
+                keeps_alive=True,
+                is_http_one_zero=False,
+            )
+            for name in ('yard', 'gone')
+        }
+        identity = authentication.identify(
+            entry_state, relayed['yard'], route, is_relayed=True
+        )
+        assert identity.account is not None
+        with CASE.assertRaises(outcomes.RefusedError) as caught:
+            authentication.identify(
+                entry_state, relayed['gone'], route, is_relayed=True
+            )
+        CASE.assertEqual(caught.exception.status, 401)
+        control.client.call('DELETE', '/v1/client-accounts/yard?version=2')
+        _declare(control, 1, _OTHER_KEY, name='counter')
+        control.wait_in_force()
+        with CASE.assertRaises(outcomes.RefusedError) as caught:
+            authentication.check_still_allowed(entry_state, identity)
+        CASE.assertEqual(caught.exception.status, 401)
