Test permits over a group of control hosts that loses its leader

Change: three hosts grant one burst together; after the leader's end its successor grants nothing of it again.

--- a/testing/control/test_group.py
+++ b/testing/control/test_group.py
@@ -16,6 +16,7 @@
 from mulberryquay import settings
 from mulberryquay.control import daemon as control_daemon
 from mulberryquay.coordination import errors
+from mulberryquay.decisions import permits
 from testing import fixtures
 
 CASE: typing.Final = unittest.TestCase()
@@ -254,3 +255,30 @@
         bool(replica.durable_commit_index)
         and replica.durable_commit_index == replica.last_index
     )
+
+
+def _ask_permits(host: fixtures.Control, amount: int) -> permits.Decision:
+    decided: list[permits.Decision] = []
+    host.daemon.cluster.permits.ask('yard', amount, decided.append)
+    fixtures.wait_until(lambda: decided)
+    return decided[0]
+
+
+def test_permits_are_counted_over_all_hosts_and_lost_with_the_leader() -> None:
+    """Two hosts that both decide would grant the rate twice (issue 42)."""
+    with _group() as hosts:
+        leader = _leader_of(hosts)
+        assert leader is not None
+        others = [host for host in hosts if host is not leader]
+        leader.put('client-accounts', 'yard', rate_per_s=1000, burst=50)
+        desk = leader.daemon.cluster.permits
+        fixtures.wait_until(lambda: desk.available('yard') >= 50)
+        leader.put('client-accounts', 'yard', 2, rate_per_s=0.001, burst=50)
+        granted = [_ask_permits(host, 20).granted for host in hosts]
+        CASE.assertEqual(sum(granted), 50)
+        leader.put('client-accounts', 'yard', 3, rate_per_s=0.001, burst=80)
+        leader.daemon.stop()
+        fixtures.wait_until(lambda: _leader_of(others))
+        fixtures.wait_until(lambda: _ask_permits(others[0], 1).is_known)
+        CASE.assertEqual(_ask_permits(others[0], 20).granted, 0)
+        CASE.assertEqual(_ask_permits(others[1], 20).granted, 0)
