Let the soak call with keys, one account over its rate

Change: entries ask for permits; three of ten calls come from an account at several times its rate, whose runs are counted over the whole run.

--- a/testing/soak.py
+++ b/testing/soak.py
@@ -20,7 +20,9 @@
 from gevent import lock, socket
 
 from mulberryquay import announcer
+from mulberryquay.accounts import keys
 from mulberryquay.commands import api_client
+from mulberryquay.coordination import clock
 from mulberryquay.entry import http_heads, messages
 from mulberryquay.standin import target
 from testing import fixtures, processes
@@ -40,6 +42,12 @@
 #: Services and whether their requests may run more than once.
 _SERVICES: typing.Final = {'stock': True, 'order': False}
 
+#: Client accounts and their rates; callers of the second exceed theirs.
+_ACCOUNTS: typing.Final = {'counter': 0, 'yard': 20}
+
+#: Share of the calls that the second account makes.
+_LIMITED_SHARE: typing.Final = 0.3
+
 _API_ERRORS: typing.Final = (
     api_client.ApiRefusedError,
     api_client.ApiUnreachableError,
@@ -126,6 +134,16 @@
     return broken
 
 
+def find_over_rate(
+    run_names: typing.Collection[str], *, per_s: float, seconds: float
+) -> list[str]:
+    """Returns a line if an account ran more than its rate and burst allow."""
+    allowed = per_s * (seconds + 1)
+    if len(run_names) <= allowed:
+        return []
+    return [f'{len(run_names)} requests ran, the rate allows {allowed:.0f}']
+
+
 class _ControlHost(typing.NamedTuple):
     """The folder and the ports of a control host, which restarts keep."""
 
@@ -152,6 +170,10 @@
         self._faults = plan_faults(self._rng)
         self._stack = contextlib.ExitStack()
         self._runs: collections.Counter[str] = collections.Counter()
+        #: Requests that ran, by their account.
+        self._run_names: dict[str, set[str]] = collections.defaultdict(set)
+        self._declared_at = 0.0
+        self._clock = clock.Clock()
         self._calls: list[Call] = []
         self._control_hosts: list[_ControlHost] = []
         self._control_processes: dict[int, typing.Any] = {}
@@ -199,6 +221,12 @@
         self._is_over = True
         gevent.joinall(callers, raise_error=True)
         broken = find_broken(self._calls, self._runs)
+        passed_ms = self._clock.now() - self._declared_at
+        broken += find_over_rate(
+            self._run_names['yard'],
+            per_s=_ACCOUNTS['yard'],
+            seconds=passed_ms / clock.MS_PER_SECOND,
+        )
         broken += [
             f'a planned stop ended with exit code {code}'
             for code in self._exit_codes
@@ -227,6 +255,7 @@
     def _declare(self) -> bool:
         """Declares all resources; returns whether that was accepted."""
         client = self._api_client()
+        self._declared_at = self._declared_at or self._clock.now()
         try:
             for service, is_idempotent in _SERVICES.items():
                 processes.put(
@@ -234,6 +263,13 @@
                 )
                 processes.put(client, 'services', service)
                 processes.put(client, 'routes', service, **_route(service))
+            for account, per_s in _ACCOUNTS.items():
+                processes.put(
+                    client,
+                    'client-accounts',
+                    account,
+                    **_account(account, per_s),
+                )
         except _API_ERRORS:
             return False
         return True
@@ -265,6 +301,8 @@
     def _run_request(self, request: target.ReceivedRequest) -> target.Answer:
         name = f'{request.head.method.decode()} {request.head.path.decode()}'
         self._runs[name] += 1
+        account = request.head.find(b'mulberryquay-account') or b''
+        self._run_names[account.decode()].add(name)
         gevent.sleep(self._rng.uniform(0, _LONGEST_RUN_S))
         return target.Answer(body=name.encode())
 
@@ -275,7 +313,11 @@
                 self._control_hosts[0].feed_port,
                 f'entry-{number}',
                 drain_ms=200,
-                arguments=('--stale_config=serve', f'--control={feeds}'),
+                arguments=(
+                    '--stale_config=serve',
+                    '--account_rates=leases',
+                    f'--control={feeds}',
+                ),
             )
         )
         self._entries[number] = _EntryLife(entry, set())
@@ -283,7 +325,9 @@
     def _wait_until_served(self) -> None:
         for life in list(self._entries.values()):
             for service in _SERVICES:
-                request = fixtures.request_bytes(f'/{service}/ready')
+                request = fixtures.request_bytes(
+                    f'/{service}/ready', headers=_credentials('counter')
+                )
                 fixtures.wait_until(
                     functools.partial(_is_answered, life.entry.port, request)
                 )
@@ -309,9 +353,15 @@
             service = self._rng.choice(list(_SERVICES))
             method = 'GET' if _SERVICES[service] else 'POST'
             path = f'/{service}/{self._rng.getrandbits(64):x}'
+            is_limited = self._rng.random() < _LIMITED_SHARE
+            credentials = _credentials('yard' if is_limited else 'counter')
             outcome, body, keeps_alive = '', b'', False
             with contextlib.suppress(OSError, http_heads.CutShortError):
-                connection.sendall(fixtures.request_bytes(path, method=method))
+                connection.sendall(
+                    fixtures.request_bytes(
+                        path, method=method, headers=credentials
+                    )
+                )
                 response = fixtures.receive(reader)
                 outcome, body = response.outcome, response.body
                 keeps_alive = response.headers.get('connection') != 'close'
@@ -404,6 +454,23 @@
     }
 
 
+def _account(name: str, per_s: float) -> dict[str, typing.Any]:
+    return {
+        'authenticated': True,
+        'key_digests': [keys.digest_of(_key_of(name))],
+        'rate_per_s': per_s,
+        'burst': per_s,
+    }
+
+
+def _key_of(account: str) -> bytes:
+    return b'key of %s' % account.encode()
+
+
+def _credentials(account: str) -> dict[str, str]:
+    return {'Authorization': f'Bearer {_key_of(account).decode()}'}
+
+
 def _is_answered(port: int, request: bytes) -> bool:
     with contextlib.suppress(OSError, http_heads.CutShortError):
         return fixtures.send(port, request).outcome == 'answered/none'
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -51,6 +51,13 @@
         CASE.assertEqual(soak.find_broken([call], {name: count}), [], call)
 
 
+def test_judgement_finds_an_account_over_its_rate() -> None:
+    """Guards against a soak that passes whatever is granted."""
+    names = {str(number) for number in range(41)}
+    CASE.assertEqual(len(soak.find_over_rate(names, per_s=20, seconds=1)), 1)
+    CASE.assertEqual(soak.find_over_rate(names, per_s=20, seconds=1.1), [])
+
+
 def test_overlapping_faults_break_no_promise() -> None:
     """Guards against lost, doubled, mixed up or falsely refused requests."""
     fresh = [secrets.randbits(32) for _ in range(_FRESH_RUNS)]
