--- a/src/mulberryquay/control/permit_desk.py
+++ b/src/mulberryquay/control/permit_desk.py
@@ -138,13 +138,14 @@
     def _leads(self) -> bool:
         """Whether no other host can have been elected since the last answers.
 
-        A leader that woke after a suspension must not decide before that.
+        A leader that woke after a suspension must not decide before that. It
+        decides while changes are being committed: they aren't in force yet.
         """
         host_replica = self._replica
         return (
             self._term > 0
             and host_replica.term == self._term
-            and host_replica.is_caught_up_leader
+            and host_replica.is_leader
             and host_replica.is_in_touch
         )
 
--- a/testing/control/test_permit_desk.py
+++ b/testing/control/test_permit_desk.py
@@ -42,6 +42,7 @@
         self.accounts = _Accounts(**rates)
         self.replica = mock.MagicMock(
             spec=replica.Replica,
+            is_leader=leads,
             is_caught_up_leader=leads,
             is_in_touch=True,
             term=3,
@@ -125,6 +126,14 @@
     CASE.assertFalse(host.desk.handle(request).is_leader)
 
 
+def test_leader_decides_while_a_change_is_being_committed() -> None:
+    """During many changes of the configuration callers were refused."""
+    host = _Host(leads=True, leader='host-1:1', yard=10)
+    host.clock.advance(2000)
+    host.replica.is_caught_up_leader = False
+    CASE.assertEqual(host.ask('yard', 4), [4])
+
+
 def test_new_leader_begins_without_permits() -> None:
     """The earlier leader may have granted the burst just before."""
     host = _Host(leads=True, leader='host-1:1', yard=10)
