--- a/testing/platform_adapter/test_node.py
+++ b/testing/platform_adapter/test_node.py
@@ -52,3 +52,40 @@
     for text in (samples.SETTINGS[:40], '[self]\nnode = "a"\n', ''):
         with CASE.assertRaises(settings.InvalidSettingError):
             _read(text)
+
+
+def test_rates_of_tenants_are_kept_as_the_terms_ask() -> None:
+    """Without the platform's bounds, hosts would lend too much or nothing."""
+    plain = _read(samples.SETTINGS)
+    for role, names in (
+        ('entry', {'account_rates': 'parts', 'stale_config': 'serve'}),
+        ('control', {}),
+    ):
+        given = node.settings_for_role(role, plain)
+        CASE.assertEqual({**given, **names}, given)
+    CASE.assertNotIn('account_slack', node.settings_for_role('control', plain))
+    terms = plain._replace(
+        contracts=frozenset(('tenants', 'quota')),
+        bounds={
+            **plain.bounds,
+            'quota_slack': 20,
+            'quota_overage': 0.1,
+            'quota_window_s': 5,
+            'revoke_when_partitioned': True,
+        },
+    )
+    entry = settings.with_defaults(
+        entry_daemon.SETTINGS, node.settings_for_role('entry', terms)
+    )
+    CASE.assertEqual(entry['account_rates'], 'leases')
+    CASE.assertEqual(entry['stale_config'], 'serve-keyless')
+    control = settings.with_defaults(
+        control_daemon.SETTINGS,
+        {
+            **node.settings_for_role('control', terms),
+            'data_folder': 'folder',
+        },
+    )
+    CASE.assertEqual(control['account_slack'], 18)
+    CASE.assertEqual(control['account_slack_percent'], 4)
+    CASE.assertEqual(control['account_window_ms'], 5000)
