Move the platform's control host of the tests into a module of its own

Cause: tests of bad configurations need the client that test_calls keeps private.

Change: testing/platform_adapter/control_hosts.py has it; no test changed.

--- a/testing/platform_adapter/test_calls.py
+++ b/testing/platform_adapter/test_calls.py
@@ -2,97 +2,24 @@
 
 from __future__ import annotations
 
-import contextlib
 import itertools
-import json
-import os
 import typing
 import unittest
-from unittest import mock
 
-import urllib3
 from gevent import socket
 
-from mulberryquay import settings
-from mulberryquay.control import daemon as control_daemon
-from mulberryquay.kernel import plugins
-from mulberryquay_platform import calls
 from testing import fixtures
-from testing.platform_adapter import samples
+from testing.platform_adapter import control_hosts, samples
 
 CASE: typing.Final = unittest.TestCase()
 
 
-class _PlatformClient:
-    """Calls a control host as the platform's operators and targets do."""
-
-    def __init__(self, daemon: control_daemon.ControlDaemon) -> None:
-        self.daemon = daemon
-        self._pool = urllib3.PoolManager(retries=False)
-
-    def call(
-        self,
-        method: str,
-        path: str,
-        body: bytes = b'',
-    ) -> tuple[int, bytes]:
-        """Returns the status and the body of the answer."""
-        answer = self._pool.request(
-            method,
-            f'http://127.0.0.1:{self.daemon.api_port}{path}',
-            body=body,
-        )
-        return answer.status, answer.data
-
-    def put(self, document: typing.Any) -> int:
-        """Puts a configuration; returns the status."""
-        body = samples.encoded(document)
-        return self.call('POST', '/configuration/put', body)[0]
-
-    def read_configuration(self) -> typing.Any:
-        """Returns the configuration that the control host holds."""
-        return json.loads(self.call('GET', '/configuration/get')[1])
-
-    def send_heartbeat(self, name: str, **changes: typing.Any) -> int:
-        """Sends a heartbeat; returns the status."""
-        body = samples.encoded(samples.heartbeat(**changes))
-        return self.call('POST', f'/instances/{name}/heartbeat', body)[0]
-
-
-@contextlib.contextmanager
-def _platform() -> typing.Iterator[_PlatformClient]:
-    with fixtures.folder() as folder:
-        path = folder / 'settings.toml'
-        path.write_text(samples.SETTINGS)
-        kernel = plugins.load_kernel()
-        calls.mulberryquay_register(kernel)
-        values = settings.with_defaults(
-            control_daemon.SETTINGS,
-            {
-                'data_folder': str(folder / 'data'),
-                'api_listen': '127.0.0.1:0',
-                'feed_listen': '127.0.0.1:0',
-                'host_listen': '127.0.0.1:0',
-            },
-        )
-        daemon = control_daemon.ControlDaemon(values, kernel)
-        with mock.patch.dict(
-            os.environ,
-            {'MULBERRYQUAY_NODE_FILE': str(path)},
-        ):
-            daemon.start()
-        try:
-            yield _PlatformClient(daemon)
-        finally:
-            daemon.stop()
-
-
 def test_configuration_is_read_back_as_it_was_put() -> None:
     """Guards against dropping unknown fields when a document is stored.
 
     Before the first configuration is put, a read is refused.
     """
-    with _platform() as platform:
+    with control_hosts.running() as platform:
         CASE.assertEqual(platform.call('GET', '/configuration/get')[0], 503)
         document = samples.configuration(7)
         document['unknown'] = 'kept'
@@ -104,7 +31,7 @@
     None
 ):
     """Guards against applying a resent, changed or older version."""
-    with _platform() as platform:
+    with control_hosts.running() as platform:
         first = samples.configuration(7)
         platform.put(first)
         revision = platform.daemon.store.revision
@@ -123,7 +50,7 @@
 
     Versions compare as their numbers do, whatever their size. Issue 34.
     """
-    with _platform() as platform:
+    with control_hosts.running() as platform:
         versions = (7, 1 << 64, 20261205084714000001, 10**300)
         for version in versions:
             document = samples.configuration(version)
@@ -139,7 +66,7 @@
 
 def test_refused_configuration_changes_nothing() -> None:
     """Guards against applying only the valid parts of a configuration."""
-    with _platform() as platform:
+    with control_hosts.running() as platform:
         first = samples.configuration(7)
         platform.put(first)
         broken = samples.configuration(8)
@@ -154,7 +81,7 @@
 
 def test_configuration_replaces_all_routes_at_once() -> None:
     """Guards against routes of the old version that stay in force."""
-    with _platform() as platform:
+    with control_hosts.running() as platform:
         platform.put(samples.configuration(7))
         second = samples.configuration(9)
         second['listeners'][0]['rules'].pop()
@@ -168,7 +95,7 @@
 
     Only a later run of the target gets requests again.
     """
-    with _platform() as platform:
+    with control_hosts.running() as platform:
         CASE.assertEqual(platform.send_heartbeat('i-1'), 200)
         targets = platform.daemon.targets
         CASE.assertFalse(targets.get('i-1').is_leaving)
@@ -189,7 +116,7 @@
     One target deregisters without draining first; the first heartbeat of the
     other comes after its deregistration.
     """
-    with _platform() as platform:
+    with control_hosts.running() as platform:
         platform.send_heartbeat('i-1')
         CASE.assertEqual(
             platform.call('POST', '/instances/i-1/deregister')[0],
@@ -220,7 +147,7 @@
         {'born': 'today'},
         {'zone': []},
     )
-    with _platform() as platform:
+    with control_hosts.running() as platform:
         platform.send_heartbeat('i-1')
         for changes in invalid_changes:
             with CASE.subTest(changes=changes):
@@ -232,7 +159,7 @@
         CASE.assertEqual(names, ['i-1'])
 
 
-def _send_and_leave(platform: _PlatformClient, path: str) -> None:
+def _send_and_leave(platform: control_hosts.PlatformClient, path: str) -> None:
     """Sends a call whose caller has left before the control host reads it."""
     port = platform.daemon.api_port
     with socket.create_connection(('127.0.0.1', port)) as connection:
@@ -248,7 +175,7 @@
     Their callers have sent them to other hosts, and newer ones after them.
     Issue 34.
     """
-    with _platform() as platform:
+    with control_hosts.running() as platform:
         platform.send_heartbeat('i-1')
         platform.call('POST', '/evacuation/south-1/start')
         for path in (
@@ -299,7 +226,7 @@
 
     The stream to an entry ended on an address that has no encoding. Issue 34.
     """
-    with _platform() as platform:
+    with control_hosts.running() as platform:
         control = fixtures.Control(platform.daemon)
         with fixtures.entry(control) as entry:
             path = '/instances/i-odd/heartbeat'
@@ -323,7 +250,7 @@
 
     One whose version is not higher was acknowledged though invalid. Issue 34.
     """
-    with _platform() as platform:
+    with control_hosts.running() as platform:
         first = samples.configuration(7)
         platform.put(first)
         for body in _NESTED_BODIES:
@@ -346,7 +273,7 @@
 
 def test_zone_is_taken_out_and_back_whatever_was_sent_before() -> None:
     """Guards against refusing a repeated evacuation order."""
-    with _platform() as platform:
+    with control_hosts.running() as platform:
         for turn in ('start', 'start', 'end', 'end', 'start'):
             path = f'/evacuation/south-1/{turn}'
             CASE.assertEqual(platform.call('POST', path)[0], 200)
