Move the pipe of log lines to the shared fixtures

Cause: tests of bad configurations read log lines, too.

Change: fixtures.log_pipe and fixtures.read_log_lines; no test changed.

--- a/testing/fixtures.py
+++ b/testing/fixtures.py
@@ -5,6 +5,7 @@
 import contextlib
 import itertools
 import json
+import logging
 import os
 import pathlib
 import signal
@@ -17,7 +18,7 @@
 import hypothesis
 from gevent import socket
 
-from mulberryquay import announcer, protocol, settings
+from mulberryquay import announcer, logs, protocol, settings
 from mulberryquay.commands import api_client
 from mulberryquay.control import daemon as control_daemon
 from mulberryquay.coordination import clock
@@ -503,3 +504,41 @@
     """Enters all context managers and yields their values in order."""
     with contextlib.ExitStack() as stack:
         yield [stack.enter_context(manager) for manager in managers]
+
+
+@contextlib.contextmanager
+def log_pipe() -> typing.Iterator[int]:
+    """Redirects this process's logs to a pipe and yields its read end."""
+    read_end, write_end = os.pipe()
+    root = logging.getLogger('mulberryquay')
+    previous = (list(root.handlers), root.level, root.propagate)
+    with open(write_end, 'w', encoding='utf-8') as stream:
+        logs.configure(level='info', role='entry', node='e-1', stream=stream)
+        try:
+            yield read_end
+        finally:
+            logs.close()
+            os.close(read_end)
+            _restore_logger(root, *previous)
+
+
+def _restore_logger(
+    root: logging.Logger,
+    handlers: list[logging.Handler],
+    level: int,
+    propagate: bool,
+) -> None:
+    root.handlers = handlers
+    root.level = level
+    root.propagate = propagate
+
+
+def read_log_lines(read_end: int) -> list[dict[str, typing.Any]]:
+    """Reads lines from the pipe for about 200 ms."""
+    os.set_blocking(read_end, False)
+    body = b''
+    for _ in range(200):
+        gevent.sleep(0.001)
+        with contextlib.suppress(BlockingIOError):
+            body += os.read(read_end, 1 << 20)
+    return [json.loads(line) for line in body.splitlines()]
--- a/testing/test_logs.py
+++ b/testing/test_logs.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
-import json
 import logging
 import os
 import typing
@@ -19,49 +17,11 @@
 _LOG: typing.Final = logging.getLogger('mulberryquay.testing')
 
 
-@contextlib.contextmanager
-def _log_pipe() -> typing.Iterator[int]:
-    """Redirects this process's logs to a pipe and yields its read end."""
-    read_end, write_end = os.pipe()
-    root = logging.getLogger('mulberryquay')
-    previous = (list(root.handlers), root.level, root.propagate)
-    with open(write_end, 'w', encoding='utf-8') as stream:
-        logs.configure(level='info', role='entry', node='e-1', stream=stream)
-        try:
-            yield read_end
-        finally:
-            logs.close()
-            os.close(read_end)
-            _restore(root, *previous)
-
-
-def _restore(
-    root: logging.Logger,
-    handlers: list[logging.Handler],
-    level: int,
-    propagate: bool,
-) -> None:
-    root.handlers = handlers
-    root.level = level
-    root.propagate = propagate
-
-
-def _read_lines(read_end: int) -> list[dict[str, typing.Any]]:
-    """Reads lines from the pipe for about 200 ms."""
-    os.set_blocking(read_end, False)
-    body = b''
-    for _ in range(200):
-        gevent.sleep(0.001)
-        with contextlib.suppress(BlockingIOError):
-            body += os.read(read_end, 1 << 20)
-    return [json.loads(line) for line in body.splitlines()]
-
-
 def test_line_names_process_and_fields() -> None:
     """Guards against missing fields that `explain` needs to merge logs."""
-    with _log_pipe() as read_end:
+    with fixtures.log_pipe() as read_end:
         _LOG.info('request ended', extra={'request_id': 'r-1'})
-        lines = _read_lines(read_end)
+        lines = fixtures.read_log_lines(read_end)
         CASE.assertEqual(len(lines), 1)
         line = lines[0]
         CASE.assertEqual(line['message'], 'request ended')
@@ -76,15 +36,15 @@
     Nobody reads the pipe, so the queue fills up.
     """
     count = logs.MAX_QUEUED_LINES * 3
-    with _log_pipe() as read_end:
+    with fixtures.log_pipe() as read_end:
         for number in range(count):
             _LOG.warning('line %d', number)
             if not number % 100:
                 gevent.sleep(0)
-        first = _read_lines(read_end)
+        first = fixtures.read_log_lines(read_end)
         CASE.assertLess(len(first), count)
         _LOG.warning('room again')
-        rest = _read_lines(read_end)
+        rest = fixtures.read_log_lines(read_end)
         dropped = [line['count'] for line in first + rest if 'count' in line]
         kept = [line for line in first + rest if 'count' not in line]
         CASE.assertEqual(sum(dropped) + len(kept), count + 1)
@@ -92,12 +52,12 @@
 
 def test_flood_of_common_lines_leaves_room_for_warnings() -> None:
     """Guards against warnings that are dropped in a flood of info lines."""
-    with _log_pipe() as read_end:
+    with fixtures.log_pipe() as read_end:
         for _ in range(logs.BURST_LINES * 2):
             _LOG.info('common')
-        lines = _read_lines(read_end)
+        lines = fixtures.read_log_lines(read_end)
         _LOG.warning('rare')
-        lines += _read_lines(read_end)
+        lines += fixtures.read_log_lines(read_end)
         CASE.assertIn('rare', [line['message'] for line in lines])
         CASE.assertLess(len(lines), logs.BURST_LINES * 2)
 
