Bound the items of JSON from outside; read it as UTF-8 only

Cause: an empty list takes thirty times its three bytes. On a document of 15 MiB of them took 407 MiB, and 413 MiB as small objects; a control host has 296 MB, and a configuration may be 64 MiB long. UTF-16 and UTF-32 were guessed.

Change: json_documents refuses more than 500,000 items, counted before they are decoded, and what isn't UTF-8; a configuration may be 16 MiB long (its text takes up to four times as much). 35,000 routes fit.

--- a/src/mulberryquay/coordination/json_documents.py
+++ b/src/mulberryquay/coordination/json_documents.py
@@ -1,4 +1,4 @@
-"""Decodes JSON from outside, whose nesting is bounded."""
+"""Decodes JSON from outside, whose nesting and number of items are bounded."""
 
 from __future__ import annotations
 
@@ -10,6 +10,12 @@
 #: Limit of arrays and objects within each other.
 MAX_DEPTH: typing.Final = 64
 
+#: Limit of items and of arrays and objects together. Each takes up to some
+#: hundred bytes of memory, many times its length in the document.
+MAX_ITEMS: typing.Final = 500_000
+
+_ITEM_BYTES: typing.Final = (b',', b'[', b'{')
+
 
 @typing.final
 class NestedTooDeeplyError(errors.InvalidInputError, ValueError):
@@ -18,13 +24,27 @@
     code = 'nested-too-deeply'
 
 
+@typing.final
+class TooManyItemsError(errors.InvalidInputError, ValueError):
+    """Arrays and objects have more items than MAX_ITEMS."""
+
+    code = 'too-many-items'
+
+
 def decode(body: bytes) -> typing.Any:
     """Returns the decoded document.
 
-    Raises ValueError, as `json.loads` does, and NestedTooDeeplyError.
+    Raises ValueError, as `json.loads` does, also for bytes that are not
+    UTF-8, NestedTooDeeplyError and TooManyItemsError.
     """
+    if sum(body.count(byte) for byte in _ITEM_BYTES) > MAX_ITEMS:
+        raise TooManyItemsError(
+            f'got a document of more than {MAX_ITEMS} items, expected at most '
+            'that',
+        )
+    text = body.decode('utf-8-sig')
     try:
-        document = json.loads(body)
+        document = json.loads(text)
     except RecursionError as error:
         raise _too_deep() from error
     _check_depth(document)
--- a/src/mulberryquay/coordination/units.py
+++ b/src/mulberryquay/coordination/units.py
@@ -9,6 +9,8 @@
 GIB: typing.Final = 1 << 30
 #: The largest configurable limit for a request body, in bytes.
 MAX_BODY_BYTES: typing.Final = 64 * MIB
+#: Limit of a whole configuration; as text it takes up to four times as much.
+MAX_CONFIGURATION_BYTES: typing.Final = 16 * MIB
 
 SECOND_MS: typing.Final = 1000
 MINUTE_MS: typing.Final = 60 * SECOND_MS
--- a/src/mulberryquay/web.py
+++ b/src/mulberryquay/web.py
@@ -128,7 +128,7 @@
     body = read_body(MAX_API_BODY_BYTES)
     try:
         return json_documents.decode(body)
-    except json_documents.NestedTooDeeplyError:
+    except errors.MulberryquayError:
         raise
     except ValueError as error:
         raise errors.InvalidInputError(
--- a/testing/coordination/test_json_documents.py
+++ b/testing/coordination/test_json_documents.py
@@ -1,4 +1,4 @@
-"""Tests of the bound on the nesting of JSON documents."""
+"""Tests of the bounds on the nesting and the items of JSON documents."""
 
 from __future__ import annotations
 
@@ -35,3 +35,30 @@
                 json_documents.decode(body)
         with CASE.assertRaises(errors.InvalidInputError):
             json_documents.decode(_arrays(depth))
+
+
+def test_documents_beyond_the_number_of_items_are_a_typed_error() -> None:
+    """Guards against items that take far more memory than the document.
+
+    Issue 47.
+    """
+    most = json_documents.MAX_ITEMS
+    whole = b'[' + b'1,' * (most - 1) + b'1]'
+    CASE.assertEqual(len(json_documents.decode(whole)), most)
+    for body in (
+        b'[' + b'1,' * most + b'1]',
+        b'[' + b'[],' * most + b'[]]',
+        b'{"a":' + b'[{},{}],' * most,
+    ):
+        with CASE.assertRaises(json_documents.TooManyItemsError):
+            json_documents.decode(body)
+
+
+def test_bytes_in_another_encoding_are_refused() -> None:
+    """Guards against documents that each reader understands differently."""
+    for encoding in ('utf-16', 'utf-16-le', 'utf-32'):
+        with CASE.assertRaises(ValueError):
+            json_documents.decode('{"a": "ö"}'.encode(encoding))
+    with CASE.assertRaises(ValueError):
+        json_documents.decode(b'"\xed\xa0\x80"')
+    CASE.assertEqual(json_documents.decode(b'\xef\xbb\xbf{"a": 1}'), {'a': 1})
