--- a/src/mulberryquay/control/api.py
+++ b/src/mulberryquay/control/api.py
@@ -162,7 +162,8 @@
         body = web.read_json_body()
         if not isinstance(body, dict) or set(body) != {'version', 'spec'}:
             raise errors.InvalidInputError(
-                f'got {body!r}, expected an object with "version" and "spec"',
+                f'got {schema.show(body)}, expected an object with "version" '
+                'and "spec"',
             )
         order = host_protocol.PutResource(
             kind,
--- a/src/mulberryquay/control/configuration.py
+++ b/src/mulberryquay/control/configuration.py
@@ -42,7 +42,7 @@
     for resource in resources:
         kind, name, spec = _read_resource(resource)
         fields = fields_by_kind.get(kind)
-        label = f'{kind} {name!r}'
+        label = f'{kind} {schema.show(name)}'
         checked.append(
             (kind, name, schema.check_spec(spec, fields, label=label))
         )
@@ -58,7 +58,8 @@
 def _read_resource(resource: typing.Any) -> tuple[str, str, typing.Any]:
     if not isinstance(resource, dict):
         raise InvalidConfigurationError(
-            f'got resource {resource!r}, expected kind, name and spec',
+            f'got resource {schema.show(resource)}, expected kind, name and '
+            'spec',
         )
     kind: typing.Any = resource.get('kind')
     name: typing.Any = resource.get('name')
@@ -66,18 +67,21 @@
     is_configured = isinstance(kind, str) and kind in kinds.CONFIGURED
     if not is_configured or not is_named:
         raise InvalidConfigurationError(
-            f'got {kind!r} {name!r}, expected a name and one of the kinds '
+            f'got {schema.show(kind)} {schema.show(name)}, expected a name and '
+            'one of the kinds '
             f'{", ".join(sorted(kinds.CONFIGURED))}',
         )
     return kind, name, resource.get('spec')
 
 
 def _check_unique(resources: Resources) -> None:
-    keys = [(kind, name) for kind, name, _ in resources]
-    if len(set(keys)) != len(keys):
-        raise InvalidConfigurationError(
-            'resources: the same kind and name is declared twice'
-        )
+    declared: set[tuple[str, str]] = set()
+    for kind, name, _ in resources:
+        if (kind, name) in declared:
+            raise InvalidConfigurationError(
+                f'resources: {kind} {schema.show(name)} is declared twice',
+            )
+        declared.add((kind, name))
 
 
 def _check_keys(resources: Resources) -> None:
@@ -107,7 +111,8 @@
     unknown = [service for service in used if service not in services]
     if unknown:
         raise InvalidConfigurationError(
-            f'route {name!r}: service {unknown[0]!r} is not declared',
+            f'route {name!r}: service {schema.show(unknown[0])} is not '
+            'declared',
         )
     if spec['split'] and not any(spec['split'].values()):
         raise InvalidConfigurationError(
