Count requests by rank and service class, and tries by domain

Log lines have all refusals and failures, but one in 16 plain successes.

Change: entry.load_metrics counts a request that has ended; EntryState keeps its record and counts it.

--- a/src/mulberryquay/entry/exchange.py
+++ b/src/mulberryquay/entry/exchange.py
@@ -59,7 +59,9 @@
         self._socket = connection
         self._head = head
         self._body = request_body.RequestBody(connection, reader, head)
-        self._request_id = _request_id_of(entry_state, head)
+        self._request_id = entry_state.request_id_from(
+            head.find(entry_state.dialect.request_id)
+        )
         self._started = entry_state.clock.now()
         self._admission: admission.Admission | None = None
         self._account_slot: account_slots.AccountSlot | None = None
@@ -378,7 +380,9 @@
             entry_state.clock.now() - self._started,
             active_forwarder.attempts if active_forwarder else [],
         )
-        entry_state.request_history.add(record)
+        entry_state.record_request(
+            record, self._admission.account if self._admission else None
+        )
         request_log.log_request(
             entry_state,
             record,
@@ -389,15 +393,3 @@
                 active_forwarder.target_snapshots if active_forwarder else (),
             ),
         )
-
-
-def _request_id_of(
-    entry_state: state.EntryState,
-    head: http_heads.RequestHead,
-) -> str:
-    """Returns the caller's id of its request, or a new one."""
-    if entry_state.dialect.caller_sets_request_id:
-        given_id = head.find(entry_state.dialect.request_id)
-        if given_id:
-            return given_id.decode('latin-1')
-    return entry_state.next_request_id()
--- a/src/mulberryquay/entry/state.py
+++ b/src/mulberryquay/entry/state.py
@@ -22,6 +22,7 @@
     claim_client,
     crash_tracker,
     dialect,
+    load_metrics,
     outcomes,
     planned_stop,
     relays,
@@ -109,6 +110,7 @@
         '1 while a control host confirms that the configuration is current.',
         is_gauge=True,
     ),
+    *load_metrics.METRICS,
 )
 
 
@@ -219,6 +221,21 @@
         """The names of the headers exchanged with callers and targets."""
         return self.options.dialect
 
+    def request_id_from(self, given: bytes | None) -> str:
+        """Returns the id that a caller gave its request, or a new one."""
+        if given and self.dialect.caller_sets_request_id:
+            return given.decode('latin-1')
+        return self.next_request_id()
+
+    def record_request(
+        self,
+        record: request_records.RequestRecord,
+        account: routing.ClientAccount | None,
+    ) -> None:
+        """Keeps the record of a request that has ended, and counts it."""
+        self.request_history.add(record)
+        load_metrics.count_request(self.metrics, record, account)
+
     def next_request_id(self) -> str:
         """Returns an id that is unique over all entries and restarts."""
         return f'{self._request_prefix}{next(self._request_numbers):x}'
