Refuse names of client accounts that no header can carry

Cause: the name goes to targets in a header.

Change: a whole configuration with control characters in a client account's name, or spaces at its ends, is refused.

Open: a name beyond Latin-1 is accepted, and forwarding its requests raises UnicodeEncodeError (entry.authentication).

--- a/src/mulberryquay/control/configuration.py
+++ b/src/mulberryquay/control/configuration.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import typing
 
 from mulberryquay.control import kinds
@@ -16,6 +17,11 @@
 
 _MAX_RESOURCES: typing.Final = 100_000
 
+#: What a header can carry unchanged: targets get the names of accounts so.
+_ACCOUNT_NAME: typing.Final = re.compile(
+    r'[^\x00-\x20\x7f]([^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?'
+)
+
 Resources = list[tuple[str, str, schema.Spec]]
 
 
@@ -71,6 +77,11 @@
             'one of the kinds '
             f'{", ".join(sorted(kinds.CONFIGURED))}',
         )
+    if kind == kinds.CLIENT_ACCOUNT and not _ACCOUNT_NAME.fullmatch(name):
+        raise InvalidConfigurationError(
+            f'{kind}: got name {schema.show(name)}, expected no control '
+            'characters, and no spaces at the ends',
+        )
     return kind, name, resource.get('spec')
 
 
--- a/testing/control/test_configuration.py
+++ b/testing/control/test_configuration.py
@@ -15,6 +15,7 @@
 CASE: typing.Final = unittest.TestCase()
 
 _DIGEST: typing.Final = keys.digest_of(b'sk-4f-geheim')
+_TWO_LINES: typing.Final = 'a\r\nX-Evil: 1'
 
 Json = typing.Any
 _Change = typing.Callable[[Json], typing.Any]
@@ -113,6 +114,11 @@
         lambda resources: resources[3].update(name='acme'),
         "resources: client-accounts 'acme' is declared twice",
     ),
+    (
+        lambda resources: resources[3].update(name=_TWO_LINES),
+        f'client-accounts: got name {_TWO_LINES!r}, expected no control '
+        'characters, and no spaces at the ends',
+    ),
     (
         lambda resources: resources.append(['sk-4f-geheim']),
         'got resource a list of 1, expected kind, name and spec',
