--- a/src/mulberryquay/control/configuration.py
+++ b/src/mulberryquay/control/configuration.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import typing
 
 from mulberryquay.control import kinds
@@ -20,6 +21,11 @@
 Checked = tuple[str, str, schema.Spec]
 Resources = list[Checked]
 
+#: What a header can carry unchanged: targets get the names of accounts so.
+_ACCOUNT_NAME: typing.Final = re.compile(
+    r'[^\x00-\x20\x7f]([^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?'
+)
+
 
 @typing.final
 class InvalidConfigurationError(errors.InvalidInputError):
@@ -44,7 +50,7 @@
     for resource in resources:
         kind, name, spec = _read_resource(resource)
         fields = fields_by_kind.get(kind)
-        label = f'{kind} {name!r}'
+        label = f'{kind} {schema.show(name)}'
         checked.append(
             (kind, name, schema.check_spec(spec, fields, label=label))
         )
@@ -60,7 +66,8 @@
 def _read_resource(resource: typing.Any) -> tuple[str, str, typing.Any]:
     if not isinstance(resource, dict):
         raise InvalidConfigurationError(
-            f'got resource {resource!r}, expected kind, name and spec',
+            f'got resource {schema.show(resource)}, expected kind, name and '
+            'spec',
         )
     kind: typing.Any = resource.get('kind')
     name: typing.Any = resource.get('name')
@@ -68,18 +75,26 @@
     is_configured = isinstance(kind, str) and kind in kinds.CONFIGURED
     if not is_configured or not is_named:
         raise InvalidConfigurationError(
-            f'got {kind!r} {name!r}, expected a name and one of the kinds '
+            f'got {schema.show(kind)} {schema.show(name)}, expected a name and '
+            'one of the kinds '
             f'{", ".join(sorted(kinds.CONFIGURED))}',
         )
+    if kind == kinds.CLIENT_ACCOUNT and not _ACCOUNT_NAME.fullmatch(name):
+        raise InvalidConfigurationError(
+            f'{kind}: got name {schema.show(name)}, expected no control '
+            'characters, and no spaces at the ends',
+        )
     return kind, name, resource.get('spec')
 
 
 def _check_unique(resources: Resources) -> None:
-    keys = [(kind, name) for kind, name, _ in resources]
-    if len(set(keys)) != len(keys):
-        raise InvalidConfigurationError(
-            'resources: the same kind and name is declared twice'
-        )
+    declared: set[tuple[str, str]] = set()
+    for kind, name, _ in resources:
+        if (kind, name) in declared:
+            raise InvalidConfigurationError(
+                f'resources: {kind} {schema.show(name)} is declared twice',
+            )
+        declared.add((kind, name))
 
 
 def check_keys(resources: typing.Iterable[Checked]) -> None:
@@ -110,7 +125,8 @@
     unknown = [service for service in used if service not in services]
     if unknown:
         raise InvalidConfigurationError(
-            f'route {name!r}: service {unknown[0]!r} is not declared',
+            f'route {name!r}: service {schema.show(unknown[0])} is not '
+            'declared',
         )
     if spec['split'] and not any(spec['split'].values()):
         raise InvalidConfigurationError(
--- a/src/mulberryquay/entry/state.py
+++ b/src/mulberryquay/entry/state.py
@@ -23,6 +23,7 @@
     crash_tracker,
     dialect,
     leased_rates,
+    load_metrics,
     outcomes,
     planned_stop,
     relays,
@@ -111,6 +112,7 @@
         is_gauge=True,
     ),
     *leased_rates.METRICS,
+    *load_metrics.METRICS,
 )
 
 
@@ -233,6 +235,21 @@
         """The permits that control hosts granted to this entry."""
         return self._leased_rates
 
+    def request_id_from(self, given: bytes | None) -> str:
+        """Returns the id that a caller gave its request, or a new one."""
+        if given and self.dialect.caller_sets_request_id:
+            return given.decode('latin-1')
+        return self.next_request_id()
+
+    def record_request(
+        self,
+        record: request_records.RequestRecord,
+        account: routing.ClientAccount | None,
+    ) -> None:
+        """Keeps the record of a request that has ended, and counts it."""
+        self.request_history.add(record)
+        load_metrics.count_request(self.metrics, record, account)
+
     def next_request_id(self) -> str:
         """Returns an id that is unique over all entries and restarts."""
         return f'{self._request_prefix}{next(self._request_numbers):x}'
