Move a service to another version, in stages that the leader decides

Change: targets announce a version; an order starts a roll-out, which lies in the replicated log as a resource with its stage, so entries get it as they get configuration and confirm it. Entries divide the requests by version and report answers by version, route and domain with their heartbeats to the leader. The protocol is 7. Without an order no request is handled differently.

--- a/benchmarks/fake_entries.py
+++ b/benchmarks/fake_entries.py
@@ -11,11 +11,9 @@
 
 from mulberryquay import protocol
 from mulberryquay.coordination import wire
-from mulberryquay.entry import control_stream
+from mulberryquay.entry import control_view
 
-_HEARTBEAT_INTERVAL_S: typing.Final = (
-    control_stream.HEARTBEAT_INTERVAL_MS / 1000
-)
+_HEARTBEAT_INTERVAL_S: typing.Final = control_view.HEARTBEAT_INTERVAL_MS / 1000
 
 
 @typing.final
--- a/src/mulberryquay/commands/reference.py
+++ b/src/mulberryquay/commands/reference.py
@@ -8,7 +8,7 @@
 
 from mulberryquay import metrics, settings
 from mulberryquay.commands import command
-from mulberryquay.control import announcements, api
+from mulberryquay.control import announcements, api, roll_out_api
 from mulberryquay.control import daemon as control_daemon
 from mulberryquay.coordination import schema
 from mulberryquay.entry import outcomes
@@ -100,7 +100,10 @@
         '| request | meaning |',
         '|---|---|',
     ]
-    lines += [f'| `{request}` | {meaning} |' for request, meaning in api.ROUTES]
+    lines += [
+        f'| `{request}` | {meaning} |'
+        for request, meaning in (*api.ROUTES, *roll_out_api.ROUTES)
+    ]
     for name in kernel.resource_kinds.names:
         fields = kernel.resource_kinds.get(name)
         lines += ['', f'## {name}', '', *_field_rows(fields)]
--- a/src/mulberryquay/control/announcements.py
+++ b/src/mulberryquay/control/announcements.py
@@ -29,6 +29,7 @@
     'incarnation': schema.Integer(1, units.MAX_INT64, required=True),
     'shed_status': schema.Integer(0, _MAX_STATUS, default=0),
     'sequence': schema.Integer(0, units.MAX_INT64, default=0),
+    'version': schema.Text(),
     'cold_ms': schema.Integer(-1, units.HOUR_MS, default=COLD_MS_UNKNOWN),
 }
 
--- a/src/mulberryquay/control/api.py
+++ b/src/mulberryquay/control/api.py
@@ -375,6 +375,8 @@
 
 
 def _check_declared(kind: str) -> None:
+    if kind == kinds.ROLL_OUT:
+        raise ReadOnlyKindError('roll-outs are started at POST /v1/roll-outs')
     if kind == kinds.TARGET:
         raise ReadOnlyKindError(
             'targets cannot be declared; they announce themselves at '
--- a/src/mulberryquay/control/cluster.py
+++ b/src/mulberryquay/control/cluster.py
@@ -19,6 +19,7 @@
     membership,
     orders,
     replicated_state,
+    roll_outs,
     target_cache,
 )
 from mulberryquay.coordination import (
@@ -30,6 +31,7 @@
     wire,
 )
 from mulberryquay.coordination.replication import disk, replica
+from mulberryquay.decisions import roll_outs as roll_out_decisions
 
 #: A control host that sent no update for this long is left out of the list
 #: of hosts that entries get.
@@ -64,11 +66,13 @@
         time_source: clock.Clock,
         *,
         lease: float,
+        bounds: roll_out_decisions.Bounds | None = None,
     ) -> None:
         """Restores the state; raises FolderInUseError and
         JournalCorruptError.
 
-        ``lease`` is how long a target stays listed without a renewal, in ms.
+        ``lease`` is how long a target stays listed without a renewal, in ms;
+        ``bounds`` limit what a bad version gets in a roll-out.
         """
         self._info = config.info
         self._clock = time_source
@@ -117,6 +121,19 @@
             time_source,
             self,
         )
+        self.roll_outs = roll_outs.RollOuts(
+            roll_outs.Host(
+                self.state.store,
+                self.targets,
+                self.entries,
+                self.replica,
+                self.orders,
+                self._network,
+            ),
+            time_source,
+            bounds or roll_out_decisions.Bounds(),
+        )
+        self.targets.find_roll_out = self.roll_outs.find_number
         self._cache = target_cache.TargetCache(
             config.data_folder,
             self.targets,
@@ -143,6 +160,7 @@
         self._cache.start()
         self._broadcast.start()
         self.reports.start()
+        self.roll_outs.start()
         self.feed.start(feed_listener)
         self._task = gevent.spawn(self._watch_leadership)
 
@@ -153,6 +171,7 @@
             self._task.kill()
         self.feed.stop()
         self._cache.stop()
+        self.roll_outs.stop()
         self.reports.stop()
         self._broadcast.stop()
         self.replica.stop()
@@ -245,6 +264,9 @@
                 return self._handle_host_update(request)
             case host_protocol.EntriesReported():
                 return self.reports.handle_report(request)
+            case host_protocol.VersionsReported(rows):
+                self.roll_outs.record(rows)
+                return host_protocol.VersionsReportAck(self.replica.is_leader)
         if isinstance(request, host_protocol.ORDERS):
             deadline = self._clock.now() + orders.ORDER_TIMEOUT_MS
             return host_protocol.OrderResult(
--- a/src/mulberryquay/control/daemon.py
+++ b/src/mulberryquay/control/daemon.py
@@ -13,11 +13,16 @@
     directory,
     host_protocol,
     membership,
+    roll_out_api,
 )
 from mulberryquay.coordination import clock, crash_guard, units
 from mulberryquay.coordination import store as store_module
+from mulberryquay.decisions import roll_outs
 from mulberryquay.kernel import plugins
 
+_PERCENT: typing.Final = 100
+_ROLL_OUT_SLACK: typing.Final = 50
+
 SETTINGS: typing.Final = (
     settings.Setting(
         'data_folder',
@@ -81,6 +86,21 @@
         minimum=units.SECOND_MS,
         maximum=units.MINUTE_MS,
     ),
+    settings.Setting(
+        'roll_out_percent',
+        10,
+        'percentage of the requests to a service that a bad version may get '
+        'during its roll-out',
+        minimum=1,
+        maximum=_PERCENT,
+    ),
+    settings.Setting(
+        'roll_out_slack',
+        _ROLL_OUT_SLACK,
+        'requests beyond roll_out_percent that a bad version may get',
+        minimum=0,
+        maximum=units.MAX_INT64,
+    ),
     settings.LOG_LEVEL,
 )
 
@@ -125,6 +145,17 @@
         'The latest leadership term known to this host.',
         is_gauge=True,
     ),
+    metrics.MetricDeclaration(
+        'mulberryquay_control_roll_outs',
+        'Roll-outs that run.',
+        is_gauge=True,
+    ),
+    metrics.MetricDeclaration(
+        'mulberryquay_control_roll_out_share',
+        'Share of requests that the new version gets, by service.',
+        labels=('service',),
+        is_gauge=True,
+    ),
     metrics.MetricDeclaration(
         'mulberryquay_control_feed_bytes_total',
         'Bytes on closed entry streams, by direction.',
@@ -175,6 +206,10 @@
             ),
             time_source,
             lease=values['target_lease_ms'],
+            bounds=roll_outs.Bounds(
+                values['roll_out_percent'] / _PERCENT,
+                values['roll_out_slack'],
+            ),
         )
         self._kernel = kernel
 
@@ -219,6 +254,7 @@
         web.add_monitoring_endpoints(
             app, self._is_ready, self._metrics, self._refresh
         )
+        roll_out_api.RollOutApi(self._cluster).install(app)
         api.ResourceApi(
             self._cluster,
             self._kernel.resource_kinds,
@@ -259,6 +295,12 @@
         set_gauge('mulberryquay_control_in_touch', int(replica.is_in_touch))
         set_gauge('mulberryquay_control_voters', len(replica.members))
         set_gauge('mulberryquay_control_term', replica.term)
+        running = self._cluster.roll_outs.running
+        set_gauge('mulberryquay_control_roll_outs', len(running))
+        for service, roll_out in running.items():
+            set_gauge(
+                'mulberryquay_control_roll_out_share', roll_out.share, service
+            )
         waiting = self.entries.waiting_for(self.store.revision)
         set_gauge('mulberryquay_control_entries_waiting', len(waiting))
         received = self._cluster.feed.bytes_received
--- a/src/mulberryquay/control/directory.py
+++ b/src/mulberryquay/control/directory.py
@@ -100,6 +100,10 @@
         ended.on_ended = self._mark_leaving
         #: Called with each update for the other control hosts.
         self.publish: typing.Callable[[tuple[typing.Any, ...]], None] = _discard
+        #: Returns the number of the roll-out that a target belongs to, or 0.
+        self.find_roll_out: typing.Callable[[protocol.TargetRow], int] = (
+            _find_no_roll_out
+        )
         #: Incarnations that renewed here, not yet sent to other hosts.
         self._renewed: dict[str, int] = {}
         self._hints: dict[str, AllowanceHint] = {}
@@ -142,6 +146,7 @@
         is cold. Raises InvalidResourceError and StaleIncarnationError.
         """
         row = announcements.parse(announcement)
+        row = row._replace(roll_out=self.find_roll_out(row))
         state = self._targets.get(row.name)
         if state is not None and row.incarnation < state.row.incarnation:
             raise _stale_error(row.name, row.incarnation, state.row.incarnation)
@@ -351,15 +356,17 @@
         if max(cold_until, state.cold_until) <= state.renewed_at:
             is_changed = False
         state.cold_until = cold_until
-        is_changed = is_changed or (row.address, row.slots) != (
+        is_changed = is_changed or (row.address, row.slots, row.version) != (
             state.row.address,
             state.row.slots,
+            state.row.version,
         )
         state.row = state.row._replace(
             sequence=row.sequence,
             cold_ms=row.cold_ms,
             address=row.address,
             slots=row.slots,
+            version=row.version,
         )
         if is_changed:
             self._update(state, 'changed')
@@ -437,5 +444,10 @@
     )
 
 
+def _find_no_roll_out(_row: protocol.TargetRow) -> int:
+    """Returns 0; the default of `Directory.find_roll_out`."""
+    return 0
+
+
 def _discard(_update: tuple[typing.Any, ...]) -> None:
     """Drops an update; the default of `Directory.publish`."""
--- a/src/mulberryquay/control/feed.py
+++ b/src/mulberryquay/control/feed.py
@@ -246,6 +246,8 @@
         if any(report):
             self.target_reports.apply(report)
             self._group.publish(report)
+        if heartbeat.versions:
+            self._group.roll_outs.record(heartbeat.versions)
         self._update_entry(
             entry,
             config_revision=heartbeat.config_revision,
--- a/src/mulberryquay/control/feed_messages.py
+++ b/src/mulberryquay/control/feed_messages.py
@@ -6,6 +6,7 @@
 
 from mulberryquay import protocol
 from mulberryquay.control import directory, entry_reports
+from mulberryquay.control import roll_outs as roll_out_decider
 from mulberryquay.coordination import shares
 
 
@@ -20,6 +21,10 @@
     def reports(self) -> entry_reports.EntryReports:
         """The task that reports connected entries to the leader."""
 
+    @property
+    def roll_outs(self) -> roll_out_decider.RollOuts:
+        """Decides on roll-outs by the answers that entries report."""
+
     def wait_until_current(self) -> None:
         """Waits until this host has every change acknowledged so far.
 
--- a/src/mulberryquay/control/host_protocol.py
+++ b/src/mulberryquay/control/host_protocol.py
@@ -56,6 +56,51 @@
     incarnation: int
 
 
+class StartRollOut(typing.NamedTuple):
+    """Moves a service to targets of another version."""
+
+    service: str
+    version: str
+    duration_ms: int
+    #: Share of the requests that the new version gets first.
+    share: float
+    #: Versions of the targets that the service has now.
+    old_versions: list[str]
+    #: When the order was received, in ms since the Unix epoch.
+    started_at: int
+    #: Version of the resource that the order replaces; 0 if there is none.
+    replaced: int
+    #: Whether a roll-out to the same version that has ended starts again.
+    is_again: bool
+
+
+class MoveRollOut(typing.NamedTuple):
+    """Changes the stage of a roll-out that runs, or ends it."""
+
+    service: str
+    #: Version of the resource that the order replaces; 0 for any.
+    replaced: int
+    state: str
+    stage: str
+    share: float
+    old_versions: list[str]
+    elapsed_ms: int
+    reason: str
+
+
+class VersionsReported(typing.NamedTuple):
+    """Reports answers by version to the leader."""
+
+    #: Rows of `protocol.VersionAnswers`.
+    rows: list[list[typing.Any]]
+
+
+class VersionsReportAck(typing.NamedTuple):
+    """Answers `VersionsReported` with whether the receiver leads."""
+
+    is_leader: bool
+
+
 class OrderResult(typing.NamedTuple):
     """Answers an order; the fields depend on the kind of order."""
 
@@ -136,6 +181,8 @@
     PutConfiguration,
     SetDomainState,
     EndTarget,
+    StartRollOut,
+    MoveRollOut,
 )
 
 #: The messages that a `HostUpdate` carries.
@@ -158,5 +205,7 @@
         HostUpdateAck,
         EntriesReported,
         EntriesReportAck,
+        VersionsReported,
+        VersionsReportAck,
     ),
 )
--- a/src/mulberryquay/control/kinds.py
+++ b/src/mulberryquay/control/kinds.py
@@ -15,6 +15,9 @@
 SERVICE_CLASS: typing.Final = 'service-classes'
 LIMITS: typing.Final = 'limits'
 
+#: Kind of the roll-outs, which orders start and change.
+ROLL_OUT: typing.Final = 'roll-outs'
+
 #: Name of the limits that apply to all callers.
 CALLER_LIMITS: typing.Final = 'callers'
 
--- a/src/mulberryquay/control/orders.py
+++ b/src/mulberryquay/control/orders.py
@@ -12,6 +12,7 @@
     host_protocol,
     kinds,
     replicated_state,
+    roll_out_records,
 )
 from mulberryquay.coordination import clock, errors, rpc, store
 from mulberryquay.coordination.replication import replica, state
@@ -28,6 +29,8 @@
     | host_protocol.PutConfiguration
     | host_protocol.SetDomainState
     | host_protocol.EndTarget
+    | host_protocol.StartRollOut
+    | host_protocol.MoveRollOut
 )
 
 _LOG: typing.Final = logging.getLogger(__name__)
@@ -175,6 +178,10 @@
                 return list(self._set_domain(order))
             case host_protocol.EndTarget(name, incarnation):
                 return [self._directory.end(name, incarnation=incarnation)]
+            case host_protocol.StartRollOut():
+                return list(roll_out_records.start(self._store, order))
+            case host_protocol.MoveRollOut():
+                return list(roll_out_records.move(self._store, order))
 
     def _put_configuration(
         self,
--- a/src/mulberryquay/entry/balancer.py
+++ b/src/mulberryquay/entry/balancer.py
@@ -4,6 +4,7 @@
 
 import logging
 import math
+import random
 import typing
 
 from gevent import event
@@ -16,6 +17,7 @@
     routing,
     service_queue,
     targets,
+    version_choice,
 )
 
 #: Calls per slot that all entries together may send to a warm target. Above
@@ -75,6 +77,8 @@
         self._targets: dict[str, targets.TargetState] = {}
         self._domains_out: frozenset[str] = frozenset()
         self._declared_services: dict[str, routing.Service] = {}
+        self._roll_outs: dict[str, routing.RollOut] = {}
+        self._rng = random.Random()
         self._is_fresh = False
 
     @property
@@ -118,9 +122,14 @@
         self._domains_out = domains_out
         self.refresh_limits()
 
-    def configure(self, services: dict[str, routing.Service]) -> None:
-        """Sets the declared services, whose limits apply to targets."""
+    def configure(
+        self,
+        services: dict[str, routing.Service],
+        roll_outs: dict[str, routing.RollOut] | None = None,
+    ) -> None:
+        """Sets the declared services and the newest roll-out of each."""
         self._declared_services = services
+        self._roll_outs = roll_outs or {}
         self.refresh_limits()
 
     def serve_waiting(self) -> None:
@@ -151,6 +160,13 @@
         """Recomputes the limits of all targets and serves waiting requests."""
         for target in self._targets.values():
             self._refresh_target(target)
+        for service, roll_out in self._roll_outs.items():
+            queue = self.queue_for(service)
+            queue.versions = version_choice.for_roll_out(
+                roll_out, queue.versions, queue.targets, self._rng
+            )
+            if queue.versions is not None:
+                queue.versions.update(roll_out, is_fresh=self._is_fresh)
         for queue in self._queues.values():
             queue.adapt_to_limits()
 
@@ -304,7 +320,14 @@
 
     def _accepts_new_calls(self, row: protocol.TargetRow) -> bool:
         """Whether entries may send the target new calls."""
-        return not row.is_leaving and row.domain not in self._domains_out
+        if row.is_leaving or row.domain in self._domains_out:
+            return False
+        roll_out = self._roll_outs.get(row.service, routing.NO_ROLL_OUT)
+        # A target of a roll-out that this entry does not know yet gets
+        # nothing, nor do the versions against which one was decided.
+        return row.roll_out <= roll_out.number and not roll_out.bars(
+            row.version
+        )
 
     def _connection_limit(self, target: targets.TargetState) -> int:
         total = target.row.connections
--- a/src/mulberryquay/entry/config_replica.py
+++ b/src/mulberryquay/entry/config_replica.py
@@ -82,10 +82,16 @@
             self._resources,
             revision=revision,
         )
-        entry_state.balancer.configure(entry_state.routing_table.services)
+        entry_state.balancer.configure(
+            entry_state.routing_table.services,
+            entry_state.routing_table.roll_outs,
+        )
         entry_state.balancer.apply_domains_out(
             entry_state.routing_table.domains_out
         )
+        entry_state.version_reports.configure(
+            entry_state.routing_table.roll_outs
+        )
         self._revision = revision
         self._is_complete = True
         _LOG.info(
--- a/src/mulberryquay/entry/control_stream.py
+++ b/src/mulberryquay/entry/control_stream.py
@@ -11,8 +11,6 @@
 from mulberryquay.coordination import errors, shares, store, wire
 from mulberryquay.entry import control_view
 
-HEARTBEAT_INTERVAL_MS: typing.Final = 500.0
-
 #: If no heartbeat answer grants a freshness lease for this long, the entry
 #: switches to another control host. Two heartbeats and a round trip fit.
 LEASE_RENEWAL_TIMEOUT_MS: typing.Final = 1200.0
@@ -64,6 +62,10 @@
         """Whether the stream to a control host is open."""
         return self._stream is not None
 
+    @property
+    def _heartbeat_interval(self) -> float:
+        return self._view.heartbeat_interval(self.address)
+
     def start(self) -> None:
         """Starts connecting; reconnects until `stop`."""
         self._tasks = [
@@ -205,15 +207,15 @@
         if self._stream is not None:
             next_check = min(
                 next_check,
-                self._heartbeat_at + HEARTBEAT_INTERVAL_MS - now,
+                self._heartbeat_at + self._heartbeat_interval - now,
                 self._lease_renewed_at + LEASE_RENEWAL_TIMEOUT_MS - now,
             )
         return min(
-            HEARTBEAT_INTERVAL_MS, max(_MIN_CHECK_INTERVAL_MS, next_check)
+            self._heartbeat_interval, max(_MIN_CHECK_INTERVAL_MS, next_check)
         )
 
     def _is_heartbeat_due(self, now: float) -> bool:
-        if now - self._heartbeat_at >= HEARTBEAT_INTERVAL_MS:
+        if now - self._heartbeat_at >= self._heartbeat_interval:
             return True
         return self._view.confirmable_versions() != self._sent_confirmation
 
@@ -234,6 +236,7 @@
                 served,
                 shed,
                 self._view.rate_limit_reports(),
+                self._view.pop_version_reports(self.address),
             )
         )
         if not is_sent:
--- a/src/mulberryquay/entry/control_view.py
+++ b/src/mulberryquay/entry/control_view.py
@@ -21,6 +21,11 @@
 #: Interval at which calls in flight are compared with pending shares.
 PENDING_CHECK_INTERVAL_MS: typing.Final = 50.0
 
+HEARTBEAT_INTERVAL_MS: typing.Final = 500.0
+
+#: The same while a roll-out runs, to the host that gets the reports.
+ROLL_OUT_HEARTBEAT_INTERVAL_MS: typing.Final = 250.0
+
 _LOG: typing.Final = logging.getLogger(__name__)
 
 
@@ -164,10 +169,22 @@
 
         They go only to the host that was chosen first, which forwards them.
         """
-        if self._followed and self._followed[0] != address:
+        if not self._is_first(address):
             return {}, {}
         return self._state.balancer.pop_target_reports()
 
+    def heartbeat_interval(self, address: str) -> float:
+        """Returns the ms between two heartbeats to a control host."""
+        if self._state.version_reports.is_active and self._is_first(address):
+            return ROLL_OUT_HEARTBEAT_INTERVAL_MS
+        return HEARTBEAT_INTERVAL_MS
+
+    def pop_version_reports(self, address: str) -> list[list[typing.Any]]:
+        """Returns answers by version for a control host and resets them."""
+        if not self._is_first(address):
+            return []
+        return self._state.version_reports.pop()
+
     def rate_limit_reports(self) -> dict[str, protocol.RateLimitReport]:
         """Returns the rate limits that control hosts have to learn, by name."""
         return self._state.balancer.rate_limit_reports()
@@ -196,3 +213,7 @@
             'configuration is fresh' if is_fresh else 'lease ran out',
             extra={'revision': self.replica.revision},
         )
+
+    def _is_first(self, address: str) -> bool:
+        """Whether a host gets reports, which it forwards to the others."""
+        return not self._followed or self._followed[0] == address
--- a/src/mulberryquay/entry/forwarder.py
+++ b/src/mulberryquay/entry/forwarder.py
@@ -8,6 +8,7 @@
 
 from mulberryquay.entry import (
     attempt,
+    attempt_results,
     crash_tracker,
     header_names,
     http_heads,
@@ -17,6 +18,7 @@
     service_queue,
     state,
     targets,
+    version_reports,
 )
 
 
@@ -31,6 +33,8 @@
     outgoing: attempt.OutgoingRequest
     #: Whether the caller allows retries.
     may_retry: bool
+    #: Name of the request's route.
+    route: str = ''
 
 
 @typing.final
@@ -134,7 +138,7 @@
         new_error = outcomes.unknown if self.may_have_run else outcomes.not_run
         reason = refusal.reason
         if reason in outcomes.REASONS_BEFORE_TARGETS:
-            reason = _result_and_reason(result)[1]
+            reason = attempt_results.name_and_reason(result)[1]
         return new_error(
             reason, f'{len(self.attempts)} attempts failed; {refusal}'
         )
@@ -204,7 +208,7 @@
         result: outcomes.AttemptResult,
         duration: float,
     ) -> None:
-        result_name, reason = _result_and_reason(result)
+        result_name, reason = attempt_results.name_and_reason(result)
         relayed_as = ''
         if isinstance(result, outcomes.Received):
             relayed_as = result.relayed_as
@@ -222,8 +226,18 @@
                 reason.value,
                 duration,
                 relayed_as,
+                target.row.version,
             ),
         )
+        self._state.version_reports.record(
+            version_reports.Attempted(
+                target,
+                self._request.route,
+                result,
+                self._attempt_started,
+                duration,
+            )
+        )
         if isinstance(result, outcomes.Lost):
             self.may_have_run = True
             is_lost = result.reason is outcomes.Reason.CONNECTION_LOST
@@ -234,8 +248,10 @@
         """Whether to retry; withdraws the retry from the budget."""
         if not self._is_retryable(result) or not self._has_attempts_left():
             return False
-        reason = _result_and_reason(result)[1].value
-        is_free = self._was_relayed and _reached_no_target(result)
+        reason = attempt_results.name_and_reason(result)[1].value
+        is_free = self._was_relayed and attempt_results.reached_no_target(
+            result
+        )
         is_granted = is_free or self._budget.withdraw()
         request_log.log_retry(
             self._request.outgoing.request_id,
@@ -369,32 +385,3 @@
     digest.update(outgoing.path)
     digest.update(outgoing.body)
     return digest.digest()
-
-
-def _reached_no_target(result: outcomes.AttemptResult) -> bool:
-    """Whether a relay added no load to a target, so that a retry is free."""
-    match result:
-        case outcomes.NotSent():
-            return True
-        case outcomes.Shed(reason):
-            return reason in outcomes.REASONS_BEFORE_TARGETS
-        case _:
-            return False
-
-
-def _result_and_reason(
-    result: outcomes.AttemptResult,
-) -> tuple[str, outcomes.Reason]:
-    match result:
-        case outcomes.Received(head):
-            if result.outcome is not outcomes.Outcome.ANSWERED:
-                return 'received', result.reason
-            if head.status in outcomes.UNAVAILABLE_STATUSES:
-                return 'received', outcomes.Reason.TARGET_UNAVAILABLE
-            return 'received', outcomes.Reason.NONE
-        case outcomes.NotSent(reason):
-            return 'not-sent', reason
-        case outcomes.Shed(reason):
-            return 'shed', reason
-        case outcomes.Lost(reason):
-            return 'lost', reason
--- a/src/mulberryquay/entry/outgoing.py
+++ b/src/mulberryquay/entry/outgoing.py
@@ -66,6 +66,7 @@
             incoming.request_id.encode('latin-1'),
         ),
         head.find(header_names.NO_RETRY) is None,
+        admitted.route.name,
     )
 
 
--- a/src/mulberryquay/entry/request_records.py
+++ b/src/mulberryquay/entry/request_records.py
@@ -40,6 +40,8 @@
     duration_ms: float
     #: Id of the request at the entry to which it was relayed, if it was.
     relayed_as: str = ''
+    #: Version of the target's software; empty if not announced.
+    version: str = ''
 
 
 class RequestRecord(typing.NamedTuple):
--- a/src/mulberryquay/entry/routing.py
+++ b/src/mulberryquay/entry/routing.py
@@ -7,7 +7,7 @@
 from mulberryquay.accounts import keys
 from mulberryquay.control import kinds
 from mulberryquay.coordination import schema, store, units
-from mulberryquay.decisions import callers, permits
+from mulberryquay.decisions import callers, permits, roll_outs
 from mulberryquay.entry import messages, outcomes
 
 
@@ -29,6 +29,32 @@
     max_attempts: int = 3
 
 
+class RollOut(typing.NamedTuple):
+    """The newest roll-out of a service, as far as an entry needs it."""
+
+    #: Version of its resource; 0 if there is none.
+    number: int
+    version: str
+    is_running: bool
+    #: Share of the requests that go to the new version.
+    share: float
+    #: Whether the old version gets nothing, though the roll-out runs.
+    is_last_stage: bool
+    #: Versions that get nothing.
+    barred: frozenset[str]
+
+    def bars(self, version: str) -> bool:
+        """Whether targets of a version get nothing."""
+        if self.is_last_stage and version != self.version:
+            return True
+        return version in self.barred
+
+
+NO_ROLL_OUT: typing.Final = RollOut(
+    0, '', is_running=False, share=0, is_last_stage=False, barred=frozenset()
+)
+
+
 class Service(typing.NamedTuple):
     """The limits of a service."""
 
@@ -126,6 +152,11 @@
             (route.host, route.path_prefix): route
             for route in self._make_routes(specs[kinds.ROUTE])
         }
+        self._roll_outs = {
+            resource.name: _make_roll_out(resource)
+            for resource in resources.values()
+            if resource.kind == kinds.ROLL_OUT and resource.spec is not None
+        }
         self._hosts = frozenset(host for host, _ in self._routes)
         self._route_cache: dict[tuple[bytes, bytes], Route] = {}
         self._domains_out = frozenset(
@@ -149,6 +180,11 @@
         """The failure domains that operators have taken out of service."""
         return self._domains_out
 
+    @property
+    def roll_outs(self) -> dict[str, RollOut]:
+        """The newest roll-out of each service that had one."""
+        return self._roll_outs
+
     @property
     def is_configured(self) -> bool:
         """Whether any service or route is declared."""
@@ -260,6 +296,18 @@
     return prefix[: prefix.rfind('/') + 1]
 
 
+def _make_roll_out(resource: store.Resource) -> RollOut:
+    record = roll_outs.RollOut(**resource.spec or {})
+    return RollOut(
+        resource.version,
+        record.version,
+        is_running=record.is_running,
+        share=record.share,
+        is_last_stage=record.is_last_stage,
+        barred=frozenset(record.barred),
+    )
+
+
 def _specs_by_kind(
     resources: ResourcesByKey,
 ) -> dict[str, dict[str, schema.Spec]]:
--- a/src/mulberryquay/entry/service_queue.py
+++ b/src/mulberryquay/entry/service_queue.py
@@ -12,7 +12,13 @@
 
 from mulberryquay.coordination import clock
 from mulberryquay.decisions import callers
-from mulberryquay.entry import outcomes, relays, routing, targets
+from mulberryquay.entry import (
+    outcomes,
+    relays,
+    routing,
+    targets,
+    version_choice,
+)
 
 #: Longest time that a request waits for a target.
 MAX_QUEUE_WAIT_MS: typing.Final = 2000.0
@@ -90,6 +96,8 @@
         self._relays = peers
         self._on_waiting = on_waiting
         self.targets: dict[str, targets.TargetState] = {}
+        #: Divides requests between versions while a roll-out runs.
+        self.versions: version_choice.VersionChoice | None = None
         self._policy = policy
         self._clock = time_source
         self._waiting: list[_HeapItem] = []
@@ -121,10 +129,12 @@
         Waits for capacity until the deadline. Raises RefusedError (not-run)
         with the reason ``no-target``, ``overloaded`` or ``queue-timeout``.
         """
+        if self.versions is not None and not excluded:
+            self.versions.count_request()
         if not self._waiting_count:
             target = self._choose_target(criteria, excluded)
             if target is not None:
-                target.begin_call()
+                self._begin_call(target)
                 return target
         started = self._clock.now()
         while True:
@@ -174,7 +184,7 @@
             if target is None:
                 unserved.append(item)
                 continue
-            target.begin_call()
+            self._begin_call(target)
             self._finish_waiter(waiter)
             waiter.granted.set(target)
         for unserved_item in unserved:
@@ -225,6 +235,11 @@
             longest = MAX_QUEUE_WAIT_MS
         return min(started + longest, criteria.deadline)
 
+    def _begin_call(self, target: targets.TargetState) -> None:
+        target.begin_call()
+        if self.versions is not None:
+            self.versions.record_sent(target)
+
     def _has_capacity(self) -> bool:
         return any(target.has_capacity for target in self.targets.values())
 
@@ -249,6 +264,10 @@
                 for target in with_capacity
                 if _is_allowed(target, criteria.regions, excluded)
             ]
+        if self.versions is not None:
+            with_capacity = self.versions.narrow(
+                with_capacity, now, is_retry=bool(excluded)
+            )
         candidates = [
             target for target in with_capacity if target.suspended_until <= now
         ]
--- a/src/mulberryquay/entry/state.py
+++ b/src/mulberryquay/entry/state.py
@@ -30,6 +30,7 @@
     service_queue,
     splits,
     targets,
+    version_reports,
 )
 
 #: Retries allowed for each new call of a service.
@@ -198,6 +199,7 @@
         self.crashes = crash_tracker.CrashTracker(self.clock)
         self.request_history = request_records.RequestHistory()
         self.splits = splits.TrafficSplitter()
+        self.version_reports = version_reports.VersionReports(self.clock)
         self.caller_watch = caller_watch.CallerWatch(self.clock)
         #: Probes targets for their load before one is chosen; None if off.
         self.load_prober: LoadReportRefresher | None = None
--- a/src/mulberryquay/kernel/plugins.py
+++ b/src/mulberryquay/kernel/plugins.py
@@ -22,6 +22,7 @@
     'mulberryquay.entry.policies.expected_time',
     'mulberryquay.commands.daemons',
     'mulberryquay.commands.clients',
+    'mulberryquay.commands.roll_outs',
     'mulberryquay.commands.explain',
     'mulberryquay.commands.showcase',
 )
--- a/src/mulberryquay/protocol.py
+++ b/src/mulberryquay/protocol.py
@@ -7,7 +7,7 @@
 from mulberryquay.coordination import wire
 
 #: Increased with each incompatible change to a message.
-PROTOCOL_VERSION: typing.Final = 6
+PROTOCOL_VERSION: typing.Final = 7
 
 
 class Hello(typing.NamedTuple):
@@ -78,6 +78,11 @@
     #: Calls per second that the target takes from all entries together, as
     #: its answers say; None without a limit.
     rate_per_s: float | None = None
+    #: Version of the target's software; empty if not announced.
+    version: str = ''
+    #: Version of the service's roll-out resource that brings this target
+    #: requests; an entry that has an older one sends none. 0 without one.
+    roll_out: int = 0
 
 
 class TargetsChanged(typing.NamedTuple):
@@ -126,6 +131,20 @@
     per_s: float | None
 
 
+class VersionAnswers(typing.NamedTuple):
+    """Equal answers of targets while their service has a roll-out."""
+
+    service: str
+    version: str
+    domain: str
+    route: str
+    is_failure: bool
+    #: Latency in steps of `version_evidence.latency_step`; -1 if it says
+    #: nothing, such as that of a cold target.
+    latency_step: int
+    answers: int
+
+
 class Heartbeat(typing.NamedTuple):
     """An entry's periodic report; answered by `HeartbeatAnswer`."""
 
@@ -139,6 +158,8 @@
     #: Rows of `RateLimitReport`, by name, of targets whose rate limit differs
     #: from what the control host announces.
     rate_limits: typing.Mapping[str, typing.Sequence[typing.Any]]
+    #: Rows of `VersionAnswers` since the last heartbeat.
+    versions: typing.Sequence[typing.Sequence[typing.Any]] = ()
 
 
 class HeartbeatAnswer(typing.NamedTuple):
