--- a/src/mulberryquay/control/roll_outs.py
+++ b/src/mulberryquay/control/roll_outs.py
@@ -354,7 +354,7 @@
             share=roll_out.share,
             stage_elapsed=now - progress.stage_at,
             requests_per_s=rate,
-            new_answers=evidence.new_answers,
+            new_answers=evidence.compared_answers,
             finding=evidence.finding,
             new_slots=slots[True],
             old_slots=slots[False],
--- a/src/mulberryquay/decisions/roll_outs.py
+++ b/src/mulberryquay/decisions/roll_outs.py
@@ -20,6 +20,7 @@
     """The stages in their order."""
 
     TRIAL = 'trial'
+    #: A quarter and half of the requests, or less if there are very many.
     QUARTER = 'quarter'
     HALF = 'half'
     #: The old version gets nothing, but may get requests again.
@@ -101,6 +102,7 @@
     stage_elapsed: float
     #: Requests a second to both versions; 0 while not known.
     requests_per_s: float
+    #: Answers of the new version that were compared with the old one.
     new_answers: int
     finding: version_evidence.Finding
     #: Calls that the warm targets of each version can run.
@@ -145,32 +147,38 @@
 
 #: When the stages after the trial begin, before the time limit. The parts are
 #: for short roll-outs.
-_QUARTER_BEFORE_MS: typing.Final = 3800.0
-_HALF_BEFORE_MS: typing.Final = 3000.0
-_ALL_BEFORE_MS: typing.Final = 2200.0
-_COMPLETE_BEFORE_MS: typing.Final = 1000.0
+_QUARTER_BEFORE_MS: typing.Final = 4800.0
+_HALF_BEFORE_MS: typing.Final = 4000.0
+_ALL_BEFORE_MS: typing.Final = 2000.0
+_COMPLETE_BEFORE_MS: typing.Final = 900.0
 _FULL_SCHEDULE_MS: typing.Final = 10_000.0
 
 #: Shortest time for answers of a stage to be known before the next one.
 _MIN_STAGE_MS: typing.Final = 700.0
 
-#: Answers of the new version without which its share does not grow, and those
-#: that suffice when time runs out.
+#: Answers of the new version without which its share does not grow, by the
+#: time before the limit: fewer suffice when time runs out.
 _MIN_ANSWERS: typing.Final = 12
+_MIN_LATER_ANSWERS: typing.Final = 8
 _MIN_LATE_ANSWERS: typing.Final = 5
+_LATE_BEFORE_MS: typing.Final = 3200.0
 
 #: Strength of the evidence against a version from which its share does not
 #: grow, and from which it is not completed.
-_DOUBT: typing.Final = 0.4
-_STRONG_DOUBT: typing.Final = 0.7
+_DOUBT: typing.Final = 0.25
+_STRONG_DOUBT: typing.Final = 0.5
 
 #: Warm slots of the new version for each of the old one.
 _MIN_SLOTS_PART: typing.Final = 0.5
 
+#: Part of the bounds that the stage of half of the requests may use.
+_HALF_PART: typing.Final = 0.45
+_HALF_SHARE: typing.Final = 0.5
+
 _GROWTH: typing.Final = (
-    (Stage.QUARTER, 0.25, _QUARTER_BEFORE_MS),
-    (Stage.HALF, 0.5, _HALF_BEFORE_MS),
-    (Stage.ALL, 1.0, _ALL_BEFORE_MS),
+    (Stage.QUARTER, _QUARTER_BEFORE_MS),
+    (Stage.HALF, _HALF_BEFORE_MS),
+    (Stage.ALL, _ALL_BEFORE_MS),
 )
 _ORDER: typing.Final = tuple(Stage)
 
@@ -188,10 +196,10 @@
         return _end_of_last_stage(now)
     if now.elapsed >= now.duration:
         return End(State.ROLLED_BACK, _describe_doubt(now))
-    for stage, share, before in _GROWTH:
+    for stage, before in _GROWTH:
         is_next = _ORDER.index(stage) == _ORDER.index(now.stage) + 1
         if is_next and _may_grow(now, before):
-            return Advance(stage, share)
+            return Advance(stage, _share_of(stage, now, bounds))
     return _correct_trial(now, bounds)
 
 
@@ -218,6 +226,24 @@
     return min(1.0, now.duration / _FULL_SCHEDULE_MS)
 
 
+def _share_of(stage: Stage, now: Situation, bounds: Bounds) -> float:
+    """Returns the share of a stage after the trial.
+
+    Slow answers of the stage of half of the requests are known before it
+    ends, so what it sends must fit the bounds.
+    """
+    if stage is Stage.ALL:
+        return 1.0
+    half = _HALF_SHARE
+    sent_at_all = now.requests_per_s * (_HALF_BEFORE_MS - _ALL_BEFORE_MS)
+    if sent_at_all > 0:
+        allowed = bounds.slack * _MS_PER_SECOND
+        allowed += bounds.share * now.requests_per_s * now.duration
+        half = min(half, _HALF_PART * allowed / sent_at_all)
+    share = half if stage is Stage.HALF else half / 2
+    return round(max(share, now.share), 3)
+
+
 def _may_grow(now: Situation, before: float) -> bool:
     scale = _scale(now)
     remaining = now.duration - now.elapsed
@@ -226,8 +252,11 @@
     if now.stage is not Stage.TRIAL:
         if now.stage_elapsed < _MIN_STAGE_MS * scale:
             return False
-    is_late = remaining <= _ALL_BEFORE_MS * scale
-    needed = _MIN_LATE_ANSWERS if is_late else _MIN_ANSWERS
+    needed = _MIN_ANSWERS
+    if remaining <= _LATE_BEFORE_MS * scale:
+        needed = _MIN_LATE_ANSWERS
+    elif remaining <= _HALF_BEFORE_MS * scale:
+        needed = _MIN_LATER_ANSWERS
     bears_load = now.new_slots >= now.old_slots * _MIN_SLOTS_PART
     return (
         now.new_answers >= needed
--- a/src/mulberryquay/decisions/version_evidence.py
+++ b/src/mulberryquay/decisions/version_evidence.py
@@ -17,8 +17,8 @@
 _STEP: typing.Final = 1.25
 
 #: A latency this many steps above the old version's median is slow: about
-#: three times as long.
-_SLOW_STEPS: typing.Final = 5
+#: two and a half times as long.
+_SLOW_STEPS: typing.Final = 4
 
 #: The step of an answer whose latency says nothing of the version.
 NO_STEP: typing.Final = -1
@@ -34,10 +34,10 @@
 
 #: Time constant in which older answers of the old version lose their weight
 #: while newer ones arrive.
-_OLD_DECAY_MS: typing.Final = 5000.0
+_OLD_DECAY_MS: typing.Final = 2000.0
 
 #: Answers that the rate assumed of the old version weighs, without others.
-_PRIOR_ANSWERS: typing.Final = 40.0
+_PRIOR_ANSWERS: typing.Final = 15.0
 
 _ALL_ROUTES: typing.Final = ''
 _NO_DOMAIN: typing.Final = ''
@@ -149,6 +149,7 @@
         self._domains: set[str] = set()
         self._routes: set[str] = {_ALL_ROUTES}
         self._new_answers = 0
+        self._timed_answers = 0
         self._bad_answers = 0
         self._all_answers = 0
 
@@ -157,6 +158,11 @@
         """Answers of the new version so far."""
         return self._new_answers
 
+    @property
+    def compared_answers(self) -> int:
+        """Answers of the new version that were compared by both measures."""
+        return self._timed_answers
+
     @property
     def bad_answers(self) -> int:
         """Answers of the new version that were failures or slow."""
@@ -193,6 +199,8 @@
 
     def _add_new(self, seen: Observation) -> None:
         self._new_answers += seen.answers
+        if seen.step != NO_STEP:
+            self._timed_answers += seen.answers
         if seen.domain not in self._domains:
             self._leave_out(seen.domain)
         self._routes.add(seen.route)
--- a/testing/decisions/test_roll_outs.py
+++ b/testing/decisions/test_roll_outs.py
@@ -83,15 +83,16 @@
     for requests_per_s in (5.0, 16.0, 50.0, 500.0):
         now = _situation(requests_per_s=requests_per_s)
         sent = 0.0
-        while now.elapsed < 8000:
+        while now.stage is roll_outs.Stage.TRIAL:
             step = roll_outs.next_step(now, _BOUNDS)
             if isinstance(step, roll_outs.Advance):
-                CASE.assertEqual(step.stage, roll_outs.Stage.TRIAL)
-                now = now._replace(share=step.share)
+                now = now._replace(stage=step.stage, share=step.share)
+                continue
             sent += now.share * requests_per_s * _TICK_MS / 1000
             now = now._replace(elapsed=now.elapsed + _TICK_MS)
             reached = requests_per_s * now.elapsed / 1000
             CASE.assertLessEqual(sent, reached * 0.1 + 50)
+        CASE.assertGreater(now.elapsed, now.duration / 2)
 
 
 def test_version_that_turns_bad_in_the_last_stages_keeps_the_bound() -> None:
--- a/testing/fixtures.py
+++ b/testing/fixtures.py
@@ -284,6 +284,7 @@
     sheds: bool = False,
     warm: bool = True,
     shed_status: int = 0,
+    version: str | None = None,
 ) -> typing.Iterator[target.StandInTarget]:
     """Yields a stand-in target that announced itself.
 
@@ -305,6 +306,7 @@
             domain=domain,
             slots=slots,
             shed_status=shed_status,
+            version=version,
         ),
         [control_host.api],
     )
