--- a/src/mulberryquay/commands/explain.py
+++ b/src/mulberryquay/commands/explain.py
@@ -42,6 +42,7 @@
         'log lines dropped',
         'order decided',
         'quorum lost',
+        'roll-out moved',
         'started',
         'stopping',
     ),
--- a/src/mulberryquay/control/roll_outs.py
+++ b/src/mulberryquay/control/roll_outs.py
@@ -28,6 +28,9 @@
 #: dropped: they are too old to compare with newer ones.
 _REPORT_TIMEOUT_MS: typing.Final = 500.0
 
+#: A host that started this recently may have to restore older orders.
+_JUST_STARTED_MS: typing.Final = 15_000.0
+
 #: Rows of answers that wait for the leader; more than that are dropped.
 _MAX_WAITING_ROWS: typing.Final = 5000
 
@@ -79,6 +82,7 @@
             collections.Counter()
         )
         self._checked_revision = -1
+        self._started_at = time_source.now()
         self._running: dict[str, roll_outs.RollOut] = {}
         self._task: gevent.Greenlet | None = None
 
@@ -208,14 +212,13 @@
         revision = self._host.store.revision
         if revision == self._checked_revision:
             return
-        is_first = self._checked_revision < 0
         self._checked_revision = revision
         self._running = {}
         for resource in self._host.store.list_kind(kinds.ROLL_OUT):
             roll_out = roll_outs.RollOut(**resource.spec or {})
             if roll_out.is_running:
                 self._running[resource.name] = roll_out
-                self._track(resource, roll_out, is_first=is_first)
+                self._track(resource, roll_out)
         for ended in set(self._progress) - set(self._running):
             self._progress.pop(ended)
 
@@ -223,20 +226,19 @@
         self,
         resource: store.Resource,
         roll_out: roll_outs.RollOut,
-        *,
-        is_first: bool,
     ) -> None:
         """Notes when a stage began.
 
         Only a host that has just started goes by the time of day, which may
-        jump.
+        jump: it may have been down since the order.
         """
         now = self._clock.now()
         progress = self._progress.get(resource.name)
         if progress is None:
             elapsed = float(roll_out.elapsed_ms)
-            if is_first:
-                elapsed = max(elapsed, self._clock.wall() - roll_out.started_at)
+            if now - self._started_at < _JUST_STARTED_MS:
+                by_wall_clock = self._clock.wall() - roll_out.started_at
+                elapsed = max(elapsed, by_wall_clock)
             progress = _Progress(now - elapsed, now)
             self._progress[resource.name] = progress
         if progress.number != resource.version:
--- a/src/mulberryquay/entry/version_choice.py
+++ b/src/mulberryquay/entry/version_choice.py
@@ -54,6 +54,8 @@
         """
         if now >= self._next_update_at:
             self._update_targets(now)
+        if not self._old_names:
+            return list(candidates)
         if self._share.owes_new and self._is_fresh and not is_retry:
             new = [
                 target
@@ -62,8 +64,6 @@
             ]
             if new:
                 return new
-        if not self._old_names:
-            return list(candidates)
         return [
             target
             for target in candidates
--- a/testing/control/test_group.py
+++ b/testing/control/test_group.py
@@ -15,6 +15,7 @@
 
 from mulberryquay import settings
 from mulberryquay.control import daemon as control_daemon
+from mulberryquay.control import host_protocol
 from mulberryquay.coordination import errors
 from testing import fixtures
 
@@ -254,3 +255,82 @@
         bool(replica.durable_commit_index)
         and replica.durable_commit_index == replica.last_index
     )
+
+
+def _start_roll_out(host: fixtures.Control) -> typing.Any:
+    """Starts a roll-out, retrying after errors as operators do."""
+    body = {'version': 'v2', 'duration_ms': 60_000}
+    while True:
+        try:
+            return host.client.call('POST', '/v1/roll-outs/stock', body)
+        except errors.MulberryquayError:
+            gevent.sleep(0.05)
+
+
+def _roll_out_state(host: fixtures.Control) -> str:
+    """Returns the state of the roll-out, empty while it is not known."""
+    try:
+        found = host.client.call('GET', '/v1/roll-outs/stock')
+    except errors.MulberryquayError:
+        return ''
+    return str(found['state'])
+
+
+def _wait_for_roll_out(host: fixtures.Control, state: str) -> None:
+    fixtures.wait_until(lambda: _roll_out_state(host) == state)
+
+
+def test_repeated_roll_out_is_acknowledged_by_every_host() -> None:
+    """Guards against an accepted order that another host refuses."""
+    with _group() as hosts:
+        _put(hosts[0], 'stock')
+        first = _start_roll_out(hosts[0])
+        for host in hosts:
+            CASE.assertEqual(_start_roll_out(host), first)
+
+
+def test_roll_out_outlives_the_disk_of_the_host_that_accepted_it() -> None:
+    """Guards against an acknowledged order that one host alone has."""
+    with _group() as hosts:
+        _put(hosts[0], 'stock')
+        leader = _leader_of(hosts)
+        assert leader is not None
+        _start_roll_out(leader)
+        leader.daemon.cluster.replica.stop()
+        leader.daemon.stop()
+        others = [host for host in hosts if host is not leader]
+        fixtures.wait_until(lambda: _leader_of(others))
+        for host in others:
+            _wait_for_roll_out(host, 'running')
+
+
+def test_roll_out_goes_on_after_its_decider_ended_between_two_stages() -> None:
+    """Guards against a stage that a new leader forgets or begins again.
+
+    The next leader goes by the time since the order.
+    """
+    with _group() as hosts:
+        _put(hosts[0], 'stock')
+        _start_roll_out(hosts[0])
+        leader = _leader_of(hosts)
+        assert leader is not None
+        decider = leader.daemon.cluster.roll_outs
+        leader.daemon.cluster.orders.execute(
+            host_protocol.MoveRollOut(
+                'stock', 0, 'running', 'half', 0.5, ['v1'], 50_000, ''
+            )
+        )
+        decider.stop()
+        leader.daemon.cluster.replica.stop()
+        leader.daemon.stop()
+        others = [host for host in hosts if host is not leader]
+        next_leader = fixtures.wait_until(lambda: _leader_of(others))
+        deciding = next_leader.daemon.cluster.roll_outs
+        fixtures.wait_until(lambda: deciding.running)
+        situation = deciding.describe('stock', deciding.running['stock'])
+        CASE.assertEqual(situation.stage.value, 'half')
+        CASE.assertLess(situation.elapsed, 60_000)
+        ended = next_leader.daemon.cluster.roll_outs.end('stock', 'test')
+        CASE.assertEqual(ended.old_versions, ['v1'])
+        for host in others:
+            _wait_for_roll_out(host, 'rolled-back')
--- a/testing/decisions/test_roll_outs.py
+++ b/testing/decisions/test_roll_outs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import random
 import typing
 import unittest
@@ -68,6 +69,11 @@
     raise AssertionError('the roll-out did not end')
 
 
+def _turned_bad(bad_from: float, elapsed: float) -> version_evidence.Finding:
+    """Returns what is found 1.2 s after a version turned bad."""
+    return _finding(float(elapsed >= bad_from + 1200))
+
+
 def test_good_version_is_completed_before_the_limit() -> None:
     """Guards against a good version that is not in force in time."""
     for duration in (3000.0, 6000.0, 12_000.0, 60_000.0, 3_600_000.0):
@@ -96,17 +102,11 @@
 
 
 def test_version_that_turns_bad_in_the_last_stages_keeps_the_bound() -> None:
-    """Guards against a last stage that exposes more than the bound.
-
-    The evidence comes 1.2 s after the version turned bad, as measured on the
-    drawn streams at half of the requests.
-    """
+    """Guards against a last stage that exposes more than the bound."""
     for requests_per_s in (16.0, 50.0):
         for bad_from in (8300.0, 9100.0):
             end, _, sent = _play(
-                lambda elapsed, bad_from=bad_from: _finding(
-                    float(elapsed >= bad_from + 1200)
-                ),
+                functools.partial(_turned_bad, bad_from),
                 requests_per_s=requests_per_s,
             )
             CASE.assertEqual(end.state, roll_outs.State.ROLLED_BACK)
@@ -173,7 +173,7 @@
         for number in range(requests):
             index = rng.randrange(len(parts))
             if number == requests // 2:
-                parts[:60] = [
+                parts = parts[60:] + [
                     version_shares.VersionShare(0.07, rng.random())
                     for _ in range(60)
                 ]
--- a/testing/decisions/test_version_evidence.py
+++ b/testing/decisions/test_version_evidence.py
@@ -28,6 +28,12 @@
     starts_at: float = 0.0
     hits_both: bool = False
 
+    def hits(self, route: str, domain: str, now: float) -> bool:
+        """Whether it is at work on a route, in a domain, now."""
+        if now < self.starts_at or self.route not in {'', route}:
+            return False
+        return self.domain in {'', domain}
+
 
 class _Day(typing.NamedTuple):
     """The load, and what both versions suffer from."""
@@ -54,15 +60,14 @@
     if rng.random() < day.usual_slow_share:
         latency *= 4
     is_failure = rng.random() < day.usual_failure_share
-    if (
+    is_hit = (
         fault is not None
         and (is_new or fault.hits_both)
-        and now >= fault.starts_at
-        and fault.route in {'', route}
-        and fault.domain in {'', domain}
-        and rng.random() < fault.share
-    ):
-        latency *= 4 if fault.is_slowness else 1
+        and fault.hits(route, domain, now)
+    )
+    if fault is not None and is_hit and rng.random() < fault.share:
+        if fault.is_slowness:
+            latency *= 4
         is_failure = is_failure or not fault.is_slowness
     return version_evidence.Observation(
         is_new,
@@ -85,7 +90,7 @@
         observations = []
         for is_new, per_s in ((False, day.old_per_s), (True, day.new_per_s)):
             expected = per_s * _STEP_MS / 1000
-            count = int(expected) + (rng.random() < expected % 1)
+            count = int(expected + rng.random())
             observations += [
                 _draw(rng, day, fault, is_new=is_new, now=now)
                 for _ in range(count)
--- a/testing/entry/test_balancer.py
+++ b/testing/entry/test_balancer.py
@@ -9,8 +9,9 @@
 
 import gevent
 
+from mulberryquay import protocol
 from mulberryquay.coordination import allowance, clock
-from mulberryquay.entry import dialect, daemon, targets
+from mulberryquay.entry import dialect, daemon, routing, targets
 from mulberryquay.standin import target
 from testing import fixtures
 
@@ -250,3 +251,27 @@
     with fixtures.control() as control:
         with fixtures.announced_target(control, 'stock-a'):
             return control.daemon.targets.get('stock-a')
+
+
+def test_entry_that_does_not_know_a_roll_out_sends_its_targets_nothing() -> (
+    None
+):
+    """Guards against a new version that gets requests before its order.
+
+    Targets reach an entry on another way than configuration does.
+    """
+    with fixtures.control() as control, fixtures.entry(control) as entry:
+        balancer = entry.state.balancer
+        row = fixtures.warm_row('stock-a', '127.0.0.1:9')
+        rows = [
+            list(row),
+            list(row._replace(name='stock-b', version='v2', roll_out=1)),
+        ]
+        balancer.apply(protocol.TargetsChanged(rows, [], is_complete=True))
+        CASE.assertTrue(balancer.all_targets['stock-a'].limit)
+        CASE.assertFalse(balancer.all_targets['stock-b'].limit)
+        known = routing.NO_ROLL_OUT._replace(
+            number=1, version='v2', is_running=True, share=0.1
+        )
+        balancer.configure({}, {'stock': known})
+        CASE.assertTrue(balancer.all_targets['stock-b'].limit)
--- a/testing/platform_adapter/test_calls.py
+++ b/testing/platform_adapter/test_calls.py
@@ -356,3 +356,77 @@
             platform.call('POST', '/evacuation/nowhere/start')[0],
             404,
         )
+
+
+def test_rollout_is_started_and_read_back() -> None:
+    """Guards against an order that is refused, or not shown as running.
+
+    The same order again is acknowledged.
+    """
+    with _platform() as platform:
+        platform.put(samples.configuration(7))
+        order = samples.encoded(
+            {'service': 'order', 'target_version': 'v2', 'duration_s': 12}
+        )
+        CASE.assertEqual(platform.call('GET', '/rollouts/order/get')[0], 404)
+        for _ in range(2):
+            CASE.assertEqual(
+                platform.call('POST', '/rollouts/start', order)[0], 200
+            )
+        status, body = platform.call('GET', '/rollouts/order/get')
+        CASE.assertEqual(status, 200)
+        CASE.assertEqual(
+            json.loads(body), {'state': 'running', 'target_version': 'v2'}
+        )
+
+
+def test_rollout_that_cannot_be_is_refused() -> None:
+    """Guards against orders that break the host or never end."""
+    with _platform() as platform:
+        platform.put(samples.configuration(7))
+        proper = {'service': 'order', 'target_version': 'v2', 'duration_s': 12}
+        for changes, status in (
+            ({'service': 'unknown'}, 404),
+            ({'service': 7}, 400),
+            ({'target_version': ''}, 400),
+            ({'target_version': None}, 400),
+            ({'duration_s': 0}, 400),
+            ({'duration_s': -1}, 400),
+            ({'duration_s': 'x'}, 400),
+            ({'duration_s': 10**400}, 400),
+            ({'duration_s': None}, 400),
+        ):
+            body = samples.encoded({**proper, **changes})
+            CASE.assertEqual(
+                platform.call('POST', '/rollouts/start', body)[0],
+                status,
+                changes,
+            )
+        for body in (b'', b'[]', b'{"service":"order"}'):
+            CASE.assertEqual(
+                platform.call('POST', '/rollouts/start', body)[0], 400
+            )
+        platform.call('POST', '/rollouts/start', samples.encoded(proper))
+        other = samples.encoded({**proper, 'target_version': 'v3'})
+        CASE.assertEqual(
+            platform.call('POST', '/rollouts/start', other)[0], 409
+        )
+
+
+def test_heartbeat_version_is_kept_if_it_can_be() -> None:
+    """Guards against targets that are dropped for an odd version."""
+    with _platform() as platform:
+        for number, (given, kept) in enumerate(
+            (
+                ('v2', 'v2'),
+                ('', ''),
+                (None, ''),
+                (7, ''),
+                ('\ud800', ''),
+            )
+        ):
+            name = f'target-{number}'
+            CASE.assertEqual(
+                platform.send_heartbeat(name, version=given), 200, given
+            )
+            CASE.assertEqual(platform.daemon.targets.get(name).version, kept)
