--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -7,7 +7,13 @@
 import sys
 import typing
 
-MEASUREMENTS: typing.Final = ('data_path', 'domain', 'slopes', 'policies')
+MEASUREMENTS: typing.Final = (
+    'data_path',
+    'domain',
+    'slopes',
+    'policies',
+    'decisions',
+)
 
 
 def main(names: typing.Sequence[str]) -> None:
