Serve waiting requests by the fair order where a setting asks for it

`entry.competition` gives the decisions what answers and load reports tell; `entry.waiting_requests` holds those that wait, for either order. The queue asks for new reports and decides again every 100 ms at most. New reason wont-be-in-time; a Retry-After survives earlier attempts. Metrics of those that wait by rank and of the time to a refusal; `explain` names the reason. `class`, the default, decides as before.

--- a/src/mulberryquay/commands/explain.py
+++ b/src/mulberryquay/commands/explain.py
@@ -68,6 +68,10 @@
         'the queue was full of requests of the same or higher value'
     ),
     outcomes.Reason.QUEUE_TIMEOUT: 'no target had capacity in time',
+    outcomes.Reason.WONT_BE_IN_TIME: (
+        'no target had room, and by what was known the request would not have '
+        'been answered before its deadline'
+    ),
     outcomes.Reason.DEADLINE: (
         'the time of the request ran out while a target worked on it'
     ),
--- a/src/mulberryquay/entry/balancer.py
+++ b/src/mulberryquay/entry/balancer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import logging
 import math
 import typing
@@ -11,6 +12,7 @@
 from mulberryquay import protocol
 from mulberryquay.coordination import clock, shares
 from mulberryquay.entry import (
+    competition,
     outcomes,
     relays,
     routing,
@@ -37,6 +39,14 @@
     load_limit: float = 0
 
 
+#: Returns what the requests of a service compete by; None for their class.
+NewRivalry = typing.Callable[[], competition.Competition | None]
+
+
+def _no_rivalry() -> None:
+    """Returns None: requests are ordered by class."""
+
+
 @typing.final
 class Balancer:
     """The targets and service queues of an entry.
@@ -57,6 +67,8 @@
         target_limits: TargetLimits | None = None,
     ) -> None:
         """Starts without targets; ``share_view`` has this entry's shares."""
+        #: Makes what the requests of a new queue compete by.
+        self.new_rivalry: NewRivalry = _no_rivalry
         self._target_limits = target_limits or TargetLimits()
         self._target_context = target_context or targets.TargetContext()
         self._share_view = share_view
@@ -83,9 +95,13 @@
         return self._targets
 
     @property
-    def waiting_count(self) -> int:
-        """The number of requests waiting for a target, over all services."""
-        return sum(queue.waiting_count for queue in self._queues.values())
+    def waiting_by_rank(self) -> collections.Counter[int]:
+        """Requests waiting for a target, by the rank of their account."""
+        return collections.Counter(
+            rank
+            for queue in self._queues.values()
+            for rank in queue.waiting_ranks
+        )
 
     def queue_for(self, service: str) -> service_queue.ServiceQueue:
         """Returns the queue of a service, empty if it has no targets."""
@@ -96,6 +112,7 @@
                 self._clock,
                 self._relays,
                 self.has_waiting.set,
+                self.new_rivalry(),
             )
             self._queues[service] = queue
         return queue
--- a/src/mulberryquay/entry/daemon.py
+++ b/src/mulberryquay/entry/daemon.py
@@ -69,6 +69,7 @@
         factory = _find_policy(kernel, values['policy'])
         rng = random.Random()
         self._values = values
+        self._waiting_ranks: set[int] = set()
         self._state = state.EntryState(
             name=values['name'],
             region=values['region'],
@@ -248,7 +249,7 @@
     def _serve_waiting(self) -> bool:
         """Serves waiting requests; returns whether some still wait."""
         self._state.balancer.serve_waiting()
-        return bool(self._state.balancer.waiting_count)
+        return bool(self._state.balancer.waiting_by_rank)
 
     def _serve_caller(
         self, connection: typing.Any, _address: typing.Any
@@ -285,7 +286,11 @@
         entry_state = self._state
         set_gauge = entry_state.metrics.set_gauge
         set_gauge('mulberryquay_in_flight', entry_state.in_flight)
-        set_gauge('mulberryquay_waiting', entry_state.balancer.waiting_count)
+        waiting = entry_state.balancer.waiting_by_rank
+        set_gauge('mulberryquay_waiting', waiting.total())
+        self._waiting_ranks |= set(waiting)
+        for rank in self._waiting_ranks:
+            set_gauge('mulberryquay_waiting_by_rank', waiting[rank], str(rank))
         set_gauge('mulberryquay_config_revision', self._control_link.revision)
         set_gauge('mulberryquay_config_fresh', int(entry_state.is_fresh))
 
@@ -311,6 +316,7 @@
         state.PipeliningLimits(
             values['pipelined_requests'], values['pipelined_bytes']
         ),
+        values['queue_order'] == entry_settings.FAIR_ORDER,
     )
 
 
--- a/src/mulberryquay/entry/entry_settings.py
+++ b/src/mulberryquay/entry/entry_settings.py
@@ -17,6 +17,8 @@
 PERCENT: typing.Final = 100
 REFUSE_OUTSIDE: typing.Final = 'refuse'
 FORWARD_OUTSIDE: typing.Final = 'forward'
+CLASS_ORDER: typing.Final = 'class'
+FAIR_ORDER: typing.Final = 'fair'
 
 #: The policy with the best results in the table in docs/DESIGN.md.
 DEFAULT_POLICY: typing.Final = 'hot-cold'
@@ -172,6 +174,14 @@
         'of this entry, at which a target gets no more calls; 0 for no limit',
         maximum=units.MAX_INT64,
     ),
+    settings.Setting(
+        'queue_order',
+        CLASS_ORDER,
+        'order of requests that wait for a target: by the value of their '
+        'class and arrival, or fair: by rank and by client accounts in turn, '
+        'with refusal of those that will not be in time',
+        choices=(CLASS_ORDER, FAIR_ORDER),
+    ),
     settings.Setting(
         'retry_percent',
         int(state.RETRY_RATIO * PERCENT),
--- a/src/mulberryquay/entry/forwarder.py
+++ b/src/mulberryquay/entry/forwarder.py
@@ -96,11 +96,15 @@
 
     def _acquire(self, excluded: frozenset[str]) -> targets.TargetState:
         criteria = self._request.criteria
-        if self._state.load_prober is not None:
-            self._state.load_prober.refresh_reports(
-                self._queue.eligible_targets(criteria, excluded),
-            )
-        return self._queue.acquire(criteria, excluded)
+
+        def refresh() -> None:  # noqa: WPS430
+            if self._state.load_prober is not None:
+                self._state.load_prober.refresh_reports(
+                    self._queue.eligible_targets(criteria, excluded),
+                )
+
+        refresh()
+        return self._queue.acquire(criteria, excluded, refresh)
 
     def finish(self, received: outcomes.Received) -> None:
         """Releases the target after its answer was read completely."""
@@ -134,9 +138,11 @@
         new_error = outcomes.unknown if self.may_have_run else outcomes.not_run
         reason = refusal.reason
         if reason in outcomes.REASONS_BEFORE_TARGETS:
-            reason = _result_and_reason(result)[1]
+            reason = outcomes.result_and_reason(result)[1]
         return new_error(
-            reason, f'{len(self.attempts)} attempts failed; {refusal}'
+            reason,
+            f'{len(self.attempts)} attempts failed; {refusal}',
+            retry_after_s=refusal.retry_after_s,
         )
 
     def _run_attempt(
@@ -204,7 +210,14 @@
         result: outcomes.AttemptResult,
         duration: float,
     ) -> None:
-        result_name, reason = _result_and_reason(result)
+        result_name, reason = outcomes.result_and_reason(result)
+        self._queue.record_result(
+            self._request.criteria,
+            target,
+            result,
+            load=self.target_snapshots[-1].fresh_load,
+            duration=duration,
+        )
         relayed_as = ''
         if isinstance(result, outcomes.Received):
             relayed_as = result.relayed_as
@@ -234,7 +247,7 @@
         """Whether to retry; withdraws the retry from the budget."""
         if not self._is_retryable(result) or not self._has_attempts_left():
             return False
-        reason = _result_and_reason(result)[1].value
+        reason = outcomes.result_and_reason(result)[1].value
         is_free = self._was_relayed and _reached_no_target(result)
         is_granted = is_free or self._budget.withdraw()
         request_log.log_retry(
@@ -380,21 +393,3 @@
             return reason in outcomes.REASONS_BEFORE_TARGETS
         case _:
             return False
-
-
-def _result_and_reason(
-    result: outcomes.AttemptResult,
-) -> tuple[str, outcomes.Reason]:
-    match result:
-        case outcomes.Received(head):
-            if result.outcome is not outcomes.Outcome.ANSWERED:
-                return 'received', result.reason
-            if head.status in outcomes.UNAVAILABLE_STATUSES:
-                return 'received', outcomes.Reason.TARGET_UNAVAILABLE
-            return 'received', outcomes.Reason.NONE
-        case outcomes.NotSent(reason):
-            return 'not-sent', reason
-        case outcomes.Shed(reason):
-            return 'shed', reason
-        case outcomes.Lost(reason):
-            return 'lost', reason
--- a/src/mulberryquay/entry/outcomes.py
+++ b/src/mulberryquay/entry/outcomes.py
@@ -51,6 +51,7 @@
     NO_TARGET = 'no-target'
     OVERLOADED = 'overloaded'
     QUEUE_TIMEOUT = 'queue-timeout'
+    WONT_BE_IN_TIME = 'wont-be-in-time'
     TOO_DEEP = 'too-deep'
     STALE_CONFIGURATION = 'stale-configuration'
     BREAKS_TARGETS = 'breaks-targets'
@@ -113,6 +114,7 @@
         Reason.NO_TARGET,
         Reason.OVERLOADED,
         Reason.QUEUE_TIMEOUT,
+        Reason.WONT_BE_IN_TIME,
         Reason.STALE_CONFIGURATION,
         Reason.BREAKS_TARGETS,
         Reason.CONNECT_FAILED,
@@ -160,8 +162,11 @@
         self.reason = reason
         self.status = status or _status_of(outcome, reason)
         self.headers = list(headers or ())
+        #: What the caller was told, in seconds; 0 for nothing.
+        self.retry_after_s = 0.0
         if reason in _TEMPORARY_REASONS:
             retry_after_s = retry_after_s or _RETRY_AFTER_S.get(reason, 1)
+            self.retry_after_s = retry_after_s
             self.headers.append((b'retry-after', b'%g' % retry_after_s))
 
 
@@ -230,3 +235,22 @@
 
 #: How one attempt on one target ended.
 AttemptResult = Received | NotSent | Shed | Lost
+
+
+def result_and_reason(
+    result: AttemptResult,
+) -> tuple[str, Reason]:
+    """Returns the name of a result and its reason, for logs and metrics."""
+    match result:
+        case Received(head):
+            if result.outcome is not Outcome.ANSWERED:
+                return 'received', result.reason
+            if head.status in UNAVAILABLE_STATUSES:
+                return 'received', Reason.TARGET_UNAVAILABLE
+            return 'received', Reason.NONE
+        case NotSent(reason):
+            return 'not-sent', reason
+        case Shed(reason):
+            return 'shed', reason
+        case Lost(reason):
+            return 'lost', reason
--- a/src/mulberryquay/entry/outgoing.py
+++ b/src/mulberryquay/entry/outgoing.py
@@ -9,6 +9,7 @@
     admission,
     attempt,
     authentication,
+    competition,
     forwarder,
     header_names,
     http_heads,
@@ -49,6 +50,11 @@
         caller=(
             admitted.account.caller if admitted.account else callers.ANONYMOUS
         ),
+        need=competition.Need(
+            admitted.route.name,
+            incoming.deadline - admitted.timeout_ms,
+            admitted.route.objective_ms,
+        ),
     )
     depth = admitted.depth + (not incoming.is_relayed)
     return forwarder.AdmittedRequest(
--- a/src/mulberryquay/entry/request_log.py
+++ b/src/mulberryquay/entry/request_log.py
@@ -43,6 +43,11 @@
         is_fresh = self.report_age_ms <= targets.FRESH_REPORT_MAX_AGE_MS
         return 'fresh' if is_fresh else 'old'
 
+    @property
+    def fresh_load(self) -> float | None:
+        """The load, None if it was estimated without a fresh report."""
+        return self.load if self.report_state == 'fresh' else None
+
 
 class LogContext(typing.NamedTuple):
     """What the log line of a request has besides its record."""
--- a/src/mulberryquay/entry/service_queue.py
+++ b/src/mulberryquay/entry/service_queue.py
@@ -2,17 +2,21 @@
 
 from __future__ import annotations
 
-import heapq
-import itertools
 import statistics
 import typing
 
 import gevent
-from gevent import event
 
 from mulberryquay.coordination import clock
 from mulberryquay.decisions import callers
-from mulberryquay.entry import outcomes, relays, routing, targets
+from mulberryquay.entry import (
+    competition,
+    outcomes,
+    relays,
+    routing,
+    targets,
+    waiting_requests,
+)
 
 #: Longest time that a request waits for a target.
 MAX_QUEUE_WAIT_MS: typing.Final = 2000.0
@@ -23,6 +27,10 @@
 
 _SHARE_POLL_INTERVAL_MS: typing.Final = 5.0
 
+#: Where requests compete, one that waits is decided again at this interval,
+#: by new reports of targets.
+_DECISION_INTERVAL_MS: typing.Final = 100.0
+
 Regions = frozenset[str] | None
 
 
@@ -40,6 +48,13 @@
     #: Whether the request may be relayed to another entry.
     may_relay: bool = True
     caller: callers.Caller = callers.ANONYMOUS
+    #: What the request needs to be answered in time.
+    need: competition.Need = competition.Need()
+
+    @property
+    def rank(self) -> tuple[int, int]:
+        """The ranks of its account and of its route, 0 for the highest."""
+        return self.caller.rank, competition.rank_of(self.service_class)
 
 
 class Policy(typing.Protocol):
@@ -53,26 +68,11 @@
         """Returns one of ``candidates``, of which there is at least one."""
 
 
-@typing.final
-class _Waiter:
-    """A request that waits for a target."""
-
-    __slots__ = ('criteria', 'excluded', 'granted', 'is_finished')
-
-    def __init__(
-        self, criteria: TargetCriteria, excluded: frozenset[str]
-    ) -> None:
-        self.criteria = criteria
-        self.excluded = excluded
-        self.granted: event.AsyncResult = event.AsyncResult()
-        self.is_finished = False
-
-
-def _ignore_waiting() -> None:
-    """Ignores that a request waits."""
+def _do_nothing() -> None:
+    """Does nothing."""
 
 
-_HeapItem = tuple[bool, int, int, _Waiter]
+_Waiter = waiting_requests.Waiter[TargetCriteria]
 
 
 @typing.final
@@ -84,22 +84,33 @@
         policy: Policy,
         time_source: clock.Clock,
         peers: relays.Relays,
-        on_waiting: typing.Callable[[], None] = _ignore_waiting,
+        on_waiting: typing.Callable[[], None] = _do_nothing,
+        rivalry: competition.Competition | None = None,
     ) -> None:
-        """Starts without targets; calls ``on_waiting`` as a wait begins."""
+        """Starts without targets; calls ``on_waiting`` as a wait begins.
+
+        With a ``rivalry``, requests are served in fair order, and refused
+        when they won't be in time.
+        """
         self._relays = peers
         self._on_waiting = on_waiting
         self.targets: dict[str, targets.TargetState] = {}
         self._policy = policy
         self._clock = time_source
-        self._waiting: list[_HeapItem] = []
-        self._waiting_count = 0
-        self._arrival_numbers = itertools.count()
+        self._rivalry = rivalry
+        self._waiting: waiting_requests.WaitingRequests[TargetCriteria] = (
+            waiting_requests.WaitingRequests(rivalry)
+        )
 
     @property
     def waiting_count(self) -> int:
         """The number of requests that wait for a target."""
-        return self._waiting_count
+        return len(self._waiting)
+
+    @property
+    def waiting_ranks(self) -> typing.Iterator[int]:
+        """The rank of the account of each request that waits."""
+        return self._waiting.ranks
 
     @property
     def usual_latency_ms(self) -> float:
@@ -115,21 +126,28 @@
         self,
         criteria: TargetCriteria,
         excluded: frozenset[str],
+        refresh: typing.Callable[[], None] = _do_nothing,
     ) -> targets.TargetState:
         """Returns a target and counts the call as in flight there.
 
         Waits for capacity until the deadline. Raises RefusedError (not-run)
-        with the reason ``no-target``, ``overloaded`` or ``queue-timeout``.
+        with the reason ``no-target``, ``overloaded``, ``queue-timeout`` or
+        ``wont-be-in-time``. Calls ``refresh`` for new reports of targets
+        while requests compete.
         """
-        if not self._waiting_count:
+        if self._rivalry is not None:
+            self._rivalry.check_time(criteria)
+        if not self._waiting:
             target = self._choose_target(criteria, excluded)
             if target is not None:
                 target.begin_call()
+                if self._rivalry is not None:
+                    self._rivalry.record_room(criteria)
                 return target
         started = self._clock.now()
         while True:
             if self._has_usable_target(criteria, excluded):
-                target = self._wait(criteria, excluded)
+                target = self._wait(criteria, excluded, refresh)
             else:
                 target = self._choose_peer(criteria, excluded)
             if target is not None:
@@ -156,58 +174,53 @@
     def release(self, target: targets.TargetState) -> None:
         """Counts the end of a call on a target and serves waiting requests."""
         target.in_flight -= 1
-        if self._waiting_count:
+        if self._waiting:
             self.serve_waiting()
 
     def serve_waiting(self) -> None:
-        """Grants targets to waiting requests.
-
-        Requests that are not deferrable go first, then those of higher value.
-        """
-        unserved: list[_HeapItem] = []
-        while self._waiting and self._has_capacity():
-            item = heapq.heappop(self._waiting)
-            waiter = item[-1]
-            if waiter.is_finished:
-                continue
+        """Grants targets to waiting requests, in their order."""
+        granted: list[tuple[_Waiter, targets.TargetState]] = []
+        for waiter in self._waiting.in_order(self._clock.now()):
+            if not self._has_capacity():
+                break
             target = self._choose_target(waiter.criteria, waiter.excluded)
-            if target is None:
-                unserved.append(item)
-                continue
-            target.begin_call()
-            self._finish_waiter(waiter)
-            waiter.granted.set(target)
-        for unserved_item in unserved:
-            heapq.heappush(self._waiting, unserved_item)
+            if target is not None:
+                target.begin_call()
+                granted.append((waiter, target))
+        for served, chosen in granted:
+            self._waiting.serve(served, chosen, self._clock.now())
 
     def adapt_to_limits(self) -> None:
         """Wakes and serves waiting requests after limits have changed."""
-        if self._waiting_count:
+        if self._waiting:
             self.wake_unservable()
             self.serve_waiting()
 
     def refuse_waiting(self, refusal: outcomes.RefusedError) -> None:
         """Refuses all requests that wait for a target."""
-        for item in self._waiting:
-            waiter = item[-1]
-            if not waiter.is_finished:
-                self._finish_waiter(waiter)
-                waiter.granted.set_exception(refusal)
-        self._waiting = []
+        for waiter in self._waiting.everything():
+            self._waiting.refuse(waiter, refusal)
 
     def wake_unservable(self) -> None:
         """Wakes waiting requests that no target can serve any more."""
-        for item in self._waiting:
-            waiter = item[-1]
-            if waiter.is_finished:
-                continue
+        for waiter in self._waiting.everything():
             if not self._has_usable_target(waiter.criteria, waiter.excluded):
-                self._finish_waiter(waiter)
-                waiter.granted.set(None)
-        self._waiting = [
-            item for item in self._waiting if not item[-1].is_finished
-        ]
-        heapq.heapify(self._waiting)
+                self._waiting.give_up(waiter)
+
+    def record_result(
+        self,
+        criteria: TargetCriteria,
+        target: targets.TargetState,
+        result: outcomes.AttemptResult,
+        *,
+        load: float | None,
+        duration: float,
+    ) -> None:
+        """Learns from the end of an attempt on a target with some load."""
+        if self._rivalry is not None:
+            self._rivalry.record_result(
+                criteria, target, result, load=load, duration=duration
+            )
 
     def _share_wait_end(
         self, started: float, criteria: TargetCriteria
@@ -255,6 +268,10 @@
         if not candidates:
             # All of them are suspended, but one may have recovered.
             candidates = with_capacity
+        if self._rivalry is not None:
+            candidates = self._rivalry.with_room(
+                candidates, criteria, criteria.rank
+            )
         if not candidates:
             return None
         if len(candidates) == 1:
@@ -306,81 +323,59 @@
         self,
         criteria: TargetCriteria,
         excluded: frozenset[str],
+        refresh: typing.Callable[[], None],
     ) -> targets.TargetState | None:
         """Returns a target, or None once no target can serve the request."""
-        if self._waiting_count >= criteria.service.max_queue:
-            self._evict_or_refuse(criteria)
-        waiter = _Waiter(criteria, excluded)
-        heapq.heappush(self._waiting, self._heap_item_of(waiter))
-        self._waiting_count += 1
-        self._on_waiting()
-        # A free target may be one that the earlier waiters may not use.
-        self.serve_waiting()
-        remaining = min(
-            criteria.deadline - self._clock.now(), MAX_QUEUE_WAIT_MS
-        )
+        now = self._clock.now()
+        waiter = self._waiting.add(criteria, excluded, now)
         try:
-            granted = waiter.granted.get(
-                timeout=max(0, remaining) / clock.MS_PER_SECOND,
-            )
+            self._waiting.refuse_overflow(criteria.service, now)
+            self._on_waiting()
+            # A free target may be one that the earlier waiters may not use.
+            self.serve_waiting()
+            self._wait_until_granted(waiter, refresh)
         except gevent.Timeout:
             if waiter.granted.ready() and waiter.granted.successful():
-                return _granted_to(waiter)
+                return waiter.target
             raise outcomes.not_run(
                 outcomes.Reason.QUEUE_TIMEOUT,
                 'no target had capacity in time',
             ) from None
         except BaseException:
-            self._release_grant(waiter)
+            if waiter.target is not None:
+                # The request ends, but a target was just granted to it.
+                self.release(waiter.target)
             raise
         finally:
-            self._finish_waiter(waiter)
-        return typing.cast(targets.TargetState | None, granted)
-
-    def _heap_item_of(self, waiter: _Waiter) -> _HeapItem:
-        service_class = waiter.criteria.service_class
-        return (
-            service_class.deferrable,
-            -service_class.value,
-            next(self._arrival_numbers),
-            waiter,
-        )
+            self._waiting.withdraw(waiter)
+        return waiter.target
 
-    def _evict_or_refuse(self, criteria: TargetCriteria) -> None:
-        """Refuses the new request, or evicts a waiting one that ranks lower."""
-        still_waiting = [
-            item for item in self._waiting if not item[-1].is_finished
+    def _wait_until_granted(
+        self, waiter: _Waiter, refresh: typing.Callable[[], None]
+    ) -> None:
+        """Waits; raises RefusedError, and Timeout once the wait is over."""
+        now = self._clock.now()
+        end = min(waiter.criteria.deadline, now + MAX_QUEUE_WAIT_MS)
+        while self._rivalry is not None and not waiter.granted.ready():
+            usable = self._usable_targets(waiter.criteria, waiter.excluded)
+            until_ms = self._waiting.check(waiter, usable, now)
+            if now >= end:
+                break
+            pause = min(until_ms, _DECISION_INTERVAL_MS, end - now)
+            waiter.granted.wait(pause / clock.MS_PER_SECOND)
+            if not waiter.granted.ready():
+                refresh()
+            now = self._clock.now()
+        waiter.granted.get(timeout=max(0, end - now) / clock.MS_PER_SECOND)
+
+    def _usable_targets(
+        self, criteria: TargetCriteria, excluded: frozenset[str]
+    ) -> list[targets.TargetState]:
+        return [
+            target
+            for target in self.targets.values()
+            if target.limit and _is_allowed(target, criteria.regions, excluded)
         ]
-        service_class = criteria.service_class
-        new_rank = (service_class.deferrable, -service_class.value)
-        refusal = outcomes.not_run(
-            outcomes.Reason.OVERLOADED,
-            f'the queue of service {criteria.service.name!r} is full with '
-            f'{criteria.service.max_queue} requests',
-        )
-        self._waiting = still_waiting
-        heapq.heapify(self._waiting)
-        if not still_waiting or max(still_waiting)[:2] <= new_rank:
-            raise refusal
-        evicted = max(still_waiting)[-1]
-        self._finish_waiter(evicted)
-        evicted.granted.set_exception(refusal)
-
-    def _release_grant(self, waiter: _Waiter) -> None:
-        """Releases a target that was granted to a greenlet being killed."""
-        if waiter.granted.ready() and waiter.granted.successful():
-            target = _granted_to(waiter)
-            if target is not None:
-                self.release(target)
-
-    def _finish_waiter(self, waiter: _Waiter) -> None:
-        if not waiter.is_finished:
-            waiter.is_finished = True
-            self._waiting_count -= 1
-
-
-def _granted_to(waiter: _Waiter) -> targets.TargetState | None:
-    return typing.cast(targets.TargetState | None, waiter.granted.get())
 
 
 def _no_target_error(criteria: TargetCriteria) -> outcomes.RefusedError:
--- a/src/mulberryquay/entry/state.py
+++ b/src/mulberryquay/entry/state.py
@@ -20,6 +20,7 @@
     balancer,
     caller_watch,
     claim_client,
+    competition,
     crash_tracker,
     dialect,
     outcomes,
@@ -99,6 +100,17 @@
         'Requests waiting for a target now.',
         is_gauge=True,
     ),
+    metrics.MetricDeclaration(
+        'mulberryquay_waiting_by_rank',
+        'Requests waiting for a target now, by rank of their account.',
+        labels=('rank',),
+        is_gauge=True,
+    ),
+    metrics.MetricDeclaration(
+        'mulberryquay_wait_before_refusal_ms_total',
+        'Milliseconds for which requests waited that were refused with the '
+        'reason wont-be-in-time.',
+    ),
     metrics.MetricDeclaration(
         'mulberryquay_config_revision',
         'Revision of the configuration in force on this entry.',
@@ -146,6 +158,9 @@
     retry_reserve: float = 0
     target_limits: balancer.TargetLimits = balancer.TargetLimits()
     pipelining: PipeliningLimits = PipeliningLimits()
+    #: Whether requests that wait are served in fair order, and refused when
+    #: they won't be in time.
+    orders_fairly: bool = False
 
 
 @typing.final
@@ -193,6 +208,7 @@
             target_context=target_context,
             target_limits=self.options.target_limits,
         )
+        self.balancer.new_rivalry = self._new_rivalry
         self.watchdog = watchdog.Watchdog(self.clock)
         self.claims = claim_client.ClaimClient(name, ledger, self.clock)
         self.crashes = crash_tracker.CrashTracker(self.clock)
@@ -240,6 +256,21 @@
         self.balancer.needs_probes.set()
         self.balancer.has_rate_limits.set()
 
+    def _new_rivalry(self) -> competition.Competition | None:
+        if not self.options.orders_fairly:
+            return None
+        return competition.Competition(
+            self.share_view,
+            self.clock,
+            random.Random(self.name),
+            self._count_refusal,
+        )
+
+    def _count_refusal(self, waited: float) -> None:
+        self.metrics.count(
+            'mulberryquay_wait_before_refusal_ms_total', amount=waited
+        )
+
     def _new_budget(self) -> retry_budget.RetryBudget:
         ratio = self.options.retry_ratio
         if not self.options.retry_reserve:
