--- a/testing/platform_adapter/test_node.py
+++ b/testing/platform_adapter/test_node.py
@@ -47,6 +47,15 @@
     CASE.assertTrue(control['found'])
 
 
+def test_requests_are_ordered_fairly_only_where_accounts_compete() -> None:
+    """Other installations must be served as before."""
+    described = _read(samples.SETTINGS)
+    for contracts, order in ((set(), 'class'), ({'tenants'}, 'fair')):
+        competing = described._replace(contracts=frozenset(contracts))
+        values = node.settings_for_role('entry', competing)
+        CASE.assertEqual(values['queue_order'], order)
+
+
 def test_unreadable_settings_are_a_typed_error() -> None:
     """Guards against untyped errors from truncated or incomplete files."""
     for text in (samples.SETTINGS[:40], '[self]\nnode = "a"\n', ''):
