Learn room from hosts of usual speed; share slots above it by demand

Two suspected causes, not traced: calls pile up on slow hosts, which looks as if calls made targets slow and lowers the limit; and only one rank could use the slots above it.

Change: answers of hosts that report slowness don't count for the limit. The slots above it are for the ranks from the top that ask for no more than these.

--- a/src/mulberryquay/decisions/room.py
+++ b/src/mulberryquay/decisions/room.py
@@ -39,6 +39,15 @@
 SETTLING_MS: typing.Final = 1000.0
 
 
+#: Ranks of an account and of a route, 0 for the highest.
+Rank = tuple[int, int]
+
+#: Demand counts with 1/e after this time.
+DEMAND_MEMORY_MS: typing.Final = 5000.0
+
+_FORGOTTEN_MS: typing.Final = 1.0
+
+
 class WorkTime(typing.NamedTuple):
     """The usual time of a request at a target, and its usual deviation."""
 
@@ -169,3 +178,34 @@
     def _start_over(self, now: float) -> None:
         self._changed_at = now
         self._full_factor = _Mean()
+
+
+@typing.final
+class Demand:
+    """The work that requests of each rank asked for of late."""
+
+    def __init__(self) -> None:
+        """Starts without requests."""
+        self._work_ms: dict[Rank, float] = {}
+        self._faded_at = 0.0
+
+    def record(self, rank: Rank, work_ms: float, now: float) -> None:
+        """Records a request and the work that it is expected to cost."""
+        fading = math.exp((self._faded_at - now) / DEMAND_MEMORY_MS)
+        self._work_ms = {
+            known: asked * fading
+            for known, asked in self._work_ms.items()
+            if asked * fading > _FORGOTTEN_MS
+        }
+        self._work_ms[rank] = self._work_ms.get(rank, 0) + work_ms
+        self._faded_at = now
+
+    def part_through(self, rank: Rank) -> float:
+        """Returns the part of all work that ranks down to this one ask for."""
+        total = sum(self._work_ms.values())
+        if not total:
+            return 1
+        through = sum(
+            asked for known, asked in self._work_ms.items() if known <= rank
+        )
+        return through / total
--- a/src/mulberryquay/entry/competition.py
+++ b/src/mulberryquay/entry/competition.py
@@ -20,13 +20,9 @@
 #: Reports older than this tell nothing of the load of a service.
 _MAX_REPORT_AGE_MS: typing.Final = 1000.0
 
-#: Ranks that were not seen for this long don't compete.
-_RANK_MEMORY_MS: typing.Final = 5000.0
-
 #: Weight of a time limit that is shorter than the longest one seen.
 _SHORTENING_WEIGHT: typing.Final = 0.001
 
-#: The slots of a target that only requests of the highest rank fill up.
 _ALL_SLOTS: typing.Final = 1.0
 
 #: A request that became late counts with this many times the wait that would
@@ -108,7 +104,15 @@
         self._waits: dict[tuple[int, int], refusal.Waits] = {}
         #: The longest time that callers wait for a kind of request.
         self._longest_ms: dict[str, float] = {}
-        self._seen_ranks: dict[tuple[int, int], float] = {}
+        self._demand = room.Demand()
+
+    def record_demand(self, criteria: Criteria) -> None:
+        """Records the work that a request asks for."""
+        self._demand.record(
+            (criteria.caller.rank, rank_of(criteria.service_class)),
+            self.cost_ms(criteria),
+            self._clock.now(),
+        )
 
     def latest_start(self, criteria: Criteria) -> float:
         """Returns when a request must begin to reach its objective."""
@@ -154,6 +158,7 @@
 
     def record_room(self, criteria: Criteria) -> None:
         """Records a request that found room at once."""
+        self.record_demand(criteria)
         number = self._rng.randrange(refusal.PATIENT_INTERVAL)
         self.record_end(criteria, number, is_lost=False)
 
@@ -240,7 +245,8 @@
         """Learns from the end of an attempt.
 
         ``load`` is what a fresh report told as it began, in calls per slot
-        with this one; None without such a report.
+        with this one; None without such a report of a host of usual speed. On
+        slow hosts calls pile up, which would look as if calls made them slow.
         """
         if target.is_peer:
             return
@@ -249,12 +255,13 @@
             case outcomes.Received(head) if head.status < _FIRST_FAILURE_STATUS:
                 kind = criteria.need.kind
                 self._times.record(kind, duration)
-                if load is not None:
+                is_usual = target.slowness <= targets.MAX_USUAL_SLOWNESS
+                if load is not None and is_usual:
                     self._room.record_answer(
                         room.Answer(
                             kind,
                             load,
-                            duration / max(1.0, target.slowness),
+                            duration,
                             not self._waits_of(criteria).is_contended(now),
                         ),
                         now,
@@ -285,19 +292,13 @@
     ) -> float:
         """Returns the calls per slot up to which a request may fill targets.
 
-        The highest rank that competes may use all slots; a request that is
-        late leaves a step to those that can still be in time.
+        The slots above the limit are for the ranks that need no more than
+        these; a request that is late leaves a step to those in time.
         """
         limit = self._room.limit(now)
         if self.latest_start(criteria) < now:
             return limit - room.STEP
-        self._seen_ranks[rank] = now
-        competing = [
-            seen
-            for seen, seen_at in self._seen_ranks.items()
-            if now - seen_at < _RANK_MEMORY_MS
-        ]
-        if rank == min(competing) and len(competing) > 1:
+        if self._demand.part_through(rank) <= _ALL_SLOTS - limit:
             return _ALL_SLOTS
         return limit
 
--- a/src/mulberryquay/entry/forwarder.py
+++ b/src/mulberryquay/entry/forwarder.py
@@ -215,7 +215,7 @@
             self._request.criteria,
             target,
             result,
-            load=self.target_snapshots[-1].fresh_load,
+            load=self.target_snapshots[-1].known_load,
             duration=duration,
         )
         relayed_as = ''
--- a/src/mulberryquay/entry/request_log.py
+++ b/src/mulberryquay/entry/request_log.py
@@ -44,9 +44,11 @@
         return 'fresh' if is_fresh else 'old'
 
     @property
-    def fresh_load(self) -> float | None:
-        """The load, None if it was estimated without a fresh report."""
-        return self.load if self.report_state == 'fresh' else None
+    def known_load(self) -> float | None:
+        """The load, None without a fresh report of a host of usual speed."""
+        is_usual = self.slowness <= targets.MAX_USUAL_SLOWNESS
+        is_known = is_usual and self.report_state == 'fresh'
+        return self.load if is_known else None
 
 
 class LogContext(typing.NamedTuple):
--- a/src/mulberryquay/entry/targets.py
+++ b/src/mulberryquay/entry/targets.py
@@ -19,7 +19,7 @@
 #: For this long, a load report is as good as a new one: the target is not
 #: probed, nor are targets farther away if it is idle on a host of usual speed.
 FRESH_REPORT_MAX_AGE_MS: typing.Final = 60.0
-_MAX_USUAL_SLOWNESS: typing.Final = 1.3
+MAX_USUAL_SLOWNESS: typing.Final = 1.3
 
 #: Longest usual time of a load probe, by tier of the target. It may open a
 #: connection, which takes one more round trip.
@@ -268,7 +268,7 @@
         is_fresh = now - self._reported_at <= FRESH_REPORT_MAX_AGE_MS
         return (
             is_fresh
-            and self._slowness <= _MAX_USUAL_SLOWNESS
+            and self._slowness <= MAX_USUAL_SLOWNESS
             and self.load(now) < 1
         )
 
--- a/src/mulberryquay/entry/waiting_requests.py
+++ b/src/mulberryquay/entry/waiting_requests.py
@@ -170,6 +170,7 @@
         latest_start = criteria.deadline
         cost: float = 0
         if self._rivalry is not None:
+            self._rivalry.record_demand(criteria)
             latest_start = self._rivalry.latest_start(criteria)
             cost = self._rivalry.cost_ms(criteria)
         return ordering.Waiting(
--- a/testing/decisions/test_room.py
+++ b/testing/decisions/test_room.py
@@ -76,3 +76,17 @@
     usual = times.usual('prices')
     CASE.assertGreater(usual.mean_ms, 300)
     CASE.assertLess(usual.least_ms, 120)
+
+
+def test_slots_above_the_limit_are_for_ranks_that_need_no_more() -> None:
+    """A rank that asks for most of the work must not fill up targets."""
+    demand = room.Demand()
+    for _ in range(9):
+        demand.record((1, 0), 300, 0)
+    demand.record((0, 2), 300, 0)
+    CASE.assertAlmostEqual(demand.part_through((0, 2)), 0.1)
+    CASE.assertAlmostEqual(demand.part_through((1, 0)), 1)
+    CASE.assertEqual(demand.part_through((0, 0)), 0)
+    for _ in range(9):
+        demand.record((0, 2), 300, 4 * room.DEMAND_MEMORY_MS)
+    CASE.assertGreater(demand.part_through((0, 2)), 0.9)
