--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -13,6 +13,7 @@
     'slopes',
     'policies',
     'accounts',
+    'decisions',
 )
 
 
--- a/src/mulberryquay/entry/forwarder.py
+++ b/src/mulberryquay/entry/forwarder.py
@@ -102,11 +102,15 @@
 
     def _acquire(self, excluded: frozenset[str]) -> targets.TargetState:
         criteria = self._request.criteria
-        if self._state.load_prober is not None:
-            self._state.load_prober.refresh_reports(
-                self._queue.eligible_targets(criteria, excluded),
-            )
-        target = self._queue.acquire(criteria, excluded)
+
+        def refresh() -> None:  # noqa: WPS430
+            if self._state.load_prober is not None:
+                self._state.load_prober.refresh_reports(
+                    self._queue.eligible_targets(criteria, excluded),
+                )
+
+        refresh()
+        target = self._queue.acquire(criteria, excluded, refresh)
         try:
             authentication.check_still_allowed(
                 self._state, self._request.identity
@@ -150,7 +154,9 @@
         if reason in outcomes.REASONS_BEFORE_TARGETS:
             reason = attempt_results.name_and_reason(result)[1]
         return new_error(
-            reason, f'{len(self.attempts)} attempts failed; {refusal}'
+            reason,
+            f'{len(self.attempts)} attempts failed; {refusal}',
+            retry_after_s=refusal.retry_after_s,
         )
 
     def _run_attempt(
@@ -219,6 +225,13 @@
         duration: float,
     ) -> None:
         result_name, reason = attempt_results.name_and_reason(result)
+        self._queue.record_result(
+            self._request.criteria,
+            target,
+            result,
+            load=self.target_snapshots[-1].known_load,
+            duration=duration,
+        )
         relayed_as = ''
         if isinstance(result, outcomes.Received):
             relayed_as = result.relayed_as
--- a/src/mulberryquay/entry/outcomes.py
+++ b/src/mulberryquay/entry/outcomes.py
@@ -53,6 +53,7 @@
     NO_TARGET = 'no-target'
     OVERLOADED = 'overloaded'
     QUEUE_TIMEOUT = 'queue-timeout'
+    WONT_BE_IN_TIME = 'wont-be-in-time'
     TOO_DEEP = 'too-deep'
     STALE_CONFIGURATION = 'stale-configuration'
     BREAKS_TARGETS = 'breaks-targets'
@@ -117,6 +118,7 @@
         Reason.NO_TARGET,
         Reason.OVERLOADED,
         Reason.QUEUE_TIMEOUT,
+        Reason.WONT_BE_IN_TIME,
         Reason.STALE_CONFIGURATION,
         Reason.BREAKS_TARGETS,
         Reason.CONNECT_FAILED,
@@ -165,8 +167,11 @@
         self.reason = reason
         self.status = status or _status_of(outcome, reason)
         self.headers = list(headers or ())
+        #: What the caller was told, in seconds; 0 for nothing.
+        self.retry_after_s = 0.0
         if reason in _TEMPORARY_REASONS:
             retry_after_s = retry_after_s or _RETRY_AFTER_S.get(reason, 1)
+            self.retry_after_s = retry_after_s
             self.headers.append((b'retry-after', b'%g' % retry_after_s))
 
 
--- a/src/mulberryquay/entry/request_log.py
+++ b/src/mulberryquay/entry/request_log.py
@@ -43,6 +43,13 @@
         is_fresh = self.report_age_ms <= targets.FRESH_REPORT_MAX_AGE_MS
         return 'fresh' if is_fresh else 'old'
 
+    @property
+    def known_load(self) -> float | None:
+        """The load, None without a fresh report of a host of usual speed."""
+        is_usual = self.slowness <= targets.MAX_USUAL_SLOWNESS
+        is_known = is_usual and self.report_state == 'fresh'
+        return self.load if is_known else None
+
 
 class LogContext(typing.NamedTuple):
     """What the log line of a request has besides its record."""
--- a/testing/accounts/test_revocation.py
+++ b/testing/accounts/test_revocation.py
@@ -85,7 +85,7 @@
                 for number in range(8)
             ]
             balancer = entry.state.balancer
-            fixtures.wait_until(lambda: received and balancer.waiting_count)
+            fixtures.wait_until(lambda: received and balancer.waiting_by_rank)
             _declare(control, 2)
             control.wait_in_force()
             done.set()
