--- a/testing/entry/test_routing.py
+++ b/testing/entry/test_routing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import random
 import typing
 import unittest
 
@@ -93,3 +94,18 @@
         CASE.assertEqual(counts, {'a': 9, 'b': 1})
     route = table.find_route(b'/n/x')
     CASE.assertEqual({splitter.choose(route).name for _ in range(9)}, {'a'})
+
+
+def test_split_over_many_entries_follows_its_weights() -> None:
+    """Entries with a few requests each must not all begin with one part.
+
+    193 entries got three requests each: the part with a tenth of the weight
+    got none of them (issue 44).
+    """
+    table = _table(('split', {'path_prefix': '/', 'split': {'a': 90, 'b': 10}}))
+    route = table.find_route(b'/x')
+    counts: collections.Counter[str] = collections.Counter()
+    for entry in range(193):
+        splitter = splits.TrafficSplitter(random.Random(entry))
+        counts.update(splitter.choose(route).name for _ in range(3))
+    CASE.assertAlmostEqual(counts['b'] / counts.total(), 0.1, delta=0.03)
