Place requests by shared sightings of targets and expected time

Cause: an entry with four calls a second knows little of targets that 193 entries use.

Policy `soonest-answer` and `--share_load` are selected where the platform's settings have the contract `pool`; others are served as before. Latency averages leave `targets`, and two functions on results leave `forwarder`, with no change.

--- a/src/mulberryquay/coordination/shares.py
+++ b/src/mulberryquay/coordination/shares.py
@@ -98,6 +98,7 @@
         self._cache: dict[tuple[str, int], int] = {}
         self._domains: dict[str, str] = {}
         self._group_sizes: dict[tuple[str, str], GroupSizes] = {}
+        self._keepers: dict[tuple[str, str], str] = {}
 
     @property
     def committed(self) -> EntryList:
@@ -167,6 +168,25 @@
             self._group_sizes[region, domain] = sizes
         return sizes
 
+    def keeper_of(self, domain: str, service: str) -> str:
+        """Returns the entry process that all ask about a domain's targets.
+
+        It is one of that failure domain; empty if there is none.
+        """
+        key = (domain, service)
+        if key not in self._keepers:
+            members = [
+                member
+                for member in self._committed.members
+                if self._domains.get(member) == domain
+            ]
+            self._keepers[key] = max(
+                members,
+                key=lambda member: _weight(service, member),
+                default='',
+            )
+        return self._keepers[key]
+
     def rate_share(self, target: str, per_s: float, *, region: str) -> float:
         """Returns the smaller part of a rate under the two lists.
 
@@ -222,6 +242,7 @@
     def _clear_caches(self) -> None:
         self._cache.clear()
         self._group_sizes.clear()
+        self._keepers.clear()
 
     def _lists(self) -> list[EntryList]:
         return [self._committed, *filter(None, [self._pending])]
--- a/src/mulberryquay/entry/connections.py
+++ b/src/mulberryquay/entry/connections.py
@@ -128,6 +128,11 @@
         """Connections that are open, idle or in use."""
         return self._open_count
 
+    @property
+    def has_idle(self) -> bool:
+        """Whether a connection is open and not in use."""
+        return bool(self._idle)
+
     def take(
         self,
         *,
--- a/src/mulberryquay/entry/daemon.py
+++ b/src/mulberryquay/entry/daemon.py
@@ -15,6 +15,8 @@
     caller,
     control_link,
     dialect,
+    domain_keeper,
+    domain_watch,
     entry_settings,
     load_prober,
     outcomes,
@@ -117,22 +119,9 @@
             per_target_rate=values['probes_per_target_s'],
             bytes_rate=values['probe_bytes_s'],
         )
+        self._load_components: list[_Component] = []
         if values['ask_load']:
-            self._state.load_prober = load_prober.LoadProber(
-                self._prober,
-                self._state.clock,
-                probe_budget.ProbeBudget(
-                    self._state.share_view,
-                    self._state.clock,
-                    region=self._state.region,
-                    domain=values['domain'],
-                    per_target_s=values['load_probes_per_target_s'],
-                    on_skipped=functools.partial(
-                        self._state.metrics.count,
-                        'mulberryquay_load_probes_skipped_total',
-                    ),
-                ),
-            )
+            self._ask_load(values)
         self._admin = admin.Admin(
             self._admin_listener,
             self._state,
@@ -202,6 +191,46 @@
         for component in self._components():
             component.stop()
 
+    def _ask_load(self, values: settings.Values) -> None:
+        """Asks targets for their load before each choice."""
+        per_target_s = values['load_probes_per_target_s']
+        is_shared = values['share_load']
+        on_skipped = functools.partial(
+            self._state.metrics.count, 'mulberryquay_load_probes_skipped_total'
+        )
+        own_part = 1 - domain_keeper.KEEPER_PART if is_shared else 1
+        own_prober = load_prober.LoadProber(
+            self._prober,
+            self._state.clock,
+            probe_budget.ProbeBudget(
+                self._state.share_view,
+                self._state.clock,
+                region=self._state.region,
+                domain=values['domain'],
+                per_target_s=per_target_s * own_part,
+                on_skipped=on_skipped,
+            ),
+        )
+        self._state.load_prober = own_prober
+        if not is_shared:
+            return
+        watch = domain_watch.DomainWatch(
+            self._state,
+            domain_keeper.DomainKeeper(
+                self._state,
+                self._prober,
+                per_target_s=per_target_s * domain_keeper.KEEPER_PART,
+                on_skipped=on_skipped,
+            ),
+            own_prober,
+            sockets.bind_datagrams(
+                sockets.address_of(values['peer_listen'], self._peer_listener)
+            ),
+            values['domain'],
+        )
+        self._state.load_prober = watch
+        self._load_components.append(watch)
+
     def _end_requests(self) -> None:
         """Answers the requests that are still in flight."""
         if not self._is_busy():
@@ -236,6 +265,7 @@
             self._control_link,
             self._state.claims,
             self._prober,
+            *self._load_components,
             self._queue_task,
             self._release_task,
             self._state.watchdog,
--- a/src/mulberryquay/entry/entry_settings.py
+++ b/src/mulberryquay/entry/entry_settings.py
@@ -105,7 +105,7 @@
         DEFAULT_POLICY,
         'policy that chooses among targets with free capacity; built in are '
         'random, power-of-two, round-robin, least-loaded, join-idle-queue, '
-        'hot-cold and expected-time, and plug-ins add others',
+        'hot-cold, expected-time and soonest-answer, and plug-ins add others',
         text_format='name',
         required=True,
     ),
@@ -150,6 +150,13 @@
         'whether nearby targets are asked for their load before each choice; '
         'their health path must answer at once',
     ),
+    settings.Setting(
+        'share_load',
+        False,
+        'whether the entries of a failure domain share what they know of the '
+        'load of its targets, by datagrams to the port of peer_listen; one '
+        'of them then asks targets for all; needs ask_load',
+    ),
     settings.Setting(
         'load_probes_per_target_s',
         LOAD_PROBES_PER_TARGET_S,
--- a/src/mulberryquay/entry/forwarder.py
+++ b/src/mulberryquay/entry/forwarder.py
@@ -52,6 +52,9 @@
         self._target: targets.TargetState | None = None
         self._attempt: attempt.Attempt | None = None
         self._attempt_started = 0.0
+        self._has_failed = False
+        #: Time to the answer of the last attempt, 0 without one.
+        self._served_ms = 0.0
         self.attempts: list[request_records.AttemptRecord] = []
         #: What was known of the target of each attempt.
         self.target_snapshots: list[request_log.TargetSnapshot] = []
@@ -134,7 +137,7 @@
         new_error = outcomes.unknown if self.may_have_run else outcomes.not_run
         reason = refusal.reason
         if reason in outcomes.REASONS_BEFORE_TARGETS:
-            reason = _result_and_reason(result)[1]
+            reason = outcomes.result_and_reason(result)[1]
         return new_error(
             reason, f'{len(self.attempts)} attempts failed; {refusal}'
         )
@@ -149,6 +152,8 @@
         self._was_relayed = target.is_peer
         self._count_rate_limited(target)
         self._record_choice(target, started)
+        self._has_failed = False
+        self._served_ms = 0.0
         self._attempt = attempt.Attempt(
             target,
             self._request.outgoing,
@@ -159,14 +164,20 @@
         try:
             result = self._attempt.run(self._attempt_headers(target, started))
         finally:
+            self._has_failed = outcomes.has_failed(result)
             if not isinstance(result, outcomes.Received):
                 self._release_target()
-        self._record_attempt(target, result, self._state.clock.now() - started)
+        duration = self._state.clock.now() - started
+        if isinstance(result, outcomes.Received):
+            self._served_ms = duration
+        self._record_attempt(target, result, duration)
         return result
 
     def _record_choice(self, target: targets.TargetState, now: float) -> None:
         snapshot = request_log.snapshot_of(target, now)
         self.target_snapshots.append(snapshot)
+        if self._state.load_prober is not None:
+            self._state.load_prober.begin_call(target)
         if not target.is_peer:
             self._state.metrics.count(
                 'mulberryquay_choices_total',
@@ -204,7 +215,7 @@
         result: outcomes.AttemptResult,
         duration: float,
     ) -> None:
-        result_name, reason = _result_and_reason(result)
+        result_name, reason = outcomes.result_and_reason(result)
         relayed_as = ''
         if isinstance(result, outcomes.Received):
             relayed_as = result.relayed_as
@@ -234,8 +245,8 @@
         """Whether to retry; withdraws the retry from the budget."""
         if not self._is_retryable(result) or not self._has_attempts_left():
             return False
-        reason = _result_and_reason(result)[1].value
-        is_free = self._was_relayed and _reached_no_target(result)
+        reason = outcomes.result_and_reason(result)[1].value
+        is_free = self._was_relayed and outcomes.reached_no_target(result)
         is_granted = is_free or self._budget.withdraw()
         request_log.log_retry(
             self._request.outgoing.request_id,
@@ -318,6 +329,10 @@
         target = self._target
         if target is not None:
             self._target = None
+            if self._state.load_prober is not None:
+                self._state.load_prober.end_call(
+                    target, self._served_ms, has_failed=self._has_failed
+                )
             self._queue.release(target)
 
     def _check_not_blocked(self) -> None:
@@ -369,32 +384,3 @@
     digest.update(outgoing.path)
     digest.update(outgoing.body)
     return digest.digest()
-
-
-def _reached_no_target(result: outcomes.AttemptResult) -> bool:
-    """Whether a relay added no load to a target, so that a retry is free."""
-    match result:
-        case outcomes.NotSent():
-            return True
-        case outcomes.Shed(reason):
-            return reason in outcomes.REASONS_BEFORE_TARGETS
-        case _:
-            return False
-
-
-def _result_and_reason(
-    result: outcomes.AttemptResult,
-) -> tuple[str, outcomes.Reason]:
-    match result:
-        case outcomes.Received(head):
-            if result.outcome is not outcomes.Outcome.ANSWERED:
-                return 'received', result.reason
-            if head.status in outcomes.UNAVAILABLE_STATUSES:
-                return 'received', outcomes.Reason.TARGET_UNAVAILABLE
-            return 'received', outcomes.Reason.NONE
-        case outcomes.NotSent(reason):
-            return 'not-sent', reason
-        case outcomes.Shed(reason):
-            return 'shed', reason
-        case outcomes.Lost(reason):
-            return 'lost', reason
--- a/src/mulberryquay/entry/load_prober.py
+++ b/src/mulberryquay/entry/load_prober.py
@@ -56,6 +56,14 @@
             if any(target.is_reported_idle(now) for target in in_tier):
                 return
 
+    def begin_call(self, target: targets.TargetState) -> None:
+        """Ignores a call: this entry's own calls are known."""
+
+    def end_call(
+        self, target: targets.TargetState, duration: float, *, has_failed: bool
+    ) -> None:
+        """Ignores its end."""
+
     def _probe_stale(
         self,
         in_tier: typing.Sequence[targets.TargetState],
--- a/src/mulberryquay/entry/outcomes.py
+++ b/src/mulberryquay/entry/outcomes.py
@@ -230,3 +230,42 @@
 
 #: How one attempt on one target ended.
 AttemptResult = Received | NotSent | Shed | Lost
+
+
+def has_failed(result: AttemptResult) -> bool:
+    """Whether the target refused or failed; not if the attempt was ended."""
+    match result:
+        case Received(head):
+            return head.status >= http_heads.FIRST_SERVER_ERROR_STATUS
+        case NotSent(reason):
+            return reason is not Reason.NONE
+        case _:
+            return True
+
+
+def reached_no_target(result: AttemptResult) -> bool:
+    """Whether a relay added no load to a target, so that a retry is free."""
+    match result:
+        case NotSent():
+            return True
+        case Shed(reason):
+            return reason in REASONS_BEFORE_TARGETS
+        case _:
+            return False
+
+
+def result_and_reason(result: AttemptResult) -> tuple[str, Reason]:
+    """Returns the name of an attempt's result, and its reason."""
+    match result:
+        case Received(head):
+            if result.outcome is not Outcome.ANSWERED:
+                return 'received', result.reason
+            if head.status in UNAVAILABLE_STATUSES:
+                return 'received', Reason.TARGET_UNAVAILABLE
+            return 'received', Reason.NONE
+        case NotSent(reason):
+            return 'not-sent', reason
+        case Shed(reason):
+            return 'shed', reason
+        case Lost(reason):
+            return 'lost', reason
--- a/src/mulberryquay/entry/relays.py
+++ b/src/mulberryquay/entry/relays.py
@@ -68,6 +68,11 @@
             if known is None or known.row != row:
                 self._peers[name] = self._new_peer(row)
 
+    def address_of(self, name: str) -> str:
+        """Returns the address of another live entry, empty if unknown."""
+        peer = self._peers.get(name)
+        return '' if peer is None else peer.row.address
+
     def find(
         self,
         shared_targets: typing.Sequence[targets.TargetState],
--- a/src/mulberryquay/entry/state.py
+++ b/src/mulberryquay/entry/state.py
@@ -77,6 +77,12 @@
         'mulberryquay_load_probes_skipped_total',
         'Load probes that were not sent because of load_probes_per_target_s.',
     ),
+    metrics.MetricDeclaration(
+        'mulberryquay_load_pictures_total',
+        'Questions about the load of targets to the entries that keep it, by '
+        'result: told, or unanswered so that targets were asked directly.',
+        labels=('result',),
+    ),
     metrics.MetricDeclaration(
         'mulberryquay_choices_total',
         'Attempts by tier of the chosen target (0 for the own failure domain, '
@@ -113,13 +119,21 @@
 
 
 class LoadReportRefresher(typing.Protocol):
-    """Refreshes the load reports of targets before one is chosen."""
+    """Refreshes the load reports of targets; learns of calls to them."""
 
     def refresh_reports(
         self, candidates: typing.Sequence[targets.TargetState]
     ) -> None:
         """Probes candidates with old reports and waits briefly for answers."""
 
+    def begin_call(self, target: targets.TargetState) -> None:
+        """Counts a call that is sent to a target."""
+
+    def end_call(
+        self, target: targets.TargetState, duration: float, *, has_failed: bool
+    ) -> None:
+        """Counts its end after ``duration`` ms."""
+
 
 class PipeliningLimits(typing.NamedTuple):
     """How far a connection is read ahead of its answers."""
--- a/src/mulberryquay/entry/targets.py
+++ b/src/mulberryquay/entry/targets.py
@@ -8,7 +8,13 @@
 
 from mulberryquay import protocol, settings
 from mulberryquay.coordination import clock, token_bucket
-from mulberryquay.entry import connections, dialect, outcomes, rate_limit
+from mulberryquay.entry import (
+    connections,
+    dialect,
+    latency_averages,
+    outcomes,
+    rate_limit,
+)
 
 #: Time constant: a load report decays to 1/e of its value in this time.
 REPORT_DECAY_MS: typing.Final = 100.0
@@ -29,25 +35,6 @@
 #: the target's expected time.
 _PROBE_DELAY_WEIGHT: typing.Final = 4.0
 
-#: A target is penalized when its recent average latency exceeds the usual
-#: latency by this factor; noisy neighbors alone mostly stay below it.
-_LATENCY_RATIO_FLOOR: typing.Final = 2.0
-_MAX_LATENCY_EXCESS: typing.Final = 4.0
-
-#: Time constant of the latency penalty while no latency is recorded.
-_LATENCY_PENALTY_DECAY_MS: typing.Final = 3000.0
-
-#: Weight of the newest latency in the fast-moving and slow-moving average.
-_FAST_WEIGHT: typing.Final = 0.3
-_SLOW_WEIGHT: typing.Final = 0.02
-
-#: A latency is slow if it is above the floor and this many times the
-#: slow-moving average, and the fast-moving average is above half of that.
-#: Several slow latencies in a row mark the target as overloaded.
-_SLOW_FACTOR: typing.Final = 5.0
-_SLOW_FLOOR_MS: typing.Final = 20.0
-_MAX_SLOW_ANSWERS: typing.Final = 3
-
 #: Timeouts in a row that suspend a target.
 _MAX_TIMEOUTS: typing.Final = 3
 
@@ -69,6 +56,17 @@
     """Ignores that the rate limit of a target changed."""
 
 
+class Seen(typing.NamedTuple):
+    """What the entries together know of a target."""
+
+    calls: float
+    #: Duration of its calls relative to those of other targets.
+    pace: float
+    #: Part of the latest calls that it failed or refused.
+    failing: float
+    seen_at: float
+
+
 class TargetContext(typing.NamedTuple):
     """What all targets of an entry have in common."""
 
@@ -84,15 +82,12 @@
     """One target with its limits and this entry's observations."""
 
     __slots__ = (
-        '_latency_recorded_at',
         '_load_probe_began_at',
         '_clock',
         '_failures_in_row',
-        '_fast_average_ms',
+        '_latency',
         '_reported_calls',
         '_reported_at',
-        '_slow_answer_count',
-        '_slow_average_ms',
         '_slowness',
         '_timeouts_in_row',
         '_next_cold_call_at',
@@ -110,6 +105,7 @@
         'connection_limit',
         'pool',
         'row',
+        'sighting',
         'warmup_answers',
         'was_overloaded',
         'suspended_until',
@@ -143,6 +139,8 @@
         self.is_peer = False
         #: Whether the target is cold and only other entries have shares.
         self.is_relay_only = False
+        #: What its failure domain's keeper told last.
+        self.sighting: Seen | None = None
         #: 0 for the entry's own domain, 1 for its region, 2 for others.
         self.tier = 2
         #: Good answers since the last heartbeat, counted while it is cold.
@@ -167,25 +165,22 @@
         self._next_cold_call_at = 0.0
         self._clock = time_source
         self._failures_in_row = 0
-        self._fast_average_ms = 0.0
-        self._slow_average_ms = 0.0
-        self._slow_answer_count = 0
+        self._latency = latency_averages.LatencyAverages(time_source)
         self._timeouts_in_row = 0
         self._reported_calls = 0.0
         self._reported_at = float('-inf')
         self._slowness = 1.0
         self._load_probe_began_at = 0.0
-        self._latency_recorded_at = 0.0
 
     @property
     def latency_ms(self) -> float:
         """The fast-moving average latency, 0 before the first answer."""
-        return self._fast_average_ms
+        return self._latency.recent_ms
 
     @property
     def baseline_latency_ms(self) -> float:
         """The slow-moving average latency, 0 before the first answer."""
-        return self._slow_average_ms
+        return self._latency.usual_ms
 
     @property
     def slowness(self) -> float:
@@ -248,16 +243,7 @@
 
     def latency_penalty(self, baseline: float, now: float) -> float:
         """Returns 1, or more if recent latency far exceeds ``baseline``."""
-        if (
-            not baseline
-            or self._fast_average_ms <= baseline * _LATENCY_RATIO_FLOOR
-        ):
-            return 1
-        age = now - self._latency_recorded_at
-        excess = self._fast_average_ms / (baseline * _LATENCY_RATIO_FLOOR) - 1
-        return 1 + min(excess, _MAX_LATENCY_EXCESS) * math.exp(
-            -age / _LATENCY_PENALTY_DECAY_MS
-        )
+        return self._latency.penalty(baseline, now)
 
     def report_weight(self, now: float) -> float:
         """Returns the weight of the last report, which decays from 1 to 0."""
@@ -308,7 +294,7 @@
             self.warmup_answers += 1
         if reported is not None:
             self.record_report(reported, age=0)
-        self._update_averages(latency)
+        self.was_overloaded |= self._latency.record(latency)
 
     def record_report(self, report: dialect.LoadReport, *, age: float) -> None:
         """Records a load report that is ``age`` ms old.
@@ -354,7 +340,7 @@
 
     def record_timeout(self, waited: float) -> None:
         """Records a timeout; several in a row suspend the target."""
-        self._update_averages(waited)
+        self.was_overloaded |= self._latency.record(waited)
         self._timeouts_in_row += 1
         if self._timeouts_in_row >= _MAX_TIMEOUTS:
             self._timeouts_in_row = 0
@@ -375,27 +361,3 @@
             )
         self._failures_in_row = 0
         self.suspended_until = 0
-
-    def _update_averages(self, latency: float) -> None:
-        self._latency_recorded_at = self._clock.now()
-        if not self._slow_average_ms:
-            self._fast_average_ms = latency
-            self._slow_average_ms = latency
-            return
-        self._fast_average_ms += _FAST_WEIGHT * (
-            latency - self._fast_average_ms
-        )
-        if self._is_slow(latency):
-            self._slow_answer_count += 1
-        else:
-            self._slow_answer_count = 0
-            self._slow_average_ms += _SLOW_WEIGHT * (
-                latency - self._slow_average_ms
-            )
-        if self._slow_answer_count >= _MAX_SLOW_ANSWERS:
-            self._slow_answer_count = 0
-            self.was_overloaded = True
-
-    def _is_slow(self, latency: float) -> bool:
-        bound = max(self._slow_average_ms * _SLOW_FACTOR, _SLOW_FLOOR_MS)
-        return latency > bound and self._fast_average_ms > bound / 2
--- a/src/mulberryquay/kernel/plugins.py
+++ b/src/mulberryquay/kernel/plugins.py
@@ -20,6 +20,7 @@
     'mulberryquay.entry.policies.counting',
     'mulberryquay.entry.policies.hot_cold',
     'mulberryquay.entry.policies.expected_time',
+    'mulberryquay.entry.policies.soonest',
     'mulberryquay.commands.daemons',
     'mulberryquay.commands.clients',
     'mulberryquay.commands.explain',
--- a/src/mulberryquay/sockets.py
+++ b/src/mulberryquay/sockets.py
@@ -78,6 +78,23 @@
     return listener
 
 
+def bind_datagrams(address: str) -> typing.Any:
+    """Returns a gevent socket that receives datagrams on ``IP:PORT``.
+
+    Raises InvalidSettingError if it cannot be bound.
+    """
+    host, port = settings.parse_address(address)
+    family = socket.AF_INET6 if ':' in host else socket.AF_INET
+    receiver = socket.socket(family, socket.SOCK_DGRAM)
+    try:
+        receiver.bind((host, port))
+    except OSError as error:
+        raise settings.InvalidSettingError(
+            f'cannot receive on {address}: {error}; choose another address',
+        ) from error
+    return receiver
+
+
 def set_reset_on_close(connection: typing.Any, *, is_reset: bool) -> None:
     """Sets whether the end of a socket resets the connection.
 
--- a/testing/coordination/test_shares.py
+++ b/testing/coordination/test_shares.py
@@ -166,3 +166,26 @@
     CASE.assertEqual(view.group_sizes('north', 'c'), (0, 3, 2))
     view.propose(shares.EntryList(2, members[1:]))
     CASE.assertEqual(view.group_sizes('north', 'a'), (2, 1, 3))
+
+
+def test_entries_of_all_domains_agree_on_a_keeper() -> None:
+    """Two keepers of the same targets would each know half of the calls.
+
+    Services of a domain have different keepers, all of them in that domain.
+    """
+    members = tuple(f'entry-{number}' for number in range(12))
+    domains = {name: f'north-{rank % 2}' for rank, name in enumerate(members)}
+    views = [shares.ShareView(name) for name in members]
+    for view in views:
+        view.commit(shares.EntryList(1, members))
+        view.update_domains(domains)
+    keepers = set()
+    for service in ('a', 'b', 'c', 'd', 'e', 'f'):
+        agreed = {view.keeper_of('north-1', service) for view in views}
+        CASE.assertEqual(len(agreed), 1)
+        keepers |= agreed
+    CASE.assertGreater(len(keepers), 1)
+    CASE.assertEqual({domains[keeper] for keeper in keepers}, {'north-1'})
+    CASE.assertEqual(views[0].keeper_of('south-1', 'a'), '')
+    views[0].commit(shares.EntryList(2, members[:1]))
+    CASE.assertEqual(views[0].keeper_of('north-1', 'a'), '')
--- a/testing/platform_adapter/test_node.py
+++ b/testing/platform_adapter/test_node.py
@@ -52,3 +52,18 @@
     for text in (samples.SETTINGS[:40], '[self]\nnode = "a"\n', ''):
         with CASE.assertRaises(settings.InvalidSettingError):
             _read(text)
+
+
+def test_entries_share_load_only_where_the_settings_call_for_it() -> None:
+    """A deployment of few entries must be served as before (issue 44)."""
+    large = samples.SETTINGS.replace(
+        '[terms.bounds]', '[terms]\ncontracts = ["pool"]\n[terms.bounds]'
+    )
+    chosen = [
+        node.settings_for_role('entry', _read(text))
+        for text in (samples.SETTINGS, large)
+    ]
+    CASE.assertEqual(
+        [(values['policy'], values['share_load']) for values in chosen],
+        [('expected-time', False), ('soonest-answer', True)],
+    )
