--- a/src/mulberryquay/entry/attempt_results.py
+++ b/src/mulberryquay/entry/attempt_results.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from mulberryquay.entry import outcomes
+from mulberryquay.entry import http_heads, outcomes
 
 
 def reached_no_target(result: outcomes.AttemptResult) -> bool:
@@ -33,3 +33,14 @@
             return 'shed', reason
         case outcomes.Lost(reason):
             return 'lost', reason
+
+
+def has_failed(result: outcomes.AttemptResult) -> bool:
+    """Whether the target refused or failed; not if the attempt was ended."""
+    match result:
+        case outcomes.Received(head):
+            return head.status >= http_heads.FIRST_SERVER_ERROR_STATUS
+        case outcomes.NotSent(reason):
+            return reason is not outcomes.Reason.NONE
+        case _:
+            return True
--- a/src/mulberryquay/entry/forwarder.py
+++ b/src/mulberryquay/entry/forwarder.py
@@ -58,6 +58,9 @@
         self._target: targets.TargetState | None = None
         self._attempt: attempt.Attempt | None = None
         self._attempt_started = 0.0
+        self._has_failed = False
+        #: Time to the answer of the last attempt, 0 without one.
+        self._served_ms = 0.0
         self.attempts: list[request_records.AttemptRecord] = []
         #: What was known of the target of each attempt.
         self.target_snapshots: list[request_log.TargetSnapshot] = []
@@ -169,6 +172,8 @@
         self._was_relayed = target.is_peer
         self._count_rate_limited(target)
         self._record_choice(target, started)
+        self._has_failed = False
+        self._served_ms = 0.0
         self._attempt = attempt.Attempt(
             target,
             self._request.outgoing,
@@ -179,14 +184,20 @@
         try:
             result = self._attempt.run(self._attempt_headers(target, started))
         finally:
+            self._has_failed = attempt_results.has_failed(result)
             if not isinstance(result, outcomes.Received):
                 self._release_target()
-        self._record_attempt(target, result, self._state.clock.now() - started)
+        duration = self._state.clock.now() - started
+        if isinstance(result, outcomes.Received):
+            self._served_ms = duration
+        self._record_attempt(target, result, duration)
         return result
 
     def _record_choice(self, target: targets.TargetState, now: float) -> None:
         snapshot = request_log.snapshot_of(target, now)
         self.target_snapshots.append(snapshot)
+        if self._state.load_prober is not None:
+            self._state.load_prober.begin_call(target)
         if not target.is_peer:
             self._state.metrics.count(
                 'mulberryquay_choices_total',
@@ -357,6 +368,10 @@
         target = self._target
         if target is not None:
             self._target = None
+            if self._state.load_prober is not None:
+                self._state.load_prober.end_call(
+                    target, self._served_ms, has_failed=self._has_failed
+                )
             self._queue.release(target)
 
     def _check_not_blocked(self) -> None:
--- a/testing/platform_adapter/test_node.py
+++ b/testing/platform_adapter/test_node.py
@@ -98,3 +98,18 @@
     CASE.assertEqual(control['account_slack'], 18)
     CASE.assertEqual(control['account_slack_percent'], 4)
     CASE.assertEqual(control['account_window_ms'], 5000)
+
+
+def test_entries_share_load_only_where_the_settings_call_for_it() -> None:
+    """A deployment of few entries must be served as before (issue 44)."""
+    large = samples.SETTINGS.replace(
+        '[terms.bounds]', '[terms]\ncontracts = ["pool"]\n[terms.bounds]'
+    )
+    chosen = [
+        node.settings_for_role('entry', _read(text))
+        for text in (samples.SETTINGS, large)
+    ]
+    CASE.assertEqual(
+        [(values['policy'], values['share_load']) for values in chosen],
+        [('expected-time', False), ('soonest-answer', True)],
+    )
