--- a/benchmarks/accounts.py
+++ b/benchmarks/accounts.py
@@ -98,7 +98,9 @@
     return http_heads.RequestHead(
         b'GET',
         b'/stock/x',
-        [*known, (b'accept', b'*/*')],
+        http_heads.HeaderBlock(
+            http_heads.encode_headers([*known, (b'accept', b'*/*')])
+        ),
         known,
         http_heads.Framing.NONE,
         0,
--- a/src/mulberryquay/entry/answers.py
+++ b/src/mulberryquay/entry/answers.py
@@ -183,10 +183,7 @@
     framing: http_heads.Framing,
 ) -> bytes:
     answer = received.head
-    headers = [
-        *answer.forwarded_headers,
-        *_outcome_headers(received.outcome, received.reason),
-    ]
+    headers = _outcome_headers(received.outcome, received.reason)
     match framing:
         case http_heads.Framing.CHUNKED:
             headers.append((b'transfer-encoding', b'chunked'))
@@ -201,7 +198,9 @@
         headers.append((header_names.NO_RETRY, b'1'))
     if not context.keeps_alive:
         headers.append(_CONNECTION_CLOSE)
-    return http_heads.encode_head(_status_line(answer.status), headers)
+    return http_heads.encode_head(
+        _status_line(answer.status), headers, answer.forwarded_headers
+    )
 
 
 def _copy_length(
--- a/src/mulberryquay/entry/attempt.py
+++ b/src/mulberryquay/entry/attempt.py
@@ -33,7 +33,7 @@
 
     method: bytes
     path: bytes
-    headers: http_heads.Headers
+    headers: http_heads.HeaderBlock
     framing: http_heads.Framing
     #: The body read so far; complete unless ``remaining_body`` is given.
     body: bytes
@@ -336,7 +336,7 @@
     def _encode(self, headers: http_heads.Headers) -> bytes:
         outgoing = self._outgoing
         start_line = b'%b %b HTTP/1.1' % (outgoing.method, outgoing.path)
-        head = http_heads.encode_head(start_line, outgoing.headers + headers)
+        head = http_heads.encode_head(start_line, headers, outgoing.headers)
         body = outgoing.body
         if outgoing.framing is http_heads.Framing.CHUNKED:
             body = http_heads.encode_chunk(body) if body else b''
--- a/src/mulberryquay/entry/authentication.py
+++ b/src/mulberryquay/entry/authentication.py
@@ -107,15 +107,14 @@
 
 def replace_credentials(
     entry_state: state.EntryState,
-    headers: http_heads.Headers,
+    headers: http_heads.HeaderBlock,
     account: routing.ClientAccount | None,
-) -> http_heads.Headers:
+) -> http_heads.HeaderBlock:
     """Returns the headers to forward, with the account in place of the key."""
     if not entry_state.routing_table.authenticates_callers:
         return headers
     name_header = entry_state.dialect.account
-    dropped = (header_names.AUTHORIZATION, name_header)
-    kept = [pair for pair in headers if pair[0] not in dropped]
-    if account is not None:
-        kept.append((name_header, account.name.encode('latin-1')))
-    return kept
+    kept = headers.without((header_names.AUTHORIZATION, name_header))
+    if account is None:
+        return kept
+    return kept.with_added([(name_header, account.name.encode('latin-1'))])
--- a/src/mulberryquay/entry/http_heads.py
+++ b/src/mulberryquay/entry/http_heads.py
@@ -10,9 +10,7 @@
 
 FIRST_SERVER_ERROR_STATUS: typing.Final = 500
 LAST_CHUNK: typing.Final = b'0\r\n\r\n'
-
-#: Memory of a header field beside its name and value.
-_FIELD_BYTES: typing.Final = 64
+LINE_END: typing.Final = b'\r\n'
 
 #: Digits of the largest number that a header may have.
 _MAX_DIGITS: typing.Final = 18
@@ -22,6 +20,39 @@
 Headers = list[tuple[bytes, bytes]]
 
 
+@typing.final
+class HeaderBlock:
+    """Headers of a message, kept as the encoded lines that are sent."""
+
+    __slots__ = ('lines',)
+
+    def __init__(self, lines: bytes = b'') -> None:
+        """Keeps ``lines``, each of which has its end."""
+        self.lines = lines
+
+    def __iter__(self) -> typing.Iterator[tuple[bytes, bytes]]:
+        """Yields the names and values."""
+        start = 0
+        while start < len(self.lines):
+            end = self.lines.index(LINE_END, start)
+            name, _, text = self.lines[start:end].partition(b': ')
+            yield name, text
+            start = end + len(LINE_END)
+
+    def without(self, names: typing.Container[bytes]) -> HeaderBlock:
+        """Returns the headers less those with the lower-case ``names``."""
+        return HeaderBlock(
+            encode_headers(pair for pair in self if pair[0] not in names)
+        )
+
+    def with_added(self, headers: Headers) -> HeaderBlock:
+        """Returns the headers and ``headers`` after them."""
+        return HeaderBlock(self.lines + encode_headers(headers))
+
+
+_NO_HEADERS: typing.Final = HeaderBlock()
+
+
 class MessageError(errors.InvalidInputError):
     """The peer's message violates HTTP/1.1 or a limit."""
 
@@ -74,7 +105,7 @@
     method: bytes
     path: bytes
     #: Headers to forward.
-    forwarded_headers: Headers
+    forwarded_headers: HeaderBlock
     #: Headers that this system reads; some of them are forwarded, too.
     known_headers: Headers
     framing: Framing
@@ -86,10 +117,7 @@
     @property
     def size(self) -> int:
         """The approximate size of the head in memory, in bytes."""
-        return len(self.path) + sum(
-            len(name) + len(value) + _FIELD_BYTES
-            for name, value in self.forwarded_headers
-        )
+        return len(self.path) + len(self.forwarded_headers.lines)
 
     def find(self, name: bytes) -> bytes | None:
         """Returns the first known header's value; ``name`` is in lower case."""
@@ -100,7 +128,7 @@
     """Status and headers of a response; header names in lower case."""
 
     status: int
-    forwarded_headers: Headers
+    forwarded_headers: HeaderBlock
     known_headers: Headers
     framing: Framing
     length: int
@@ -173,10 +201,19 @@
     return Framing.CHUNKED, -1
 
 
-def encode_head(start_line: bytes, headers: Headers) -> bytes:
-    """Returns an encoded head."""
-    lines = [b'%b: %b\r\n' % pair for pair in headers]
-    return b'%b\r\n%b\r\n' % (start_line, b''.join(lines))
+def encode_headers(headers: typing.Iterable[tuple[bytes, bytes]]) -> bytes:
+    """Returns the encoded lines of headers."""
+    return b''.join([b'%b: %b\r\n' % pair for pair in headers])
+
+
+def encode_head(
+    start_line: bytes,
+    headers: Headers,
+    first: HeaderBlock = _NO_HEADERS,
+) -> bytes:
+    """Returns an encoded head; ``first`` stands before ``headers``."""
+    lines = encode_headers(headers)
+    return b'%b\r\n%b%b\r\n' % (start_line, first.lines, lines)
 
 
 def encode_chunk(part: bytes) -> bytes:
--- a/src/mulberryquay/entry/keyed.py
+++ b/src/mulberryquay/entry/keyed.py
@@ -95,7 +95,7 @@
         head = received.head
         self._settle(
             protocol.ClaimState.KEPT,
-            [head.status, head.forwarded_headers, received.body],
+            [head.status, list(head.forwarded_headers), received.body],
         )
 
     def settle_refusal(self, refusal: outcomes.RefusedError) -> None:
--- a/src/mulberryquay/entry/messages.py
+++ b/src/mulberryquay/entry/messages.py
@@ -21,6 +21,15 @@
 #: Default limit of a head (start line and headers), in bytes.
 MAX_HEAD_BYTES: typing.Final = 32768
 
+#: Bytes of a head that was not read to its end, beyond its limit.
+_HEAD_SLACK_BYTES: typing.Final = 4096
+
+#: Largest piece that is read while a head is expected.
+_HEAD_READ_BYTES: typing.Final = 16384
+
+#: Bytes of a header line as sent beside its name and value.
+_LINE_BYTES: typing.Final = 3
+
 #: Limit of what is read without a part of the body or the end of the message:
 #: chunk sizes with extensions, and trailers.
 MAX_FRAMING_BYTES: typing.Final = 65536
@@ -32,6 +41,10 @@
 NO_BODY_STATUSES: typing.Final = frozenset((204, 304))
 _STANDARD_CONNECTION_TOKENS: typing.Final = frozenset((b'close', b'keep-alive'))
 _FIRST_FINAL_STATUS: typing.Final = 200
+#: Headers that are an error if they stand twice.
+_FRAMING_HEADERS: typing.Final = frozenset(
+    (b'content-length', b'transfer-encoding')
+)
 _VERSIONS: typing.Final = frozenset(('1.0', '1.1'))
 _SWITCHING_PROTOCOLS: typing.Final = 101
 
@@ -55,9 +68,12 @@
         self._socket = connection
         self._header_filter = header_filter
         self._events: collections.deque[typing.Any] = collections.deque()
-        self._forwarded_headers: http_heads.Headers = []
+        self._lines = bytearray()
+        self._connection_tokens = bytearray()
         self._known_headers: http_heads.Headers = []
+        #: Bytes received and parsed of the head that is being read.
         self._head_bytes = 0
+        self._parsed_bytes = 0
         self._framing_bytes = 0
         self._turn = read_turn.ReadTurn()
         self._error: http_heads.MessageError | None = None
@@ -76,19 +92,19 @@
 
     def on_message_begin(self) -> None:
         """Called by the parser."""
-        self._forwarded_headers = []
-        self._known_headers = []
+        self._start_head()
         self._in_message = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Called by the parser, also for trailers, which are dropped."""
         if not self._in_head:
             return
+        self._count_parsed(len(name) + len(value) + _LINE_BYTES)
         name = name.lower()
         if name in self._header_filter.known_headers:
-            self._known_headers.append((name, value))
+            self._keep_known(name, value)
         if name not in self._header_filter.not_forwarded:
-            self._forwarded_headers.append((name, value))
+            self._lines += b'%b: %b\r\n' % (name, value)
 
     def on_body(self, body: bytes) -> None:
         """Called by the parser."""
@@ -138,13 +154,41 @@
         self._turn.begin_read()
         if self.wait_limit is not None:
             self.wait_limit.apply(self._socket)
-        chunk = self._socket.recv(READ_BYTES)
-        if not chunk:
-            return False
-        self._turn.end_read(len(chunk))
-        if not self._events:
-            self._check_received_head_size(len(chunk))
         event_count = len(self._events)
+        received = self._receive_piece()
+        if not received:
+            return False
+        if len(self._events) > event_count:
+            self._framing_bytes = 0
+        elif not self._in_head:
+            self._check_framing_size(received)
+        if self._error:
+            self.drop()
+            if not self._events:
+                raise self._error
+        return True
+
+    def drop(self) -> None:
+        """Frees what was kept beside the events; ends the reading."""
+        self._parser = None
+        self._start_head()
+
+    def _receive_piece(self) -> int:
+        """Receives and parses bytes; returns their number.
+
+        The bytes are kept by no frame of an error.
+        """
+        chunk = self._socket.recv(
+            _HEAD_READ_BYTES if self._in_head else READ_BYTES
+        )
+        if chunk:
+            self._turn.end_read(len(chunk))
+            self._parse(chunk)
+        return len(chunk)
+
+    def _parse(self, chunk: bytes) -> None:
+        if self._in_head:
+            self._head_bytes += len(chunk)
         try:
             self._parser.feed_data(chunk)
         except httptools.HttpParserUpgrade:
@@ -157,23 +201,36 @@
             self._error = http_heads.MessageError(
                 f'malformed HTTP message: {error}'
             )
-        if len(self._events) > event_count:
-            self._framing_bytes = 0
-        elif not self._in_head:
-            self._check_framing_size(len(chunk))
-        if self._error and not self._events:
-            raise self._error
-        return True
+        limit = self.max_head_bytes + _HEAD_SLACK_BYTES
+        if self._in_head and self._head_bytes > limit and not self._error:
+            self._error = self._too_large(self._head_bytes)
+
+    def _too_large(self, size: int) -> http_heads.HeadTooLargeError:
+        return http_heads.HeadTooLargeError(
+            f'got a head of {size} bytes or more, expected at most '
+            f'{self.max_head_bytes}',
+        )
 
-    def _check_received_head_size(self, received: int) -> None:
-        if not self._in_head:
+    def _count_parsed(self, size: int) -> None:
+        """Raises HeadTooLargeError if the head is larger than its limit."""
+        self._parsed_bytes += size
+        if self._parsed_bytes > self.max_head_bytes:
+            raise self._too_large(self._parsed_bytes)
+
+    def _start_head(self) -> None:
+        self._lines = bytearray()
+        self._connection_tokens = bytearray()
+        self._known_headers = []
+        self._parsed_bytes = 0
+
+    def _keep_known(self, name: bytes, value: bytes) -> None:
+        """Keeps a header that is read, so that their number is bounded."""
+        if name == b'connection':
+            self._connection_tokens += value + b','
             return
-        self._head_bytes += received
-        if self._head_bytes > self.max_head_bytes + READ_BYTES:
-            raise http_heads.HeadTooLargeError(
-                'got a head that is too large, expected at most '
-                f'{self.max_head_bytes} bytes',
-            )
+        count = sum(1 for kept, _ in self._known_headers if kept == name)
+        if count <= (name in _FRAMING_HEADERS):
+            self._known_headers.append((name, value))
 
     def _check_framing_size(self, received: int) -> None:
         self._framing_bytes += received
@@ -189,37 +246,18 @@
         self._events.append(head)
         self._in_head = False
 
-    def _end_to_end_headers(self) -> http_heads.Headers:
+    def _end_to_end_headers(self) -> http_heads.HeaderBlock:
         """Returns the headers to forward, less those Connection lists."""
-        if not self._known_headers:
-            return self._forwarded_headers
-        tokens = http_heads.find_header(self._known_headers, b'connection')
-        if tokens is None or tokens.lower() in _STANDARD_CONNECTION_TOKENS:
-            return self._forwarded_headers
-        hop_by_hop = {
-            token.strip()
-            for name, value in self._known_headers
-            if name == b'connection'
-            for token in value.lower().split(b',')
-        }
-        return [
-            pair
-            for pair in self._forwarded_headers
-            if pair[0] not in hop_by_hop
-        ]
-
-    def _check_head_size(self, start_line_size: int) -> None:
-        if self._head_bytes <= self.max_head_bytes:
-            return
-        size = start_line_size + sum(
-            len(name) + len(value)
-            for name, value in (*self._forwarded_headers, *self._known_headers)
-        )
-        if size > self.max_head_bytes:
-            raise http_heads.HeadTooLargeError(
-                f'got a head of {size} bytes, expected at most '
-                f'{self.max_head_bytes}',
-            )
+        headers = http_heads.HeaderBlock(bytes(self._lines))
+        self._lines = bytearray()
+        if not self._connection_tokens:
+            return headers
+        listed = bytes(self._connection_tokens).rstrip(b',')
+        self._known_headers.append((b'connection', listed))
+        tokens = listed.lower()
+        if tokens in _STANDARD_CONNECTION_TOKENS:
+            return headers
+        return headers.without({token.strip() for token in tokens.split(b',')})
 
 
 @typing.final
@@ -249,11 +287,11 @@
 
     def on_url(self, url: bytes) -> None:
         """Called by the parser, possibly once per part."""
+        self._count_parsed(len(url))
         self._url += url
 
     def on_headers_complete(self) -> None:
         """Called by the parser."""
-        self._check_head_size(len(self._url))
         version = self._parser.get_http_version()
         if version not in _VERSIONS:
             raise http_heads.MessageError(
@@ -321,7 +359,6 @@
 
     def on_headers_complete(self) -> None:
         """Called by the parser."""
-        self._check_head_size(0)
         status = self._parser.get_status_code()
         self._count_interim_answers(status)
         framing, length = http_heads.body_framing(self._known_headers)
--- a/src/mulberryquay/entry/outgoing.py
+++ b/src/mulberryquay/entry/outgoing.py
@@ -84,12 +84,9 @@
     incoming: Incoming,
     *,
     depth: int,
-) -> http_heads.Headers:
+) -> http_heads.HeaderBlock:
     header_dialect = entry_state.dialect
     headers = [
-        *authentication.replace_credentials(
-            entry_state, head.forwarded_headers, account
-        ),
         (header_dialect.request_id, incoming.request_id.encode('latin-1')),
     ]
     if header_dialect.sends_depth:
@@ -99,4 +96,6 @@
             headers.append((b'transfer-encoding', b'chunked'))
         case http_heads.Framing.LENGTH:
             headers.append((b'content-length', b'%d' % head.length))
-    return headers
+    return authentication.replace_credentials(
+        entry_state, head.forwarded_headers, account
+    ).with_added(headers)
--- a/testing/accounts/test_revocation.py
+++ b/testing/accounts/test_revocation.py
@@ -149,7 +149,7 @@
             name: http_heads.RequestHead(
                 b'GET',
                 b'/stock/x',
-                [],
+                http_heads.HeaderBlock(),
                 [(name_header, name.encode())],
                 http_heads.Framing.NONE,
                 0,
--- a/testing/decisions/competing_load.py
+++ b/testing/decisions/competing_load.py
@@ -431,7 +431,12 @@
 
 _ANSWER: typing.Final = outcomes.Received(
     http_heads.ResponseHead(
-        200, [], [], http_heads.Framing.LENGTH, 0, keeps_alive=True
+        200,
+        http_heads.HeaderBlock(),
+        [],
+        http_heads.Framing.LENGTH,
+        0,
+        keeps_alive=True,
     ),
     typing.cast(typing.Any, None),
     b'',
--- a/testing/entry/test_admission.py
+++ b/testing/entry/test_admission.py
@@ -92,7 +92,12 @@
 
     def handle(request: target.ReceivedRequest) -> target.Answer:
         received_headers.update(
-            dict(request.head.forwarded_headers + request.head.known_headers)
+            dict(
+                [
+                    *request.head.forwarded_headers,
+                    *request.head.known_headers,
+                ]
+            )
         )
         forged = [(b'mulberryquay-outcome', b'not-run')]
         return target.Answer(headers=forged)
--- a/testing/entry/test_competition.py
+++ b/testing/entry/test_competition.py
@@ -32,7 +32,12 @@
 _NONE_EXCLUDED: typing.Final[frozenset[str]] = frozenset()
 _ANSWER: typing.Final = outcomes.Received(
     http_heads.ResponseHead(
-        200, [], [], http_heads.Framing.LENGTH, 0, keeps_alive=True
+        200,
+        http_heads.HeaderBlock(),
+        [],
+        http_heads.Framing.LENGTH,
+        0,
+        keeps_alive=True,
     ),
     typing.cast(typing.Any, None),
     b'',
--- a/testing/entry/test_forwarder.py
+++ b/testing/entry/test_forwarder.py
@@ -55,7 +55,7 @@
         attempt.OutgoingRequest(
             b'GET',
             b'/stock/x',
-            [],
+            http_heads.HeaderBlock(),
             http_heads.Framing.NONE,
             b'',
             None,
@@ -126,7 +126,12 @@
     """Returns the result of an attempt at an entry that answers so."""
     peer = mock.MagicMock(is_peer=True, dialect=dialect.OWN, connection_limit=1)
     head = http_heads.ResponseHead(
-        200, [], headers, http_heads.Framing.LENGTH, 0, keeps_alive=True
+        200,
+        http_heads.HeaderBlock(),
+        headers,
+        http_heads.Framing.LENGTH,
+        0,
+        keeps_alive=True,
     )
     connection = peer.pool.take.return_value
     connection.socket.send.side_effect = len
@@ -135,7 +140,7 @@
     outgoing = attempt.OutgoingRequest(
         b'GET',
         b'/stock/x',
-        [],
+        http_heads.HeaderBlock(),
         http_heads.Framing.NONE,
         b'',
         None,
--- a/testing/entry/test_messages.py
+++ b/testing/entry/test_messages.py
@@ -62,6 +62,44 @@
             CASE.assertLess(connection.reads, 8)
 
 
+def test_header_block_gives_back_what_was_encoded() -> None:
+    """Headers are kept as the lines that are sent on (issue 45)."""
+    pairs = [(b'a', b''), (b'host', b'x:1'), (b'b', b'c: d'), (b'a', b'2')]
+    block = http_heads.HeaderBlock(http_heads.encode_headers(pairs))
+    CASE.assertEqual(list(block), pairs)
+    CASE.assertEqual(list(block.without({b'a'})), pairs[1:3])
+    CASE.assertEqual(list(block.with_added(pairs)), pairs * 2)
+    CASE.assertEqual(
+        http_heads.encode_head(b'x', [(b'k', b'v')], block),
+        http_heads.encode_head(b'x', [*pairs, (b'k', b'v')]),
+    )
+
+
+def test_known_headers_of_a_head_are_bounded() -> None:
+    """Thousands of lines that the entry reads were kept each (issue 45)."""
+    beginning = b'GET / HTTP/1.1\r\n'
+    lines = b'te: a\r\nconnection: x-a\r\nConnection:X-B \r\nx-b: 1\r\n'
+    reader = messages.RequestReader(
+        ScriptedSocket([beginning + lines * 300 + b'x-c: 2\r\n\r\n'])
+    )
+    head = typing.cast(http_heads.RequestHead, reader.read_head())
+    CASE.assertEqual(len(head.known_headers), 2)
+    CASE.assertEqual(head.find(b'te'), b'a')
+    CASE.assertEqual(list(head.forwarded_headers), [(b'x-c', b'2')])
+
+
+def test_head_over_its_limit_ends_before_it_is_whole() -> None:
+    """What was read of it was kept until its end (issue 45)."""
+    for repeated in (b'a:b\r\n', b'te:\r\n', b'x'):
+        with CASE.subTest(repeated):
+            connection = _endless(b'GET / HTTP/1.1\r\n', repeated)
+            reader = messages.RequestReader(connection)
+            reader.max_head_bytes = 1000
+            with CASE.assertRaises(http_heads.HeadTooLargeError):
+                reader.read_head()
+            CASE.assertEqual(connection.reads, 2)
+
+
 def test_request_without_end_is_malformed_after_bounded_bytes() -> None:
     """A caller must not be read on either."""
     chunked = (
--- a/testing/test_endless_bytes.py
+++ b/testing/test_endless_bytes.py
@@ -406,7 +406,7 @@
             outgoing = attempt.OutgoingRequest(
                 b'GET',
                 f'/stock/{name}'.encode(),
-                [(b'host', b'test')],
+                http_heads.HeaderBlock(b'host: test\r\n'),
                 http_heads.Framing.NONE,
                 b'',
                 None,
