--- a/src/mulberryquay/entry/attempt.py
+++ b/src/mulberryquay/entry/attempt.py
@@ -130,15 +130,18 @@
     ) -> outcomes.AttemptResult:
         started = self._clock.now()
         connection.sent_ids.append(self._outgoing.request_id)
-        request = self._encode(headers)
         try:
-            sent = connection.socket.send(request)
+            unsent = self._send_beginning(connection, headers)
         except OSError:
             # The first send failed, so no byte was sent.
             self._target.record_failure(outcomes.Reason.CONNECT_FAILED)
             return outcomes.NotSent(outcomes.Reason.CONNECT_FAILED)
         try:
-            received = self._send_and_receive(connection, request[sent:])
+            if unsent:
+                connection.socket.sendall(unsent)
+            # Not kept while the answer is awaited.
+            unsent = b''
+            received = self._receive(connection)
         except http_heads.MessageError:
             return self._record_lost_answer(
                 outcomes.Reason.MALFORMED_ANSWER, started
@@ -149,13 +152,19 @@
             )
         return self._classify_answer(received, self._clock.now() - started)
 
-    def _send_and_receive(
+    def _send_beginning(
         self,
         connection: connections.TargetConnection,
-        unsent: bytes,
+        headers: http_heads.Headers,
+    ) -> bytes:
+        """Sends the head and the body read so far; returns the unsent rest."""
+        request = self._encode(headers)
+        sent: int = connection.socket.send(request)
+        return request[sent:]
+
+    def _receive(
+        self, connection: connections.TargetConnection
     ) -> outcomes.Received:
-        if unsent:
-            connection.socket.sendall(unsent)
         if self._outgoing.remaining_body is not None:
             self._body_sender = gevent.spawn(
                 self._send_remaining_body, connection
--- a/src/mulberryquay/entry/caller.py
+++ b/src/mulberryquay/entry/caller.py
@@ -20,6 +20,7 @@
 from mulberryquay.entry import (
     answer_row,
     answers,
+    caller_limits,
     exchange,
     http_heads,
     messages,
@@ -29,6 +30,12 @@
 
 _DISCARD_TIMEOUT_MS: typing.Final = 1000.0
 
+#: Memory of a connection beside what is read and sent on it.
+_CONNECTION_BYTES: typing.Final = 16384
+
+#: An unfinished head up to this size never ends for the memory of others.
+_SMALL_HEAD_BYTES: typing.Final = 4096
+
 #: How long a stopping entry waits for the first request of a connection.
 _FIRST_REQUEST_MS: typing.Final = 500.0
 
@@ -76,6 +83,14 @@
         self._poll.register(connection.fileno(), select.POLLIN)
         #: Whether to end once no more bytes have arrived.
         self._is_ending = False
+        #: Whether to close without waiting for the caller's end.
+        self._makes_place = False
+        self._part = entry_state.memory.open(self)
+        self._part.add(_CONNECTION_BYTES)
+        #: What is counted of a head that is not complete.
+        self._head_bytes = 0
+        #: The request whose body is being read, if any.
+        self._read_exchange: exchange.Exchange | None = None
         #: Whether an answer could not be sent to its end.
         self._is_broken = False
         self._has_served = False
@@ -89,6 +104,25 @@
         """Whether no request is being served or was read in part."""
         return not self._row and self._reader.is_between_messages
 
+    @property
+    def waits_for_bytes(self) -> bool:
+        """Whether only bytes of the caller can end the wait."""
+        if self._read_exchange is not None:
+            return True
+        return not (self._row or self._is_peer)
+
+    def give_way(self) -> None:
+        """Ends the wait for bytes, as others need the memory."""
+        if self._read_exchange is None:
+            self._end()
+        else:
+            self._read_exchange.give_way()
+
+    def make_place(self) -> None:
+        """Ends a connection without a whole request for another one."""
+        self._makes_place = True
+        self._end()
+
     def run(self) -> None:
         """Serves requests until the connection ends, then closes it."""
         is_graceful = False
@@ -159,6 +193,27 @@
             if not self._reader.receive():
                 self._check_between_messages()
                 return None
+            if not self._hold_head():
+                self._refuse(self._memory_refusal())
+                return None
+
+    def _hold_head(self) -> bool:
+        """Counts an unfinished head; returns whether it may be kept."""
+        memory = self._state.memory
+        size = self._reader.unfinished_bytes
+        self._part.progressed_at = self._state.clock.now()
+        self._part.add(size - self._head_bytes)
+        self._head_bytes = size
+        if size <= _SMALL_HEAD_BYTES or memory.make_room(0):
+            return True
+        self._state.limit_notes.note(caller_limits.Limit.MEMORY)
+        return False
+
+    def _memory_refusal(self) -> outcomes.RefusedError:
+        return outcomes.not_run(
+            outcomes.Reason.MEMORY_LIMIT,
+            'callers hold too much memory of this entry for a large head',
+        )
 
     def _may_serve_another(self) -> bool:
         """Waits, while the entry stops, until the answers ahead are sent.
@@ -201,6 +256,10 @@
         """Starts to serve a request; returns once its body is read."""
         self._has_served = True
         self.deadline = math.inf
+        self._state.connections.begin_request(self)
+        self._part.add(head.size)
+        # Slow ones may hold what this request needs, also at its target.
+        self._state.memory.make_room(0)
         turn = self._row.enter(head.size)
         served = exchange.Exchange(
             self._state,
@@ -208,12 +267,15 @@
             self._reader,
             head,
             turn,
+            self._part,
             is_relayed=self._is_peer,
         )
         turn.task = gevent.spawn(self._serve, served, turn)
         turn.task.rawlink(turn.leave_if_killed)
         if head.framing is not http_heads.Framing.NONE:
+            self._read_exchange = served
             served.body_ended.wait()
+            self._read_exchange = None
 
     def _serve(self, served: exchange.Exchange, turn: answer_row.Turn) -> None:
         self._state.in_flight += 1
@@ -231,7 +293,13 @@
             self._state.in_flight -= 1
             self._is_broken |= not is_complete
             served.body_ended.set()
-            turn.leave(keeps_alive=keeps_alive)
+            self._leave(turn, keeps_alive=keeps_alive)
+
+    def _leave(self, turn: answer_row.Turn, *, keeps_alive: bool) -> None:
+        self._part.add(-turn.size)
+        turn.leave(keeps_alive=keeps_alive)
+        if not self._row:
+            self._state.connections.end_requests(self)
 
     def _wait_for_row(self, length: int) -> None:
         """Returns once at most ``length`` requests are not answered."""
@@ -253,7 +321,10 @@
 
     def _refuse_slow_head(self) -> None:
         """Answers a request whose head was not complete in time, if any."""
-        if self._reader.is_between_messages:
+        if self._reader.is_between_messages or self._makes_place:
+            return
+        if self._part.gives_way:
+            self._refuse(self._memory_refusal())
             return
         self._refuse(
             outcomes.not_run(
@@ -313,8 +384,12 @@
     def _close(self, *, is_graceful: bool) -> None:
         """Closes the connection, with a reset if an answer is incomplete."""
         self._input_watcher.close()
+        self._reader.drop()
+        self._state.memory.close(self._part)
         try:
-            if is_graceful:
+            if self._makes_place:
+                """Closes at once: its descriptor is needed."""
+            elif is_graceful:
                 self._discard_unread_input()
             else:
                 sockets.set_reset_on_close(self._socket, is_reset=True)
--- a/src/mulberryquay/entry/daemon.py
+++ b/src/mulberryquay/entry/daemon.py
@@ -13,6 +13,7 @@
     admin,
     balancer,
     caller,
+    caller_limits,
     control_link,
     dialect,
     entry_settings,
@@ -34,6 +35,9 @@
 #: Interval at which bounds of rate limits that have ended are raised.
 _RELEASE_INTERVAL_MS: typing.Final = 50.0
 
+#: Connections accepted before others that must be closed for them are.
+_MAX_ACCEPTED: typing.Final = 16
+
 _STOP_POLL_INTERVAL_MS: typing.Final = 20.0
 
 #: Longest time to send the answers of requests that a stop has ended.
@@ -176,6 +180,7 @@
             sockets.DrainingServer(self._peer_listener, self._serve_peer),
         ]
         for server in self._servers:
+            server.max_accept = _MAX_ACCEPTED
             server.start()
 
     def stop(self) -> None:
@@ -252,9 +257,14 @@
         return bool(self._state.balancer.waiting_by_rank)
 
     def _serve_caller(
-        self, connection: typing.Any, _address: typing.Any
+        self, connection: typing.Any, address: typing.Any
     ) -> None:
-        self._run_connection(caller.CallerConnection(self._state, connection))
+        if not self._state.connections.admit(address[0]):
+            connection.close()
+            return
+        served = caller.CallerConnection(self._state, connection)
+        self._state.connections.add(served, address[0])
+        self._run_connection(served)
 
     def _serve_peer(
         self,
@@ -273,6 +283,7 @@
         finally:
             self.caller_connections.discard(connection)
             self._caller_watchdog.release(connection)
+            self._state.connections.remove(connection)
 
     def _is_ready(self) -> bool:
         entry_state = self._state
@@ -286,6 +297,12 @@
         entry_state = self._state
         set_gauge = entry_state.metrics.set_gauge
         set_gauge('mulberryquay_in_flight', entry_state.in_flight)
+        set_gauge(
+            'mulberryquay_caller_memory_bytes', entry_state.memory.held_bytes
+        )
+        set_gauge(
+            'mulberryquay_caller_connections', len(entry_state.connections)
+        )
         waiting = entry_state.balancer.waiting_by_rank
         set_gauge('mulberryquay_waiting', waiting.total())
         self._waiting_ranks |= set(waiting)
@@ -320,6 +337,13 @@
             values['pipelined_requests'], values['pipelined_bytes']
         ),
         values['queue_order'] == entry_settings.FAIR_ORDER,
+        caller_limits.Bounds(
+            caller_limits.memory_bound(
+                values['memory_mb'], values['caller_memory_percent']
+            ),
+            caller_limits.connection_bound(values['max_connections']),
+            values['max_address_connections'],
+        ),
     )
 
 
--- a/src/mulberryquay/entry/entry_settings.py
+++ b/src/mulberryquay/entry/entry_settings.py
@@ -6,7 +6,7 @@
 
 from mulberryquay import settings
 from mulberryquay.coordination import units
-from mulberryquay.entry import dialect, prober, state
+from mulberryquay.entry import caller_limits, dialect, prober, state
 
 SERVE_STALE: typing.Final = 'serve'
 REFUSE_STALE: typing.Final = 'refuse'
@@ -222,6 +222,33 @@
         minimum=1,
         maximum=units.MIB,
     ),
+    settings.Setting(
+        'memory_mb',
+        0,
+        'memory of the machine for this process in MiB; 0 for all that '
+        '/proc/meminfo tells',
+        maximum=units.MIB * units.MIB,
+    ),
+    settings.Setting(
+        'caller_memory_percent',
+        caller_limits.MEMORY_PERCENT,
+        'part of this memory that connections, heads, bodies and buffered '
+        'answers of callers may hold, in percent',
+        minimum=1,
+        maximum=PERCENT,
+    ),
+    settings.Setting(
+        'max_connections',
+        0,
+        'connections of callers; beyond them, the one that waited longest '
+        'without a whole request is closed; 0 for three quarters of the '
+        'descriptors of this process',
+    ),
+    settings.Setting(
+        'max_address_connections',
+        0,
+        'connections of callers from one address; 0 for no bound of its own',
+    ),
     settings.Setting(
         'drain_ms',
         2 * units.SECOND_MS,
--- a/src/mulberryquay/entry/messages.py
+++ b/src/mulberryquay/entry/messages.py
@@ -90,6 +90,11 @@
         """Whether the connection is between two messages."""
         return not (self._events or self._in_message or self._error)
 
+    @property
+    def unfinished_bytes(self) -> int:
+        """Bytes received of a head that is not complete."""
+        return self._head_bytes if self._in_head else 0
+
     def on_message_begin(self) -> None:
         """Called by the parser."""
         self._start_head()
--- a/src/mulberryquay/entry/outcomes.py
+++ b/src/mulberryquay/entry/outcomes.py
@@ -41,6 +41,7 @@
     BODY_TOO_LARGE = 'body-too-large'
     REQUEST_CUT_SHORT = 'request-cut-short'
     REQUEST_TIMEOUT = 'request-timeout'
+    MEMORY_LIMIT = 'memory-limit'
     NO_CONFIGURATION = 'no-configuration'
     NO_ROUTE = 'no-route'
     UNKNOWN_ACCOUNT = 'unknown-account'
@@ -114,6 +115,7 @@
         Reason.ACCOUNT_LIMIT,
         Reason.OVER_RATE,
         Reason.NO_PERMIT,
+        Reason.MEMORY_LIMIT,
         Reason.NO_CONFIGURATION,
         Reason.NO_TARGET,
         Reason.OVERLOADED,
--- a/src/mulberryquay/entry/request_body.py
+++ b/src/mulberryquay/entry/request_body.py
@@ -2,21 +2,29 @@
 
 from __future__ import annotations
 
+import contextlib
 import typing
 
-from mulberryquay.coordination import wait_limit
+from gevent import socket
+
+from mulberryquay.coordination import memory_account, wait_limit
 from mulberryquay.entry import (
     admission,
+    caller_limits,
     http_heads,
     messages,
     outcomes,
     routing,
+    state,
 )
 
 #: Size of the beginning of a body that is buffered before a target is chosen.
 #: Only requests that fit can be sent to a second target.
 REPLAY_BYTES: typing.Final = 65536
 
+#: A body up to this size is never refused for the memory that others hold.
+_SMALL_BYTES: typing.Final = 16384
+
 _CONTINUE: typing.Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -29,8 +37,23 @@
         connection: typing.Any,
         reader: messages.RequestReader,
         head: http_heads.RequestHead,
+        entry_state: state.EntryState,
+        part: memory_account.Part,
     ) -> None:
-        """Reads the body that follows ``head`` on ``reader``."""
+        """Reads the body that follows ``head`` on ``reader``.
+
+        What it holds is counted in ``part``.
+        """
+        self._state = entry_state
+        self._part = part
+        self._expected_bytes = (
+            REPLAY_BYTES
+            if head.framing is http_heads.Framing.CHUNKED
+            else min(head.length, REPLAY_BYTES)
+        )
+        #: What was counted in the part.
+        self.held_bytes = 0
+        self._gives_way = False
         self._socket = connection
         self._reader = reader
         self._expects_continue = head.find(b'expect') is not None
@@ -53,6 +76,8 @@
         """
         if self._is_read:
             return b''
+        if self._expected_bytes > _SMALL_BYTES:
+            self._make_room(self._expected_bytes)
         if self._expects_continue:
             self._socket.sendall(_CONTINUE)
         parts = []
@@ -61,6 +86,9 @@
             if part is None:
                 break
             parts.append(part)
+            self._hold(len(part))
+            if self.held_bytes > _SMALL_BYTES:
+                self._make_room(0)
         admission.check_length(service, self._size)
         return b''.join(parts)
 
@@ -71,6 +99,7 @@
 
         Raises RefusedError, possibly after a target received some of it.
         """
+        self._hold(messages.READ_BYTES)
         while True:
             part = self._read_part(limit)
             if part is None:
@@ -82,6 +111,23 @@
                 )
             yield part
 
+    def give_way(self) -> None:
+        """Ends the wait for the rest of the body."""
+        self._gives_way = True
+        with contextlib.suppress(OSError):
+            self._socket.shutdown(socket.SHUT_RD)
+
+    def _hold(self, size: int) -> None:
+        self.held_bytes += size
+        self._part.add(size)
+
+    def _make_room(self, size: int) -> None:
+        """Raises RefusedError if callers would hold too much."""
+        if self._state.memory.make_room(size):
+            return
+        self._state.limit_notes.note(caller_limits.Limit.MEMORY)
+        raise _memory_refusal()
+
     def _read_part(self, limit: wait_limit.WaitLimit) -> bytes | None:
         self._reader.wait_limit = limit
         try:
@@ -98,11 +144,14 @@
                 'the rest of the request did not arrive in time',
             ) from error
         except (http_heads.CutShortError, OSError) as error:
+            if self._gives_way:
+                raise _memory_refusal() from error
             raise outcomes.not_run(
                 outcomes.Reason.REQUEST_CUT_SHORT,
                 'the caller closed the connection before the end of its '
                 'request',
             ) from error
+        self._part.progressed_at = self._state.clock.now()
         if part is None:
             self._is_read = True
             self._reader.wait_limit = None
@@ -110,3 +159,10 @@
         else:
             self._size += len(part)
         return part
+
+
+def _memory_refusal() -> outcomes.RefusedError:
+    return outcomes.not_run(
+        outcomes.Reason.MEMORY_LIMIT,
+        'callers hold too much memory of this entry for a large body',
+    )
--- a/src/mulberryquay/entry/state.py
+++ b/src/mulberryquay/entry/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import itertools
 import random
 import typing
@@ -10,6 +11,7 @@
 from mulberryquay.coordination import (
     clock,
     retry_budget,
+    memory_account,
     shares,
     watchdog,
 )
@@ -18,6 +20,7 @@
     account_rates,
     account_slots,
     balancer,
+    caller_limits,
     caller_watch,
     claim_client,
     competition,
@@ -124,6 +127,7 @@
         '1 while a control host confirms that the configuration is current.',
         is_gauge=True,
     ),
+    *caller_limits.METRICS,
     *leased_rates.METRICS,
     *load_metrics.METRICS,
 )
@@ -170,6 +174,7 @@
     #: Whether requests that wait are served in fair order, and refused when
     #: they won't be in time.
     orders_fairly: bool = False
+    caller_bounds: caller_limits.Bounds = caller_limits.Bounds()
 
 
 @typing.final
@@ -195,6 +200,17 @@
         self.region = region
         self.clock = time_source or clock.Clock()
         self.metrics = metrics.Metrics(METRICS)
+        self.limit_notes = caller_limits.LimitNotes(self.metrics, self.clock)
+        bounds = self.options.caller_bounds
+        #: What callers hold in memory.
+        self.memory = memory_account.MemoryAccount(
+            bounds.memory_bytes,
+            self.clock,
+            functools.partial(
+                self.limit_notes.note, caller_limits.Limit.MEMORY_HELD
+            ),
+        )
+        self.connections = caller_limits.Connections(bounds, self.limit_notes)
         self.routing_table = routing.RoutingTable({})
         self.share_view = shares.ShareView(name)
         target_context = targets.TargetContext(
--- /dev/null
+++ b/testing/entry/test_caller_limits.py
@@ -0,0 +1,117 @@
+"""Tests of the bounds of what callers hold (issue 45)."""
+
+from __future__ import annotations
+
+import typing
+import unittest
+
+from mulberryquay import metrics
+from mulberryquay.coordination import clock, units
+from mulberryquay.entry import caller_limits
+from testing import fixtures
+
+CASE: typing.Final = unittest.TestCase()
+
+_LARGE_BYTES: typing.Final = 60_000
+
+
+class _Connection:
+    """A connection that only notes that it must make place."""
+
+    def __init__(self) -> None:
+        self.is_closed = False
+
+    def make_place(self) -> None:
+        """Notes the call."""
+        self.is_closed = True
+
+
+def _connections(**bounds: int) -> caller_limits.Connections:
+    notes = caller_limits.LimitNotes(
+        metrics.Metrics(caller_limits.METRICS), clock.ManualClock()
+    )
+    return caller_limits.Connections(caller_limits.Bounds(**bounds), notes)
+
+
+def _opened(
+    connections: caller_limits.Connections, *addresses: str
+) -> list[_Connection]:
+    opened = []
+    for address in addresses:
+        CASE.assertTrue(connections.admit(address))
+        opened.append(_Connection())
+        connections.add(opened[-1], address)
+    return opened
+
+
+def test_longest_wait_ends_for_a_new_connection() -> None:
+    """A connection whose request is served must stay (issue 45)."""
+    connections = _connections(connections=3)
+    served, first, second = _opened(connections, 'a', 'b', 'c')
+    connections.begin_request(served)
+    CASE.assertTrue(connections.admit('d'))
+    CASE.assertEqual([first.is_closed, second.is_closed], [True, False])
+    connections.remove(first)
+    CASE.assertEqual(len(connections), 2)
+    connections.begin_request(second)
+    _opened(connections, 'd')
+    connections.end_requests(served)
+    CASE.assertTrue(connections.admit('e'))
+    CASE.assertFalse(served.is_closed)
+
+
+def test_new_connection_is_closed_if_all_others_are_served() -> None:
+    """Requests being served must not end for it (issue 45)."""
+    connections = _connections(connections=1)
+    served = _opened(connections, 'a')[0]
+    connections.begin_request(served)
+    CASE.assertFalse(connections.admit('b'))
+    connections.end_requests(served)
+    CASE.assertTrue(connections.admit('b'))
+    CASE.assertTrue(served.is_closed)
+
+
+def test_bound_of_an_address_ends_only_its_own_connections() -> None:
+    """Others must not lose theirs to one address (issue 45)."""
+    connections = _connections(address_connections=1)
+    other, own = _opened(connections, 'a', 'b')
+    CASE.assertTrue(connections.admit('b'))
+    CASE.assertEqual([other.is_closed, own.is_closed], [False, True])
+
+
+def test_bounds_are_derived_from_the_machine() -> None:
+    """A default must be neither none nor below what is in use."""
+    given = caller_limits.memory_bound(96, 25)
+    CASE.assertEqual(given, 24 * units.MIB)
+    derived = caller_limits.memory_bound(0, 100)
+    CASE.assertGreater(derived, given)
+    CASE.assertLess(derived, units.MAX_INT64)
+    CASE.assertEqual(caller_limits.connection_bound(7), 7)
+    CASE.assertGreater(caller_limits.connection_bound(0), 0)
+
+
+def test_large_body_is_refused_while_callers_hold_too_much() -> None:
+    """It is not run, small ones pass, and all is given back (issue 45)."""
+    with fixtures.control() as control, fixtures.entry(control) as entry:
+        control.declare()
+        control.wait_in_force()
+        with fixtures.announced_target(control, 'stock-a'):
+            fixtures.wait_for_targets(entry, 'stock-a')
+            memory = entry.state.memory
+            whole_limit = memory.limit
+            memory.limit = _LARGE_BYTES
+            refused = fixtures.ask(
+                entry, '/stock/x', method='POST', body=b'x' * _LARGE_BYTES
+            )
+            CASE.assertEqual(refused.status, 503)
+            CASE.assertEqual(
+                refused.headers['mulberryquay-reason'], 'memory-limit'
+            )
+            CASE.assertEqual(refused.headers['mulberryquay-outcome'], 'not-run')
+            CASE.assertIn('retry-after', refused.headers)
+            small = fixtures.ask(
+                entry, '/stock/x', method='POST', body=b'x' * 1000
+            )
+            CASE.assertEqual(small.status, 200)
+            memory.limit = whole_limit
+            fixtures.wait_until(lambda: memory.held_bytes == 0)
--- a/testing/platform_adapter/test_node.py
+++ b/testing/platform_adapter/test_node.py
@@ -47,6 +47,20 @@
     CASE.assertTrue(control['found'])
 
 
+def test_entry_gets_the_limits_of_its_process() -> None:
+    """Callers must not take more than the platform allows (issue 45)."""
+    limits = '[self.limits]\nmemory_mb = 300\nfile_descriptor_limit = 4100\n'
+    described = _read(
+        samples.SETTINGS.replace('[network]', f'{limits}[network]', 1)
+    )
+    values = node.settings_for_role('entry', described)
+    CASE.assertEqual(values['memory_mb'], 300)
+    CASE.assertEqual(values['max_connections'], 2925)
+    unnamed = node.settings_for_role('entry', _read(samples.SETTINGS))
+    CASE.assertEqual(unnamed['memory_mb'], 0)
+    CASE.assertEqual(unnamed['max_connections'], 0)
+
+
 def test_requests_are_ordered_fairly_only_where_accounts_compete() -> None:
     """Other installations must be served as before."""
     described = _read(samples.SETTINGS)
