--- a/src/mulberryquay/entry/caller.py
+++ b/src/mulberryquay/entry/caller.py
@@ -25,6 +25,7 @@
     http_heads,
     messages,
     outcomes,
+    request_body,
     state,
 )
 
@@ -89,8 +90,8 @@
         self._part.add(_CONNECTION_BYTES)
         #: What is counted of a head that is not complete.
         self._head_bytes = 0
-        #: The request whose body is being read, if any.
-        self._read_exchange: exchange.Exchange | None = None
+        #: The body that is being read, if any.
+        self._body: request_body.RequestBody | None = None
         #: Whether an answer could not be sent to its end.
         self._is_broken = False
         self._has_served = False
@@ -107,16 +108,16 @@
     @property
     def waits_for_bytes(self) -> bool:
         """Whether only bytes of the caller can end the wait."""
-        if self._read_exchange is not None:
+        if self._body is not None:
             return True
         return not (self._row or self._is_peer)
 
     def give_way(self) -> None:
         """Ends the wait for bytes, as others need the memory."""
-        if self._read_exchange is None:
+        if self._body is None:
             self._end()
         else:
-            self._read_exchange.give_way()
+            self._body.give_way()
 
     def make_place(self) -> None:
         """Ends a connection without a whole request for another one."""
@@ -261,21 +262,23 @@
         # Slow ones may hold what this request needs, also at its target.
         self._state.memory.make_room(0)
         turn = self._row.enter(head.size)
+        body = request_body.RequestBody(
+            self._socket, self._reader, head, self._state, self._part
+        )
         served = exchange.Exchange(
             self._state,
             self._socket,
-            self._reader,
             head,
+            body,
             turn,
-            self._part,
             is_relayed=self._is_peer,
         )
         turn.task = gevent.spawn(self._serve, served, turn)
         turn.task.rawlink(turn.leave_if_killed)
         if head.framing is not http_heads.Framing.NONE:
-            self._read_exchange = served
+            self._body = body
             served.body_ended.wait()
-            self._read_exchange = None
+            self._body = None
 
     def _serve(self, served: exchange.Exchange, turn: answer_row.Turn) -> None:
         self._state.in_flight += 1
--- a/src/mulberryquay/entry/exchange.py
+++ b/src/mulberryquay/entry/exchange.py
@@ -8,7 +8,7 @@
 import gevent
 from gevent import event
 
-from mulberryquay.coordination import memory_account, wait_limit
+from mulberryquay.coordination import wait_limit
 from mulberryquay.entry import (
     account_slots,
     admission,
@@ -19,7 +19,6 @@
     header_names,
     http_heads,
     keyed,
-    messages,
     outcomes,
     outgoing,
     request_body,
@@ -40,17 +39,16 @@
         self,
         entry_state: state.EntryState,
         connection: typing.Any,
-        reader: messages.RequestReader,
         head: http_heads.RequestHead,
+        body: request_body.RequestBody,
         turn: answer_row.Turn,
-        part: memory_account.Part,
         *,
         is_relayed: bool,
     ) -> None:
-        """Prepares to serve the request whose ``head`` came from ``reader``.
+        """Prepares to serve the request with ``head`` and ``body``.
 
         Its answer is sent in its ``turn``. ``is_relayed`` says that another
-        entry relayed it. What it holds is counted in ``part``.
+        entry relayed it.
         """
         self._turn = turn
         #: Set once the whole request was read from the connection.
@@ -59,11 +57,7 @@
         self._state = entry_state
         self._socket = connection
         self._head = head
-        self._part = part
-        self._answer_bytes = 0
-        self._body = request_body.RequestBody(
-            connection, reader, head, entry_state, part
-        )
+        self._body = body
         self._request_id = entry_state.request_id_from(
             head.find(entry_state.dialect.request_id)
         )
@@ -98,10 +92,6 @@
         admitted = self._admission
         return admitted is not None and admitted.route.service_class.idempotent
 
-    def give_way(self) -> None:
-        """Ends the wait for the rest of the request's body."""
-        self._body.give_way()
-
     def handle_caller_gone(self) -> None:
         """Cancels the request after its caller closed the connection.
 
@@ -129,7 +119,7 @@
             self._note_failure(error)
             raise
         finally:
-            self._part.add(-self._body.held_bytes - self._answer_bytes)
+            self._body.hold(-self._body.held_bytes)
             if self._account_slot is not None:
                 self._account_slot.release()
             self._record_outcome()
@@ -241,8 +231,7 @@
         """Sends a target's answer; returns whether to keep the connection."""
         active_forwarder = typing.cast(forwarder.Forwarder, self._forwarder)
         if received.body is not None:
-            self._answer_bytes = len(received.body)
-            self._part.add(self._answer_bytes)
+            self._body.hold(len(received.body))
             # The target is free again however slowly the caller reads.
             active_forwarder.finish(received)
         self._wait_for_turn(received)
--- a/src/mulberryquay/entry/messages.py
+++ b/src/mulberryquay/entry/messages.py
@@ -14,7 +14,7 @@
 import httptools
 
 from mulberryquay.coordination import read_turn, wait_limit
-from mulberryquay.entry import header_names, http_heads
+from mulberryquay.entry import head_lines, header_names, http_heads
 
 READ_BYTES: typing.Final = read_turn.MAX_TURN_BYTES
 
@@ -27,9 +27,6 @@
 #: Largest piece that is read while a head is expected.
 _HEAD_READ_BYTES: typing.Final = 16384
 
-#: Bytes of a header line as sent beside its name and value.
-_LINE_BYTES: typing.Final = 3
-
 #: Limit of what is read without a part of the body or the end of the message:
 #: chunk sizes with extensions, and trailers.
 MAX_FRAMING_BYTES: typing.Final = 65536
@@ -39,12 +36,7 @@
 
 #: Statuses of answers that never have a body.
 NO_BODY_STATUSES: typing.Final = frozenset((204, 304))
-_STANDARD_CONNECTION_TOKENS: typing.Final = frozenset((b'close', b'keep-alive'))
 _FIRST_FINAL_STATUS: typing.Final = 200
-#: Headers that are an error if they stand twice.
-_FRAMING_HEADERS: typing.Final = frozenset(
-    (b'content-length', b'transfer-encoding')
-)
 _VERSIONS: typing.Final = frozenset(('1.0', '1.1'))
 _SWITCHING_PROTOCOLS: typing.Final = 101
 
@@ -68,12 +60,9 @@
         self._socket = connection
         self._header_filter = header_filter
         self._events: collections.deque[typing.Any] = collections.deque()
-        self._lines = bytearray()
-        self._connection_tokens = bytearray()
-        self._known_headers: http_heads.Headers = []
-        #: Bytes received and parsed of the head that is being read.
+        self._lines = head_lines.HeadLines(header_filter)
+        #: Bytes received of the head that is being read.
         self._head_bytes = 0
-        self._parsed_bytes = 0
         self._framing_bytes = 0
         self._turn = read_turn.ReadTurn()
         self._error: http_heads.MessageError | None = None
@@ -97,19 +86,14 @@
 
     def on_message_begin(self) -> None:
         """Called by the parser."""
-        self._start_head()
+        self._lines = head_lines.HeadLines(self._header_filter)
         self._in_message = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Called by the parser, also for trailers, which are dropped."""
         if not self._in_head:
             return
-        self._count_parsed(len(name) + len(value) + _LINE_BYTES)
-        name = name.lower()
-        if name in self._header_filter.known_headers:
-            self._keep_known(name, value)
-        if name not in self._header_filter.not_forwarded:
-            self._lines += b'%b: %b\r\n' % (name, value)
+        self._lines.add(name, value, self.max_head_bytes)
 
     def on_body(self, body: bytes) -> None:
         """Called by the parser."""
@@ -176,7 +160,7 @@
     def drop(self) -> None:
         """Frees what was kept beside the events; ends the reading."""
         self._parser = None
-        self._start_head()
+        self._lines = head_lines.HeadLines(self._header_filter)
 
     def _receive_piece(self) -> int:
         """Receives and parses bytes; returns their number.
@@ -208,34 +192,9 @@
             )
         limit = self.max_head_bytes + _HEAD_SLACK_BYTES
         if self._in_head and self._head_bytes > limit and not self._error:
-            self._error = self._too_large(self._head_bytes)
-
-    def _too_large(self, size: int) -> http_heads.HeadTooLargeError:
-        return http_heads.HeadTooLargeError(
-            f'got a head of {size} bytes or more, expected at most '
-            f'{self.max_head_bytes}',
-        )
-
-    def _count_parsed(self, size: int) -> None:
-        """Raises HeadTooLargeError if the head is larger than its limit."""
-        self._parsed_bytes += size
-        if self._parsed_bytes > self.max_head_bytes:
-            raise self._too_large(self._parsed_bytes)
-
-    def _start_head(self) -> None:
-        self._lines = bytearray()
-        self._connection_tokens = bytearray()
-        self._known_headers = []
-        self._parsed_bytes = 0
-
-    def _keep_known(self, name: bytes, value: bytes) -> None:
-        """Keeps a header that is read, so that their number is bounded."""
-        if name == b'connection':
-            self._connection_tokens += value + b','
-            return
-        count = sum(1 for kept, _ in self._known_headers if kept == name)
-        if count <= (name in _FRAMING_HEADERS):
-            self._known_headers.append((name, value))
+            self._error = head_lines.too_large(
+                self._head_bytes, self.max_head_bytes
+            )
 
     def _check_framing_size(self, received: int) -> None:
         self._framing_bytes += received
@@ -251,19 +210,6 @@
         self._events.append(head)
         self._in_head = False
 
-    def _end_to_end_headers(self) -> http_heads.HeaderBlock:
-        """Returns the headers to forward, less those Connection lists."""
-        headers = http_heads.HeaderBlock(bytes(self._lines))
-        self._lines = bytearray()
-        if not self._connection_tokens:
-            return headers
-        listed = bytes(self._connection_tokens).rstrip(b',')
-        self._known_headers.append((b'connection', listed))
-        tokens = listed.lower()
-        if tokens in _STANDARD_CONNECTION_TOKENS:
-            return headers
-        return headers.without({token.strip() for token in tokens.split(b',')})
-
 
 @typing.final
 class RequestReader(_Reader):
@@ -290,9 +236,14 @@
         self._url = b''
         self._on_begin()
 
+    def drop(self) -> None:
+        """Frees what was kept beside the events; ends the reading."""
+        super().drop()
+        self._url = b''
+
     def on_url(self, url: bytes) -> None:
         """Called by the parser, possibly once per part."""
-        self._count_parsed(len(url))
+        self._lines.count(len(url), self.max_head_bytes)
         self._url += url
 
     def on_headers_complete(self) -> None:
@@ -306,12 +257,12 @@
             raise http_heads.UpgradeNotSupportedError(
                 'protocol upgrades and CONNECT are not supported',
             )
-        framing, length = http_heads.body_framing(self._known_headers)
+        framing, length = http_heads.body_framing(self._lines.known)
         head = http_heads.RequestHead(
             self._parser.get_method(),
             self._url,
-            self._end_to_end_headers(),
-            self._known_headers,
+            self._lines.finish(),
+            self._lines.known,
             framing,
             length,
             self._parser.should_keep_alive(),
@@ -366,7 +317,7 @@
         """Called by the parser."""
         status = self._parser.get_status_code()
         self._count_interim_answers(status)
-        framing, length = http_heads.body_framing(self._known_headers)
+        framing, length = http_heads.body_framing(self._lines.known)
         if status in NO_BODY_STATUSES or status < _FIRST_FINAL_STATUS:
             framing = http_heads.Framing.NONE
         elif framing is http_heads.Framing.NONE and length < 0:
@@ -374,8 +325,8 @@
         self._queue_head(
             http_heads.ResponseHead(
                 status,
-                self._end_to_end_headers(),
-                self._known_headers,
+                self._lines.finish(),
+                self._lines.known,
                 framing,
                 max(length, 0),
                 self._parser.should_keep_alive(),
--- a/src/mulberryquay/entry/request_body.py
+++ b/src/mulberryquay/entry/request_body.py
@@ -51,7 +51,7 @@
             if head.framing is http_heads.Framing.CHUNKED
             else min(head.length, REPLAY_BYTES)
         )
-        #: What was counted in the part.
+        #: What is counted in the part for the request.
         self.held_bytes = 0
         self._gives_way = False
         self._socket = connection
@@ -86,7 +86,7 @@
             if part is None:
                 break
             parts.append(part)
-            self._hold(len(part))
+            self.hold(len(part))
             if self.held_bytes > _SMALL_BYTES:
                 self._make_room(0)
         admission.check_length(service, self._size)
@@ -99,7 +99,7 @@
 
         Raises RefusedError, possibly after a target received some of it.
         """
-        self._hold(messages.READ_BYTES)
+        self.hold(messages.READ_BYTES)
         while True:
             part = self._read_part(limit)
             if part is None:
@@ -111,16 +111,17 @@
                 )
             yield part
 
+    def hold(self, size: int) -> None:
+        """Counts ``size`` bytes more for the request; fewer if negative."""
+        self.held_bytes += size
+        self._part.add(size)
+
     def give_way(self) -> None:
         """Ends the wait for the rest of the body."""
         self._gives_way = True
         with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_RD)
 
-    def _hold(self, size: int) -> None:
-        self.held_bytes += size
-        self._part.add(size)
-
     def _make_room(self, size: int) -> None:
         """Raises RefusedError if callers would hold too much."""
         if self._state.memory.make_room(size):
