--- a/src/mulberryquay/coordination/memory_account.py
+++ b/src/mulberryquay/coordination/memory_account.py
@@ -24,7 +24,7 @@
         """Holds nothing yet."""
         self._account = account
         self.held_bytes = 0
-        #: When the holder last got bytes, on the account's clock.
+        #: When the holder last got bytes or began to send.
         self.progressed_at = now
         #: Whether the holder was asked to give way.
         self.gives_way = False
@@ -39,8 +39,8 @@
     """A peer's connection."""
 
     @property
-    def waits_for_bytes(self) -> bool:
-        """Whether it waits for its peer, so that it may give way."""
+    def waits_for_peer(self) -> bool:
+        """Whether only its peer can end its wait, so it may give way."""
 
     def give_way(self) -> None:
         """Frees soon what it holds; must not block."""
@@ -64,6 +64,11 @@
         self._holders: dict[Part, Holder] = {}
         self._next_search = -math.inf
 
+    @property
+    def is_over(self) -> bool:
+        """Whether more is held than the limit."""
+        return self.held_bytes > self.limit
+
     def open(self, holder: Holder) -> Part:
         """Returns the part of a new holder."""
         part = Part(self, self._clock.now())
@@ -104,4 +109,4 @@
     def _is_slow(self, part: Part, now: float) -> bool:
         is_late = now - part.progressed_at >= SLOW_MS
         may_end = is_late and not part.gives_way
-        return may_end and self._holders[part].waits_for_bytes
+        return may_end and self._holders[part].waits_for_peer
--- a/src/mulberryquay/entry/answer_row.py
+++ b/src/mulberryquay/entry/answer_row.py
@@ -33,7 +33,7 @@
 class Turn:
     """The place of one request in the row of its connection."""
 
-    __slots__ = ('_row', 'size', 'task', 'turn_came')
+    __slots__ = ('_row', 'is_sending', 'size', 'task', 'turn_came')
 
     def __init__(self, row: AnswerRow, size: int) -> None:
         """Belongs to ``row``; ``size`` is that of the request in bytes."""
@@ -41,6 +41,8 @@
         self.size = size
         #: The task that serves the request, once it is started.
         self.task: gevent.Greenlet | None = None
+        #: Whether a buffered answer is being sent.
+        self.is_sending = False
         #: Set when all answers ahead are sent; None until one waits for it.
         self.turn_came: event.Event | None = None
 
@@ -101,6 +103,11 @@
         """The size of the requests that are not answered, in bytes."""
         return self._size
 
+    @property
+    def is_sending(self) -> bool:
+        """Whether a buffered answer is being sent."""
+        return bool(self._turns) and self._turns[0].is_sending
+
     def enter(self, size: int) -> Turn:
         """Adds a request of ``size`` bytes behind all others."""
         turn = Turn(self, size)
--- a/src/mulberryquay/entry/caller.py
+++ b/src/mulberryquay/entry/caller.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import math
 import select
@@ -106,15 +107,18 @@
         return not self._row and self._reader.is_between_messages
 
     @property
-    def waits_for_bytes(self) -> bool:
-        """Whether only bytes of the caller can end the wait."""
-        if self._body is not None:
+    def waits_for_peer(self) -> bool:
+        """Whether only the caller can end the wait."""
+        if self._body is not None or self._row.is_sending:
             return True
         return not (self._row or self._is_peer)
 
     def give_way(self) -> None:
-        """Ends the wait for bytes, as others need the memory."""
-        if self._body is None:
+        """Ends the wait for the caller, as others need the memory."""
+        if self._body is None and self._row.is_sending:
+            with contextlib.suppress(OSError):
+                self._socket.shutdown(socket.SHUT_RDWR)
+        elif self._body is None:
             self._end()
         else:
             self._body.give_way()
@@ -169,7 +173,8 @@
             self._start_exchange(head)
             keeps_reading = head.keeps_alive
             options = self._state.options.pipelining
-            self._wait_for_row(options.max_requests - 1)
+            ahead = options.max_requests - 1
+            self._wait_for_row(0 if self._state.memory.is_over else ahead)
             while self._row.size > options.max_bytes:
                 self._wait_for_row(len(self._row) - 1)
             if not self._reader.is_between_messages:
@@ -195,7 +200,7 @@
                 self._check_between_messages()
                 return None
             if not self._hold_head():
-                self._refuse(self._memory_refusal())
+                self._refuse(request_body.memory_refusal())
                 return None
 
     def _hold_head(self) -> bool:
@@ -210,12 +215,6 @@
         self._state.limit_notes.note(caller_limits.Limit.MEMORY)
         return False
 
-    def _memory_refusal(self) -> outcomes.RefusedError:
-        return outcomes.not_run(
-            outcomes.Reason.MEMORY_LIMIT,
-            'callers hold too much memory of this entry for a large head',
-        )
-
     def _may_serve_another(self) -> bool:
         """Waits, while the entry stops, until the answers ahead are sent.
 
@@ -256,6 +255,7 @@
     def _start_exchange(self, head: http_heads.RequestHead) -> None:
         """Starts to serve a request; returns once its body is read."""
         self._has_served = True
+        self._makes_place = False
         self.deadline = math.inf
         self._state.connections.begin_request(self)
         self._part.add(head.size)
@@ -326,15 +326,13 @@
         """Answers a request whose head was not complete in time, if any."""
         if self._reader.is_between_messages or self._makes_place:
             return
-        if self._part.gives_way:
-            self._refuse(self._memory_refusal())
-            return
-        self._refuse(
-            outcomes.not_run(
-                outcomes.Reason.REQUEST_TIMEOUT,
-                'the head of the request was not complete in time',
-            ),
+        refusal = outcomes.not_run(
+            outcomes.Reason.REQUEST_TIMEOUT,
+            'the head of the request was not complete in time',
         )
+        if self._part.gives_way:
+            refusal = request_body.memory_refusal()
+        self._refuse(refusal)
 
     def _refuse_message(self, error: http_heads.MessageError) -> None:
         """Answers a message that is not a valid request."""
@@ -390,11 +388,9 @@
         self._reader.drop()
         self._state.memory.close(self._part)
         try:
-            if self._makes_place:
-                """Closes at once: its descriptor is needed."""
-            elif is_graceful:
+            if is_graceful and not self._makes_place:
                 self._discard_unread_input()
-            else:
+            elif not is_graceful:
                 sockets.set_reset_on_close(self._socket, is_reset=True)
         except OSError as error:
             _LOG.debug(
--- a/src/mulberryquay/entry/exchange.py
+++ b/src/mulberryquay/entry/exchange.py
@@ -236,6 +236,9 @@
             active_forwarder.finish(received)
         self._wait_for_turn(received)
         self._status = received.head.status
+        if received.body is not None:
+            self._turn.is_sending = True
+            self._body.note_progress()
         try:
             keeps_alive = answers.send_answer(
                 self._socket,
--- a/src/mulberryquay/entry/request_body.py
+++ b/src/mulberryquay/entry/request_body.py
@@ -116,6 +116,10 @@
         self.held_bytes += size
         self._part.add(size)
 
+    def note_progress(self) -> None:
+        """Notes that the caller is not slow now."""
+        self._part.progressed_at = self._state.clock.now()
+
     def give_way(self) -> None:
         """Ends the wait for the rest of the body."""
         self._gives_way = True
@@ -127,7 +131,7 @@
         if self._state.memory.make_room(size):
             return
         self._state.limit_notes.note(caller_limits.Limit.MEMORY)
-        raise _memory_refusal()
+        raise memory_refusal()
 
     def _read_part(self, limit: wait_limit.WaitLimit) -> bytes | None:
         self._reader.wait_limit = limit
@@ -146,13 +150,13 @@
             ) from error
         except (http_heads.CutShortError, OSError) as error:
             if self._gives_way:
-                raise _memory_refusal() from error
+                raise memory_refusal() from error
             raise outcomes.not_run(
                 outcomes.Reason.REQUEST_CUT_SHORT,
                 'the caller closed the connection before the end of its '
                 'request',
             ) from error
-        self._part.progressed_at = self._state.clock.now()
+        self.note_progress()
         if part is None:
             self._is_read = True
             self._reader.wait_limit = None
@@ -162,8 +166,9 @@
         return part
 
 
-def _memory_refusal() -> outcomes.RefusedError:
+def memory_refusal() -> outcomes.RefusedError:
+    """Returns the error for a request that would hold too much."""
     return outcomes.not_run(
         outcomes.Reason.MEMORY_LIMIT,
-        'callers hold too much memory of this entry for a large body',
+        'callers hold too much memory of this entry',
     )
--- a/testing/coordination/test_memory_account.py
+++ b/testing/coordination/test_memory_account.py
@@ -13,8 +13,8 @@
 class _Holder:
     """A holder that only notes that it was asked to give way."""
 
-    def __init__(self, *, waits_for_bytes: bool = True) -> None:
-        self.waits_for_bytes = waits_for_bytes
+    def __init__(self, *, waits_for_peer: bool = True) -> None:
+        self.waits_for_peer = waits_for_peer
         self.gave_way = False
 
     def give_way(self) -> None:
@@ -37,9 +37,7 @@
     time_source = clock.ManualClock()
     account, given_way = _account(time_source)
     sizes = {'small': 10, 'large': 30, 'larger': 35, 'served': 40, 'fast': 50}
-    holders = {
-        name: _Holder(waits_for_bytes=name != 'served') for name in sizes
-    }
+    holders = {name: _Holder(waits_for_peer=name != 'served') for name in sizes}
     parts = {name: account.open(holder) for name, holder in holders.items()}
     for name, size in sizes.items():
         parts[name].add(size)
--- a/testing/entry/test_caller_limits.py
+++ b/testing/entry/test_caller_limits.py
@@ -2,18 +2,26 @@
 
 from __future__ import annotations
 
+import contextlib
 import typing
 import unittest
 
+from gevent import socket
+
 from mulberryquay import metrics
 from mulberryquay.coordination import clock, units
 from mulberryquay.entry import caller_limits
+from mulberryquay.standin import target
 from testing import fixtures
 
 CASE: typing.Final = unittest.TestCase()
 
 _LARGE_BYTES: typing.Final = 60_000
 
+#: Requests whose answers fill any buffer of the system.
+_MANY: typing.Final = 1000
+_SEND_TIMEOUT_S: typing.Final = 0.2
+
 
 class _Connection:
     """A connection that only notes that it must make place."""
@@ -90,6 +98,39 @@
     CASE.assertGreater(caller_limits.connection_bound(0), 0)
 
 
+def test_answers_that_nobody_reads_give_way() -> None:
+    """They were kept for as long as the caller stayed (issue 45)."""
+    with (
+        fixtures.control() as control,
+        fixtures.entry(control) as entry,
+        contextlib.ExitStack() as stack,
+    ):
+        control.declare()
+        control.wait_in_force()
+        large = fixtures.announced_target(
+            control,
+            'stock-a',
+            lambda _request: target.Answer(body=b'x' * _LARGE_BYTES),
+        )
+        stack.enter_context(large)
+        fixtures.wait_for_targets(entry, 'stock-a')
+        connection = stack.enter_context(
+            contextlib.closing(
+                socket.create_connection(('127.0.0.1', entry.port))
+            )
+        )
+        memory = entry.state.memory
+        connection.settimeout(_SEND_TIMEOUT_S)
+        request = fixtures.request_bytes('/stock/x')
+        with contextlib.suppress(TimeoutError):
+            connection.sendall(request * _MANY)
+        fixtures.wait_until(lambda: memory.held_bytes >= _LARGE_BYTES)
+        memory.limit = 1
+        fixtures.wait_until(lambda: memory.make_room(0))
+        memory.limit = units.MAX_INT64
+        fixtures.wait_until(lambda: memory.held_bytes == 0)
+
+
 def test_large_body_is_refused_while_callers_hold_too_much() -> None:
     """It is not run, small ones pass, and all is given back (issue 45)."""
     with fixtures.control() as control, fixtures.entry(control) as entry:
