--- a/src/mulberryquay/entry/caller.py
+++ b/src/mulberryquay/entry/caller.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import math
 import select
@@ -20,15 +21,23 @@
 from mulberryquay.entry import (
     answer_row,
     answers,
+    caller_limits,
     exchange,
     http_heads,
     messages,
     outcomes,
+    request_body,
     state,
 )
 
 _DISCARD_TIMEOUT_MS: typing.Final = 1000.0
 
+#: Memory of a connection beside what is read and sent on it.
+_CONNECTION_BYTES: typing.Final = 16384
+
+#: An unfinished head up to this size never ends for the memory of others.
+_SMALL_HEAD_BYTES: typing.Final = 4096
+
 #: How long a stopping entry waits for the first request of a connection.
 _FIRST_REQUEST_MS: typing.Final = 500.0
 
@@ -76,6 +85,14 @@
         self._poll.register(connection.fileno(), select.POLLIN)
         #: Whether to end once no more bytes have arrived.
         self._is_ending = False
+        #: Whether to close without waiting for the caller's end.
+        self._makes_place = False
+        self._part = entry_state.memory.open(self)
+        self._part.add(_CONNECTION_BYTES)
+        #: What is counted of a head that is not complete.
+        self._head_bytes = 0
+        #: The body that is being read, if any.
+        self._body: request_body.RequestBody | None = None
         #: Whether an answer could not be sent to its end.
         self._is_broken = False
         self._has_served = False
@@ -89,6 +106,28 @@
         """Whether no request is being served or was read in part."""
         return not self._row and self._reader.is_between_messages
 
+    @property
+    def waits_for_peer(self) -> bool:
+        """Whether only the caller can end the wait."""
+        if self._body is not None or self._row.is_sending:
+            return True
+        return not (self._row or self._is_peer)
+
+    def give_way(self) -> None:
+        """Ends the wait for the caller, as others need the memory."""
+        if self._body is None and self._row.is_sending:
+            with contextlib.suppress(OSError):
+                self._socket.shutdown(socket.SHUT_RDWR)
+        elif self._body is None:
+            self._end()
+        else:
+            self._body.give_way()
+
+    def make_place(self) -> None:
+        """Ends a connection without a whole request for another one."""
+        self._makes_place = True
+        self._end()
+
     def run(self) -> None:
         """Serves requests until the connection ends, then closes it."""
         is_graceful = False
@@ -134,7 +173,8 @@
             self._start_exchange(head)
             keeps_reading = head.keeps_alive
             options = self._state.options.pipelining
-            self._wait_for_row(options.max_requests - 1)
+            ahead = options.max_requests - 1
+            self._wait_for_row(0 if self._state.memory.is_over else ahead)
             while self._row.size > options.max_bytes:
                 self._wait_for_row(len(self._row) - 1)
             if not self._reader.is_between_messages:
@@ -159,6 +199,21 @@
             if not self._reader.receive():
                 self._check_between_messages()
                 return None
+            if not self._hold_head():
+                self._refuse(request_body.memory_refusal())
+                return None
+
+    def _hold_head(self) -> bool:
+        """Counts an unfinished head; returns whether it may be kept."""
+        memory = self._state.memory
+        size = self._reader.unfinished_bytes
+        self._part.progressed_at = self._state.clock.now()
+        self._part.add(size - self._head_bytes)
+        self._head_bytes = size
+        if size <= _SMALL_HEAD_BYTES or memory.make_room(0):
+            return True
+        self._state.limit_notes.note(caller_limits.Limit.MEMORY)
+        return False
 
     def _may_serve_another(self) -> bool:
         """Waits, while the entry stops, until the answers ahead are sent.
@@ -200,20 +255,30 @@
     def _start_exchange(self, head: http_heads.RequestHead) -> None:
         """Starts to serve a request; returns once its body is read."""
         self._has_served = True
+        self._makes_place = False
         self.deadline = math.inf
+        self._state.connections.begin_request(self)
+        self._part.add(head.size)
+        # Slow ones may hold what this request needs, also at its target.
+        self._state.memory.make_room(0)
         turn = self._row.enter(head.size)
+        body = request_body.RequestBody(
+            self._socket, self._reader, head, self._state, self._part
+        )
         served = exchange.Exchange(
             self._state,
             self._socket,
-            self._reader,
             head,
+            body,
             turn,
             is_relayed=self._is_peer,
         )
         turn.task = gevent.spawn(self._serve, served, turn)
         turn.task.rawlink(turn.leave_if_killed)
         if head.framing is not http_heads.Framing.NONE:
+            self._body = body
             served.body_ended.wait()
+            self._body = None
 
     def _serve(self, served: exchange.Exchange, turn: answer_row.Turn) -> None:
         self._state.in_flight += 1
@@ -231,7 +296,13 @@
             self._state.in_flight -= 1
             self._is_broken |= not is_complete
             served.body_ended.set()
-            turn.leave(keeps_alive=keeps_alive)
+            self._leave(turn, keeps_alive=keeps_alive)
+
+    def _leave(self, turn: answer_row.Turn, *, keeps_alive: bool) -> None:
+        self._part.add(-turn.size)
+        turn.leave(keeps_alive=keeps_alive)
+        if not self._row:
+            self._state.connections.end_requests(self)
 
     def _wait_for_row(self, length: int) -> None:
         """Returns once at most ``length`` requests are not answered."""
@@ -253,14 +324,15 @@
 
     def _refuse_slow_head(self) -> None:
         """Answers a request whose head was not complete in time, if any."""
-        if self._reader.is_between_messages:
+        if self._reader.is_between_messages or self._makes_place:
             return
-        self._refuse(
-            outcomes.not_run(
-                outcomes.Reason.REQUEST_TIMEOUT,
-                'the head of the request was not complete in time',
-            ),
+        refusal = outcomes.not_run(
+            outcomes.Reason.REQUEST_TIMEOUT,
+            'the head of the request was not complete in time',
         )
+        if self._part.gives_way:
+            refusal = request_body.memory_refusal()
+        self._refuse(refusal)
 
     def _refuse_message(self, error: http_heads.MessageError) -> None:
         """Answers a message that is not a valid request."""
@@ -313,10 +385,12 @@
     def _close(self, *, is_graceful: bool) -> None:
         """Closes the connection, with a reset if an answer is incomplete."""
         self._input_watcher.close()
+        self._reader.drop()
+        self._state.memory.close(self._part)
         try:
-            if is_graceful:
+            if is_graceful and not self._makes_place:
                 self._discard_unread_input()
-            else:
+            elif not is_graceful:
                 sockets.set_reset_on_close(self._socket, is_reset=True)
         except OSError as error:
             _LOG.debug(
--- a/src/mulberryquay/entry/exchange.py
+++ b/src/mulberryquay/entry/exchange.py
@@ -19,7 +19,6 @@
     header_names,
     http_heads,
     keyed,
-    messages,
     outcomes,
     outgoing,
     request_body,
@@ -40,13 +39,13 @@
         self,
         entry_state: state.EntryState,
         connection: typing.Any,
-        reader: messages.RequestReader,
         head: http_heads.RequestHead,
+        body: request_body.RequestBody,
         turn: answer_row.Turn,
         *,
         is_relayed: bool,
     ) -> None:
-        """Prepares to serve the request whose ``head`` came from ``reader``.
+        """Prepares to serve the request with ``head`` and ``body``.
 
         Its answer is sent in its ``turn``. ``is_relayed`` says that another
         entry relayed it.
@@ -58,7 +57,7 @@
         self._state = entry_state
         self._socket = connection
         self._head = head
-        self._body = request_body.RequestBody(connection, reader, head)
+        self._body = body
         self._request_id = entry_state.request_id_from(
             head.find(entry_state.dialect.request_id)
         )
@@ -120,6 +119,7 @@
             self._note_failure(error)
             raise
         finally:
+            self._body.hold(-self._body.held_bytes)
             if self._account_slot is not None:
                 self._account_slot.release()
             self._record_outcome()
@@ -231,10 +231,14 @@
         """Sends a target's answer; returns whether to keep the connection."""
         active_forwarder = typing.cast(forwarder.Forwarder, self._forwarder)
         if received.body is not None:
+            self._body.hold(len(received.body))
             # The target is free again however slowly the caller reads.
             active_forwarder.finish(received)
         self._wait_for_turn(received)
         self._status = received.head.status
+        if received.body is not None:
+            self._turn.is_sending = True
+            self._body.note_progress()
         try:
             keeps_alive = answers.send_answer(
                 self._socket,
--- a/src/mulberryquay/entry/messages.py
+++ b/src/mulberryquay/entry/messages.py
@@ -14,13 +14,19 @@
 import httptools
 
 from mulberryquay.coordination import read_turn, wait_limit
-from mulberryquay.entry import header_names, http_heads
+from mulberryquay.entry import head_lines, header_names, http_heads
 
 READ_BYTES: typing.Final = read_turn.MAX_TURN_BYTES
 
 #: Default limit of a head (start line and headers), in bytes.
 MAX_HEAD_BYTES: typing.Final = 32768
 
+#: Bytes of a head that was not read to its end, beyond its limit.
+_HEAD_SLACK_BYTES: typing.Final = 4096
+
+#: Largest piece that is read while a head is expected.
+_HEAD_READ_BYTES: typing.Final = 16384
+
 #: Limit of what is read without a part of the body or the end of the message:
 #: chunk sizes with extensions, and trailers.
 MAX_FRAMING_BYTES: typing.Final = 65536
@@ -30,7 +36,6 @@
 
 #: Statuses of answers that never have a body.
 NO_BODY_STATUSES: typing.Final = frozenset((204, 304))
-_STANDARD_CONNECTION_TOKENS: typing.Final = frozenset((b'close', b'keep-alive'))
 _FIRST_FINAL_STATUS: typing.Final = 200
 _VERSIONS: typing.Final = frozenset(('1.0', '1.1'))
 _SWITCHING_PROTOCOLS: typing.Final = 101
@@ -55,8 +60,8 @@
         self._socket = connection
         self._header_filter = header_filter
         self._events: collections.deque[typing.Any] = collections.deque()
-        self._forwarded_headers: http_heads.Headers = []
-        self._known_headers: http_heads.Headers = []
+        self._lines = head_lines.HeadLines(header_filter)
+        #: Bytes received of the head that is being read.
         self._head_bytes = 0
         self._framing_bytes = 0
         self._turn = read_turn.ReadTurn()
@@ -74,21 +79,21 @@
         """Whether the connection is between two messages."""
         return not (self._events or self._in_message or self._error)
 
+    @property
+    def unfinished_bytes(self) -> int:
+        """Bytes received of a head that is not complete."""
+        return self._head_bytes if self._in_head else 0
+
     def on_message_begin(self) -> None:
         """Called by the parser."""
-        self._forwarded_headers = []
-        self._known_headers = []
+        self._lines = head_lines.HeadLines(self._header_filter)
         self._in_message = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Called by the parser, also for trailers, which are dropped."""
         if not self._in_head:
             return
-        name = name.lower()
-        if name in self._header_filter.known_headers:
-            self._known_headers.append((name, value))
-        if name not in self._header_filter.not_forwarded:
-            self._forwarded_headers.append((name, value))
+        self._lines.add(name, value, self.max_head_bytes)
 
     def on_body(self, body: bytes) -> None:
         """Called by the parser."""
@@ -138,13 +143,41 @@
         self._turn.begin_read()
         if self.wait_limit is not None:
             self.wait_limit.apply(self._socket)
-        chunk = self._socket.recv(READ_BYTES)
-        if not chunk:
-            return False
-        self._turn.end_read(len(chunk))
-        if not self._events:
-            self._check_received_head_size(len(chunk))
         event_count = len(self._events)
+        received = self._receive_piece()
+        if not received:
+            return False
+        if len(self._events) > event_count:
+            self._framing_bytes = 0
+        elif not self._in_head:
+            self._check_framing_size(received)
+        if self._error:
+            self.drop()
+            if not self._events:
+                raise self._error
+        return True
+
+    def drop(self) -> None:
+        """Frees what was kept beside the events; ends the reading."""
+        self._parser = None
+        self._lines = head_lines.HeadLines(self._header_filter)
+
+    def _receive_piece(self) -> int:
+        """Receives and parses bytes; returns their number.
+
+        The bytes are kept by no frame of an error.
+        """
+        chunk = self._socket.recv(
+            _HEAD_READ_BYTES if self._in_head else READ_BYTES
+        )
+        if chunk:
+            self._turn.end_read(len(chunk))
+            self._parse(chunk)
+        return len(chunk)
+
+    def _parse(self, chunk: bytes) -> None:
+        if self._in_head:
+            self._head_bytes += len(chunk)
         try:
             self._parser.feed_data(chunk)
         except httptools.HttpParserUpgrade:
@@ -157,22 +190,10 @@
             self._error = http_heads.MessageError(
                 f'malformed HTTP message: {error}'
             )
-        if len(self._events) > event_count:
-            self._framing_bytes = 0
-        elif not self._in_head:
-            self._check_framing_size(len(chunk))
-        if self._error and not self._events:
-            raise self._error
-        return True
-
-    def _check_received_head_size(self, received: int) -> None:
-        if not self._in_head:
-            return
-        self._head_bytes += received
-        if self._head_bytes > self.max_head_bytes + READ_BYTES:
-            raise http_heads.HeadTooLargeError(
-                'got a head that is too large, expected at most '
-                f'{self.max_head_bytes} bytes',
+        limit = self.max_head_bytes + _HEAD_SLACK_BYTES
+        if self._in_head and self._head_bytes > limit and not self._error:
+            self._error = head_lines.too_large(
+                self._head_bytes, self.max_head_bytes
             )
 
     def _check_framing_size(self, received: int) -> None:
@@ -189,38 +210,6 @@
         self._events.append(head)
         self._in_head = False
 
-    def _end_to_end_headers(self) -> http_heads.Headers:
-        """Returns the headers to forward, less those Connection lists."""
-        if not self._known_headers:
-            return self._forwarded_headers
-        tokens = http_heads.find_header(self._known_headers, b'connection')
-        if tokens is None or tokens.lower() in _STANDARD_CONNECTION_TOKENS:
-            return self._forwarded_headers
-        hop_by_hop = {
-            token.strip()
-            for name, value in self._known_headers
-            if name == b'connection'
-            for token in value.lower().split(b',')
-        }
-        return [
-            pair
-            for pair in self._forwarded_headers
-            if pair[0] not in hop_by_hop
-        ]
-
-    def _check_head_size(self, start_line_size: int) -> None:
-        if self._head_bytes <= self.max_head_bytes:
-            return
-        size = start_line_size + sum(
-            len(name) + len(value)
-            for name, value in (*self._forwarded_headers, *self._known_headers)
-        )
-        if size > self.max_head_bytes:
-            raise http_heads.HeadTooLargeError(
-                f'got a head of {size} bytes, expected at most '
-                f'{self.max_head_bytes}',
-            )
-
 
 @typing.final
 class RequestReader(_Reader):
@@ -247,13 +236,18 @@
         self._url = b''
         self._on_begin()
 
+    def drop(self) -> None:
+        """Frees what was kept beside the events; ends the reading."""
+        super().drop()
+        self._url = b''
+
     def on_url(self, url: bytes) -> None:
         """Called by the parser, possibly once per part."""
+        self._lines.count(len(url), self.max_head_bytes)
         self._url += url
 
     def on_headers_complete(self) -> None:
         """Called by the parser."""
-        self._check_head_size(len(self._url))
         version = self._parser.get_http_version()
         if version not in _VERSIONS:
             raise http_heads.MessageError(
@@ -263,12 +257,12 @@
             raise http_heads.UpgradeNotSupportedError(
                 'protocol upgrades and CONNECT are not supported',
             )
-        framing, length = http_heads.body_framing(self._known_headers)
+        framing, length = http_heads.body_framing(self._lines.known)
         head = http_heads.RequestHead(
             self._parser.get_method(),
             self._url,
-            self._end_to_end_headers(),
-            self._known_headers,
+            self._lines.finish(),
+            self._lines.known,
             framing,
             length,
             self._parser.should_keep_alive(),
@@ -321,10 +315,9 @@
 
     def on_headers_complete(self) -> None:
         """Called by the parser."""
-        self._check_head_size(0)
         status = self._parser.get_status_code()
         self._count_interim_answers(status)
-        framing, length = http_heads.body_framing(self._known_headers)
+        framing, length = http_heads.body_framing(self._lines.known)
         if status in NO_BODY_STATUSES or status < _FIRST_FINAL_STATUS:
             framing = http_heads.Framing.NONE
         elif framing is http_heads.Framing.NONE and length < 0:
@@ -332,8 +325,8 @@
         self._queue_head(
             http_heads.ResponseHead(
                 status,
-                self._end_to_end_headers(),
-                self._known_headers,
+                self._lines.finish(),
+                self._lines.known,
                 framing,
                 max(length, 0),
                 self._parser.should_keep_alive(),
