--- a/testing/entry/test_outcomes.py
+++ b/testing/entry/test_outcomes.py
@@ -38,6 +38,64 @@
 _MALFORMED: typing.Final = 'unknown/malformed-answer'
 _OK: typing.Final = 'answered/none'
 
+#: Status lines of no answer, some of which the parser lets through.
+_ODD_STATUS_LINES: typing.Final = (
+    b'HTTP/1.1 000 OK',
+    b'HTTP/1.1 001 OK',
+    b'HTTP/1.1 099 OK',
+    b'HTTP/1.1 600 OK',
+    b'HTTP/1.1 999 OK',
+    b'HTTP/1.0 000 OK',
+    b'HTTP/1.1 20 OK',
+    b'HTTP/1.1 2000 OK',
+    b'HTTP/1.1 0200 OK',
+    b'HTTP/1.1 +20 OK',
+    b'HTTP/1.1 -200 OK',
+    b'HTTP/1.1 2x0 OK',
+    b'HTTP/1.1 200OK',
+    b'HTTP/1.1 OK',
+    b'HTTP/1.1 ',
+    b'HTTP/1.1',
+    b'HTTP/1.1  200 OK',
+    b'HTTP/1.1\t200 OK',
+    b'HTTP/1.1 200\tOK',
+    b' HTTP/1.1 200 OK',
+    b'http/1.1 200 OK',
+    b'HTTP 200 OK',
+    b'HTTP/ 200 OK',
+    b'HTTP/0.9 200 OK',
+    b'HTTP/1.2 200 OK',
+    b'HTTP/2 200 OK',
+    b'HTTP/2.0 200 OK',
+    b'HTTP/3.0 200 OK',
+    b'RTSP/1.0 200 OK',
+    b'ICE/1.0 200 OK',
+    b'200 OK',
+    b'PRI * HTTP/2.0',
+)
+_INTERIM: typing.Final = b'HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n'
+_ODD_ENDING: typing.Final = b'\r\nContent-Length: 2\r\n\r\nok'
+
+#: Each odd line, alone and after an interim answer, and odd interim answers.
+ODD_STATUSES: typing.Final = tuple(
+    Failure(f'sends {raw!r}', raw, _OK, _MALFORMED)
+    for raw in (
+        *(line + _ODD_ENDING for line in _ODD_STATUS_LINES),
+        *(_INTERIM + line + _ODD_ENDING for line in _ODD_STATUS_LINES),
+        b'HTTP/1.1 000 Odd\r\n\r\n' + _COMPLETE_ANSWER,
+        b'HTTP/1.1 099 Odd\r\n\r\n' + _COMPLETE_ANSWER,
+        b'HTTP/2.0 103 Odd\r\n\r\n' + _COMPLETE_ANSWER,
+        b'RTSP/1.0 103 Odd\r\n\r\n' + _COMPLETE_ANSWER,
+        b'HTTP/1.1 000 Odd\r\n\r\n',
+        b'HTTP/1.1 600 Odd\r\n\r\nok',
+        b'HTTP/1.1 999 Odd\r\nTransfer-Encoding: chunked\r\n\r\n'
+        b'2\r\nok\r\n0\r\n\r\n',
+    )
+)
+
+#: What a wrong answer raises here; a table test lists all of them.
+_WRONG: typing.Final = (OSError, errors.MulberryquayError, AssertionError)
+
 FAILURES: typing.Final = (
     Failure('closes without an answer', b'', _OK, _LOST),
     Failure('resets without an answer', b'', _OK, _LOST, resets=True),
@@ -122,6 +180,20 @@
                 _check_failure(control, entry, service, failure)
 
 
+def test_answer_without_a_valid_status_is_a_failure() -> None:
+    """A caller got a status of 000 as an answer, or a reset (issue 45)."""
+    with fixtures.control() as control, fixtures.entry(control) as entry:
+        _declare(control)
+        wrong = []
+        for failure in ODD_STATUSES:
+            for service in ('read', 'order'):
+                try:
+                    _check_failure(control, entry, service, failure)
+                except _WRONG as error:
+                    wrong.append(f'{service}: {failure.name}: {error!r}')
+        CASE.assertEqual(wrong, [])
+
+
 def _check_failure(
     control: fixtures.Control,
     entry: typing.Any,
