Refuse answers without a valid status line

Cause: ResponseReader passed on every status that the parser takes: any three digits, HTTP/0.9 and 2.0, RTSP and ICE. A status below 200 counted as interim, and its body ended the caller's connection with an AttributeError; so did an interim answer with a body.

Change: entry/status_lines.py checks the protocol, the version, a status from 100 to 599, and that interim answers have no body; a violation is a malformed answer of the target. Interim answers are fed to the parser one by one, so that the protocol of the next one can be seen. As all readers of answers use it, this holds for probes and relays, too.

An empty line before a status line and a reason with spaces are taken as before; an RTSP or ICE answer in the same bytes after the end of another final one is found by its line only.

--- a/src/mulberryquay/entry/messages.py
+++ b/src/mulberryquay/entry/messages.py
@@ -14,7 +14,7 @@
 import httptools
 
 from mulberryquay.coordination import read_turn, wait_limit
-from mulberryquay.entry import header_names, http_heads
+from mulberryquay.entry import header_names, http_heads, status_lines
 
 READ_BYTES: typing.Final = read_turn.MAX_TURN_BYTES
 
@@ -25,13 +25,9 @@
 #: chunk sizes with extensions, and trailers.
 MAX_FRAMING_BYTES: typing.Final = 65536
 
-#: Limit of the interim (1xx) answers before an answer.
-MAX_INTERIM_ANSWERS: typing.Final = 16
-
 #: Statuses of answers that never have a body.
 NO_BODY_STATUSES: typing.Final = frozenset((204, 304))
 _STANDARD_CONNECTION_TOKENS: typing.Final = frozenset((b'close', b'keep-alive'))
-_FIRST_FINAL_STATUS: typing.Final = 200
 _VERSIONS: typing.Final = frozenset(('1.0', '1.1'))
 _SWITCHING_PROTOCOLS: typing.Final = 101
 
@@ -107,8 +103,7 @@
 
         Raises http_heads.MessageError, http_heads.CutShortError and OSError.
         """
-        part: bytes | None = self._next_event()
-        return self._with_following_parts(part)
+        return self._with_following_parts(self._next_event())
 
     def _with_following_parts(self, part: bytes | None) -> bytes | None:
         """Returns ``part`` together with the parts received after it."""
@@ -146,7 +141,7 @@
             self._check_received_head_size(len(chunk))
         event_count = len(self._events)
         try:
-            self._parser.feed_data(chunk)
+            self._feed(chunk)
         except httptools.HttpParserUpgrade:
             self._error = http_heads.MessageError(
                 'got a protocol upgrade, expected none'
@@ -165,6 +160,9 @@
             raise self._error
         return True
 
+    def _feed(self, chunk: bytes) -> None:
+        self._parser.feed_data(chunk)
+
     def _check_received_head_size(self, received: int) -> None:
         if not self._in_head:
             return
@@ -317,15 +315,25 @@
         """Reads from ``connection``, a gevent socket."""
         super().__init__(connection, header_filter)
         self._parser = httptools.HttpResponseParser(self)
-        self._interim_answers = 0
+        self._status_line = status_lines.StatusLineCheck()
+
+    def on_message_begin(self) -> None:
+        """Called by the parser."""
+        super().on_message_begin()
+        self._status_line.begin()
 
     def on_headers_complete(self) -> None:
         """Called by the parser."""
         self._check_head_size(0)
         status = self._parser.get_status_code()
-        self._count_interim_answers(status)
+        self._status_line.check(self._parser.get_http_version(), status)
         framing, length = http_heads.body_framing(self._known_headers)
-        if status in NO_BODY_STATUSES or status < _FIRST_FINAL_STATUS:
+        if status < status_lines.FIRST_FINAL_STATUS:
+            self._status_line.check_interim(framing, length)
+        if (
+            status in NO_BODY_STATUSES
+            or status < status_lines.FIRST_FINAL_STATUS
+        ):
             framing = http_heads.Framing.NONE
         elif framing is http_heads.Framing.NONE and length < 0:
             framing = http_heads.Framing.UNTIL_CLOSE
@@ -340,15 +348,10 @@
             ),
         )
 
-    def _count_interim_answers(self, status: int) -> None:
-        if status >= _FIRST_FINAL_STATUS:
-            self._interim_answers = 0
-            return
-        self._interim_answers += 1
-        if self._interim_answers > MAX_INTERIM_ANSWERS:
-            raise http_heads.MessageError(
-                f'got more than {MAX_INTERIM_ANSWERS} interim answers',
-            )
+    def _feed(self, chunk: bytes) -> None:
+        for part in status_lines.split_interim(chunk):
+            self._status_line.add(part, is_in_message=self._in_message)
+            self._parser.feed_data(part)
 
     def read_head(self) -> http_heads.ResponseHead:
         """Returns the final response head; skips interim (1xx) responses.
@@ -357,7 +360,7 @@
         """
         while True:
             head: http_heads.ResponseHead = self._next_event()
-            if head.status >= _FIRST_FINAL_STATUS:
+            if head.status >= status_lines.FIRST_FINAL_STATUS:
                 return head
             if head.status == _SWITCHING_PROTOCOLS:
                 raise http_heads.MessageError(
@@ -374,7 +377,7 @@
         while not self._events:
             if not self.receive():
                 return None
-        return self._with_following_parts(self._events.popleft())
+        return self.read_part()
 
 
 def _as_message_error(cause: BaseException | None) -> http_heads.MessageError:
--- a/testing/entry/test_messages.py
+++ b/testing/entry/test_messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import re
 import typing
 import unittest
 
@@ -16,6 +17,7 @@
 
 _OK: typing.Final = b'HTTP/1.1 200 OK\r\n'
 _CHUNKED: typing.Final = _OK + b'transfer-encoding: chunked\r\n\r\n'
+_HTTP_PROTOCOLS: typing.Final = (b'HTTP/1.0', b'HTTP/1.1')
 _BLOCK_BYTES: typing.Final = 65536
 _MAX_READS: typing.Final = 1000
 
@@ -177,3 +179,62 @@
         ScriptedSocket(fixtures.split_at(answer, cuts))
     )
     CASE.assertEqual(fixtures.receive(whole).body, body)
+
+
+_STATUS_DIGITS: typing.Final = strategies.integers(0, 999).map(
+    lambda status: b'%03d' % status
+)
+_ODD_DIGITS: typing.Final = strategies.sampled_from(
+    (
+        b'',
+        b'0',
+        b'20',
+        b'2000',
+        b'+20',
+        b'-20',
+        b'2x0',
+        b' 200',
+        b'\xb2\xb0\xb0',
+    )
+)
+_PROTOCOLS: typing.Final = strategies.sampled_from(
+    (*(_HTTP_PROTOCOLS * 3), b'HTTP/0.9', b'HTTP/2.0', b'HTTP/2', b'HTTP')
+    + (b'RTSP/1.0', b'ICE/1.0', b'', b'http/1.1', b' HTTP/1.1')
+)
+
+
+@fixtures.hypothesis_settings(500)
+@hypothesis.given(
+    _PROTOCOLS,
+    _STATUS_DIGITS | _ODD_DIGITS,
+    strategies.sampled_from((b'', b' ', b' OK', b'OK', b'\tOK', b'  O K')),
+    strategies.integers(0, 3),
+    strategies.lists(strategies.integers(0, 120), max_size=6),
+)
+def test_head_is_an_answer_only_with_a_valid_status_line(
+    protocol: bytes,
+    status: bytes,
+    ending: bytes,
+    interim_answers: int,
+    cuts: list[int],
+) -> None:
+    """A status of 000 reached a caller as an answer (issue 45)."""
+    line = b'%b %b%b' % (protocol, status, ending)
+    body = b'' if status in {b'204', b'304'} else b'ok'
+    stream = (
+        b'HTTP/1.1 103 Early Hints\r\n\r\n' * interim_answers
+        + line
+        + b'\r\ncontent-length: %d\r\n\r\n' % len(body)
+        + body
+    )
+    is_answer = bool(re.fullmatch(rb'HTTP/1\.[01] [2-5][0-9]{2}( .*)?', line))
+    reader = messages.ResponseReader(
+        ScriptedSocket(fixtures.split_at(stream, cuts))
+    )
+    try:
+        response = fixtures.receive(reader)
+    except (http_heads.MessageError, http_heads.CutShortError):
+        CASE.assertFalse(is_answer, line)
+    else:
+        CASE.assertTrue(is_answer, line)
+        CASE.assertEqual((response.status, response.body), (int(status), body))
--- a/testing/entry/test_outcomes.py
+++ b/testing/entry/test_outcomes.py
@@ -86,6 +86,9 @@
         b'HTTP/1.1 099 Odd\r\n\r\n' + _COMPLETE_ANSWER,
         b'HTTP/2.0 103 Odd\r\n\r\n' + _COMPLETE_ANSWER,
         b'RTSP/1.0 103 Odd\r\n\r\n' + _COMPLETE_ANSWER,
+        b'HTTP/1.1 103 Odd' + _ODD_ENDING,
+        b'HTTP/1.1 103 Odd\r\nTransfer-Encoding: chunked\r\n\r\n'
+        b'2\r\nok\r\n0\r\n\r\n' + _COMPLETE_ANSWER,
         b'HTTP/1.1 000 Odd\r\n\r\n',
         b'HTTP/1.1 600 Odd\r\n\r\nok',
         b'HTTP/1.1 999 Odd\r\nTransfer-Encoding: chunked\r\n\r\n'
