--- a/testing/test_crowds.py
+++ b/testing/test_crowds.py
@@ -117,6 +117,22 @@
         )
 
 
+def _check_descriptors_of_api(beginning: bytes) -> None:
+    """Checks a control host whose API meets more clients than it may open."""
+    with (
+        crowds.descriptor_limit(_DESCRIPTORS) as lift_limit,
+        _control() as (process, port),
+    ):
+        lift_limit()
+        _check(
+            process,
+            port,
+            [crowds.Client(beginning)],
+            lambda: _is_answered(port, '/readyz'),
+        )
+        CASE.assertLess(crowds.open_descriptors(process.pid), _DESCRIPTORS)
+
+
 def _check_api(*clients: crowds.Client) -> None:
     """Checks a control host whose API meets a crowd."""
     with _control() as (process, port):
@@ -237,6 +253,19 @@
     _check_api(crowds.Client(head + b'x' * (_BODY_BYTES - 1)))
 
 
+def test_more_connections_to_the_api_than_descriptors() -> None:
+    """Without one left, neither operators nor targets get in (issue 45)."""
+    _check_descriptors_of_api(b'')
+
+
+def test_more_unfinished_requests_to_the_api_than_descriptors() -> None:
+    """As above; each began a request (issue 45)."""
+    _check_descriptors_of_api(
+        b'PUT /v1/services/stock HTTP/1.1\r\nHost: t\r\n'
+        b'Content-Length: 9\r\n\r\n'
+    )
+
+
 def test_heads_at_the_metrics_address_of_a_ledger() -> None:
     """A ledger that ends loses what only it keeps in memory (issue 45)."""
     with _ledger() as (process, port):
