Bound what bodies and connections at the API servers hold

Cause: every body was kept as a whole until it ended, and nothing bounded the connections of an API server.

Change: api_load.py counts the bodies of one process against an eighth of memory_mb and its connections against api_connections. Above the first, the body that waits longest with most is refused with 503 api-busy and Retry-After; above the second, the connection that waits longest for a whole request is closed. An entry's admin port keeps an eighth of the descriptors in connections. The fixture of a ledger gets the defaults of its settings.

--- a/src/mulberryquay/control/daemon.py
+++ b/src/mulberryquay/control/daemon.py
@@ -6,7 +6,7 @@
 import pathlib
 import typing
 
-from mulberryquay import metrics, settings, sockets, web
+from mulberryquay import api_load, metrics, settings, sockets, web
 from mulberryquay.control import (
     api,
     cluster,
@@ -124,6 +124,7 @@
         minimum=0,
         maximum=units.MAX_INT64,
     ),
+    *api_load.SETTINGS,
     settings.LOG_LEVEL,
 )
 
@@ -186,6 +187,7 @@
         is_gauge=True,
     ),
     *permit_desk.METRICS,
+    *api_load.METRICS,
 )
 
 _LOG: typing.Final = logging.getLogger(__name__)
@@ -209,6 +211,7 @@
         """
         time_source = time_source or clock.Clock()
         self._metrics = metrics.Metrics(METRICS)
+        self._api_load = api_load.ApiLoad(values, self._metrics)
         self._api_listener = sockets.listen(values['api_listen'])
         self._feed_listener = sockets.listen(values['feed_listen'])
         self._host_listener = sockets.listen(values['host_listen'])
@@ -292,7 +295,7 @@
         for install in self._kernel.api_extensions.components:
             install(app, self._cluster, self._kernel)
         self._cluster.start(self._host_listener, self._feed_listener)
-        self._server = web.start_server(self._api_listener, app)
+        self._server = web.start_server(self._api_listener, app, self._api_load)
 
     def stop(self) -> None:
         """Stops serving and releases the data folder."""
--- a/src/mulberryquay/entry/admin.py
+++ b/src/mulberryquay/entry/admin.py
@@ -8,8 +8,12 @@
 import gevent
 from gevent import monkey, socket
 
+from mulberryquay import api_load
 from mulberryquay.entry import request_records, state
 
+#: The other descriptors are for callers and targets.
+_DESCRIPTOR_SHARE: typing.Final = 8
+
 
 @typing.final
 class Admin:
@@ -61,7 +65,12 @@
             self._update_gauges,
         )
         app.route('/accounts/<request_id>', 'GET', self._show_record)
-        self._server = web.start_server(self._listener, app)
+        connections = api_load.share_of_descriptors(_DESCRIPTOR_SHARE)
+        load = api_load.ApiLoad(
+            {'memory_mb': 0, 'api_connections': connections},
+            self._state.metrics,
+        )
+        self._server = web.start_server(self._listener, app, load)
 
     def _show_record(self, request_id: str) -> str:
         web = importlib.import_module('mulberryquay.web')
--- a/src/mulberryquay/entry/state.py
+++ b/src/mulberryquay/entry/state.py
@@ -6,7 +6,7 @@
 import random
 import typing
 
-from mulberryquay import metrics
+from mulberryquay import api_load, metrics
 from mulberryquay.coordination import (
     clock,
     retry_budget,
@@ -125,6 +125,7 @@
         is_gauge=True,
     ),
     *leased_rates.METRICS,
+    *api_load.METRICS,
     *load_metrics.METRICS,
 )
 
--- a/src/mulberryquay/ledger/daemon.py
+++ b/src/mulberryquay/ledger/daemon.py
@@ -5,7 +5,7 @@
 import pathlib
 import typing
 
-from mulberryquay import metrics, settings, sockets, web
+from mulberryquay import api_load, metrics, settings, sockets, web
 from mulberryquay.coordination import clock, journal
 from mulberryquay.ledger import claims, server
 
@@ -31,6 +31,7 @@
         text_format='address',
         required=True,
     ),
+    *api_load.SETTINGS,
     settings.LOG_LEVEL,
 )
 
@@ -40,6 +41,7 @@
         'Keys with a claim that is running, kept or unknown.',
         is_gauge=True,
     ),
+    *api_load.METRICS,
 )
 
 
@@ -64,6 +66,7 @@
             time_source or clock.Clock(),
         )
         self._metrics = metrics.Metrics(METRICS)
+        self._api_load = api_load.ApiLoad(values, self._metrics)
         self._listener = sockets.listen(values['listen'])
         self._admin_listener = sockets.listen(values['admin_listen'])
         self._server = server.LedgerServer(self._claims, self._listener)
@@ -84,7 +87,9 @@
         web.add_monitoring_endpoints(
             app, lambda: True, self._metrics, self._refresh
         )
-        self._admin = web.start_server(self._admin_listener, app)
+        self._admin = web.start_server(
+            self._admin_listener, app, self._api_load
+        )
         self._server.start()
 
     def stop(self) -> None:
--- a/src/mulberryquay/settings.py
+++ b/src/mulberryquay/settings.py
@@ -51,6 +51,14 @@
     choices=('debug', 'info', 'warning', 'error'),
 )
 
+MEMORY_MB: typing.Final = Setting(
+    'memory_mb',
+    0,
+    'memory of the machine in MiB, from which limits of what clients hold are '
+    'derived; 0 for what the machine has',
+    maximum=units.MAX_INT64 // units.MIB,
+)
+
 
 def parse(
     declared: typing.Sequence[Setting],
--- a/src/mulberryquay/web.py
+++ b/src/mulberryquay/web.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
+import contextlib
 import io
 import json
 import logging
 import typing
 
 import bottle
-from gevent import monkey, pywsgi
+from gevent import monkey, pywsgi, socket
 
 from mulberryquay import metrics as metrics_module
-from mulberryquay import sockets
+from mulberryquay import api_load, sockets
 from mulberryquay.coordination import (
     clock,
     errors,
@@ -34,9 +35,15 @@
 #: Python takes some milliseconds at most.
 _TURN_BYTES: typing.Final = 8192
 
+#: Connections accepted before others are closed for them.
+_MAX_ACCEPT: typing.Final = 8
+
 #: Longest time from the first byte of a request to its last one.
 REQUEST_TIMEOUT_MS: typing.Final = 30_000.0
 
+#: Time after which a client may try again what did not fit.
+_RETRY_AFTER_S: typing.Final = '1'
+
 JSON_TYPE: typing.Final = 'application/json'
 
 _CODES_BY_STATUS: typing.Final = {
@@ -114,7 +121,9 @@
     environ = bottle.request.environ
     environ[_INPUT_KEY].allow(max_bytes)
     # Not bottle's own body, which would decode chunks a second time.
-    body: bytes = environ['wsgi.input'].read(max_bytes + 1)
+    body: bytes = environ[_INPUT_KEY].read_body(
+        environ['wsgi.input'], max_bytes + 1
+    )
     if len(body) > max_bytes:
         raise errors.InvalidInputError(
             f'got a body of more than {max_bytes} bytes, expected at most '
@@ -160,11 +169,15 @@
     return int(text)
 
 
-def start_server(listener: typing.Any, app: bottle.Bottle) -> pywsgi.WSGIServer:
+def start_server(
+    listener: typing.Any, app: bottle.Bottle, load: api_load.ApiLoad
+) -> pywsgi.WSGIServer:
     """Starts a server for ``app`` on a listening gevent socket."""
     server = pywsgi.WSGIServer(
         listener, app, log=None, handler_class=_BoundedHandler
     )
+    server.max_accept = _MAX_ACCEPT
+    server.load = load
     server.start()
     return server
 
@@ -197,15 +210,16 @@
 class _BoundedInput(io.RawIOBase):
     """Reads a connection in turns; limits each request in bytes and time."""
 
-    def __init__(self, connection: typing.Any) -> None:
+    def __init__(self, connection: typing.Any, load: api_load.ApiLoad) -> None:
         super().__init__()
         self._socket = connection
+        self._load = load
         self._turn = read_turn.ReadTurn(_TURN_BYTES)
         self._remaining = _MAX_OVERHEAD_BYTES
         self._clock = clock.Clock()
-        #: Whether a request did not arrive in time, so that the connection
-        #: can carry no other one.
-        self.has_timed_out = False
+        #: Whether a request did not arrive whole, so that the connection can
+        #: carry no other one.
+        self.has_ended = False
         #: Set by the first byte of a request.
         self._wait_limit: wait_limit.WaitLimit | None = None
 
@@ -218,8 +232,47 @@
         """Starts the limits of the next request and lets other tasks run."""
         self._remaining = _MAX_OVERHEAD_BYTES
         self._wait_limit = None
+        self._load.begin_wait(self)
         read_turn.yield_now()
 
+    def give_way(self) -> None:
+        """Ends the wait for bytes, so that the connection is closed."""
+        self.has_ended = True
+        with contextlib.suppress(OSError):
+            self._socket.shutdown(socket.SHUT_RD)
+
+    def end_wait(self) -> None:
+        """The head of a request has been read."""
+        self._load.end_wait(self)
+
+    def end_request(self) -> None:
+        """The request has been answered."""
+        self._load.release(self)
+
+    def read_body(self, body: typing.Any, max_bytes: int) -> bytes:
+        """Returns at most ``max_bytes`` of a body; counts what it holds.
+
+        Raises ApiBusyError, SlowRequestError and OSError.
+        """
+        parts = []
+        size = 0
+        self._load.begin_wait(self)
+        try:
+            while size < max_bytes:
+                part = body.read(min(_TURN_BYTES, max_bytes - size))
+                if not part:
+                    break
+                parts.append(part)
+                size += len(part)
+                if size > api_load.SMALL_BODY_BYTES:
+                    self._load.grow(self, len(part))
+        except api_load.ApiBusyError:
+            self.has_ended = True
+            raise
+        finally:
+            self._load.end_wait(self)
+        return b''.join(parts)
+
     def allow(self, body_bytes: int) -> None:
         """Raises the limit of this request for a body that will be read."""
         self._remaining += body_bytes
@@ -233,27 +286,40 @@
 
         Raises RequestTooLargeError, SlowRequestError and OSError.
         """
+        self._check_may_go_on()
         if self._remaining <= 0:
             raise RequestTooLargeError(
                 'got more bytes than a request of this kind may have',
             )
         self._turn.begin_read()
         size = self._receive_into(buffer)
+        self._check_may_go_on()
         self._turn.end_read(size)
         self._remaining -= size
         return size
 
+    def _check_may_go_on(self) -> None:
+        if self.has_ended:
+            raise api_load.ApiBusyError(
+                'the connection gave way to others while the request was not '
+                'complete; it was not run, try again later',
+            )
+
     def _receive_into(self, buffer: typing.Any) -> int:
         try:
             if self._wait_limit is not None:
                 self._wait_limit.apply(self._socket)
             size = int(self._socket.recv_into(buffer))
         except TimeoutError as error:
-            self.has_timed_out = True
+            self.has_ended = True
             raise SlowRequestError(
                 'the request did not end within '
                 f'{REQUEST_TIMEOUT_MS} ms of its first byte',
             ) from error
+        except OSError:
+            # Giving way ends the wait like this.
+            self._check_may_go_on()
+            raise
         finally:
             self._socket.settimeout(None)
         if self._wait_limit is None:
@@ -270,7 +336,7 @@
     def __init__(
         self, connection: typing.Any, address: typing.Any, server: typing.Any
     ) -> None:
-        self._input = _BoundedInput(connection)
+        self._input = _BoundedInput(connection, server.load)
         super().__init__(
             connection,
             address,
@@ -282,13 +348,27 @@
         """Returns the environment of the request, for WSGI."""
         environ = super().get_environ()
         environ[_INPUT_KEY] = self._input
+        self._input.end_wait()
         return environ
 
+    def handle(self) -> None:
+        """Serves the connection unless there are too many."""
+        load = self.server.load
+        if not load.open(self._input):
+            self.socket.close()
+            return
+        try:
+            super().handle()
+        finally:
+            load.close(self._input)
+            load.release(self._input)
+
     def handle_one_request(self) -> typing.Any:
         """Serves one request; returns what pywsgi expects."""
         self._input.begin_request()
         result = super().handle_one_request()
-        if result is True and self._input.has_timed_out:
+        self._input.end_request()
+        if result is True and self._input.has_ended:
             return None
         return result
 
@@ -301,6 +381,8 @@
             return handler(**parameters)
         except errors.MulberryquayError as error:
             bottle.response.status = error.http_status
+            if isinstance(error, api_load.ApiBusyError):
+                bottle.response.set_header('Retry-After', _RETRY_AFTER_S)
             _LOG.info(
                 'API request refused',
                 extra={
--- a/testing/fixtures.py
+++ b/testing/fixtures.py
@@ -218,6 +218,7 @@
     """Yields a running ledger."""
     daemon = ledger_daemon.LedgerDaemon(
         {
+            **settings.defaults(ledger_daemon.SETTINGS),
             'data_folder': str(data_folder),
             'listen': f'127.0.0.1:{port}',
             'admin_listen': '127.0.0.1:0',
