Outlive answers of the API that are not JSON

Cause: json.loads raised a plain ValueError, which ended the announcer's task and gave a traceback in client commands. Found by odd status lines with a body that is not JSON.

Change: both raise their typed errors.

Statuses 000 and 099 and other versions are refused by http.client already.

--- a/src/mulberryquay/announcer.py
+++ b/src/mulberryquay/announcer.py
@@ -144,5 +144,14 @@
             except urllib3.exceptions.HTTPError:
                 self._addresses.append(self._addresses.pop(0))
                 continue
-            return response.status, json.loads(response.data)
+            return response.status, _decode(response.data)
         raise AnnounceError('no control host could be reached')
+
+
+def _decode(answer: bytes) -> typing.Any:
+    try:
+        return json.loads(answer)
+    except ValueError as error:
+        raise AnnounceError(
+            f'got an answer that is not JSON: {error}'
+        ) from error
--- a/src/mulberryquay/commands/api_client.py
+++ b/src/mulberryquay/commands/api_client.py
@@ -64,7 +64,7 @@
         response = self._open(
             method, path, body, _REQUEST_TIMEOUT_S, preload=True
         )
-        return json.loads(response.data)
+        return _decode(response.status, response.data)
 
     def stream(self, path: str) -> typing.Iterator[Json]:
         """Yields the JSON lines of a watch.
@@ -76,7 +76,8 @@
         for chunk in response.stream():
             *ends, begin = chunk.split(b'\n')
             for end in ends:
-                yield json.loads(b''.join([*unfinished_parts, end]))
+                line = b''.join([*unfinished_parts, end])
+                yield _decode(response.status, line)
                 unfinished_parts = []
             unfinished_parts.append(begin)
             if sum(map(len, unfinished_parts)) > http_pool.MAX_ANSWER_BYTES:
@@ -115,6 +116,15 @@
         )
 
 
+def _decode(status: int, answer: bytes) -> Json:
+    try:
+        return json.loads(answer)
+    except ValueError as error:
+        raise ApiRefusedError(
+            status, 'unexpected-answer', f'got no JSON: {error}'
+        ) from error
+
+
 def _check(response: urllib3.BaseHTTPResponse) -> None:
     if response.status < _FIRST_ERROR_STATUS:
         return
--- a/testing/test_http_pool.py
+++ b/testing/test_http_pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import subprocess
 import sys
 import typing
@@ -11,7 +12,9 @@
 import psutil
 
 from mulberryquay import announcer
-from mulberryquay.coordination import clock, units
+from mulberryquay.commands import api_client
+from mulberryquay.coordination import clock, errors, units
+from mulberryquay.standin import target
 from testing import fixtures, processes
 
 CASE: typing.Final = unittest.TestCase()
@@ -91,3 +94,36 @@
             )
             with CASE.subTest(name), CASE.assertRaises(announcer.AnnounceError):
                 announced.announce()
+
+
+def _answer_raw(
+    answer: target.Answer, _request: target.ReceivedRequest
+) -> target.Answer:
+    return answer
+
+
+def test_odd_answer_of_the_api_is_an_error() -> None:
+    """An answer that was not JSON ended the task that renews (issue 45)."""
+    for beginning in (
+        b'HTTP/1.1 000 Odd',
+        b'HTTP/1.1 099 Odd',
+        b'HTTP/1.1 600 Odd',
+        b'HTTP/2.0 200 OK',
+        b'HTTP/1.1 +20 OK',
+        b'HTTP/1.1 200 OK',
+        b'HTTP/1.1 502 Bad Gateway',
+    ):
+        raw = beginning + b'\r\nContent-Length: 4\r\n\r\nodd\n'
+        server = target.StandInTarget(
+            functools.partial(_answer_raw, target.Answer(raw=raw))
+        )
+        server.start()
+        announced = announcer.Announcer(
+            fixtures.announcement('t', '127.0.0.1:1'), [server.address]
+        )
+        with CASE.subTest(beginning):
+            with CASE.assertRaises(announcer.AnnounceError):
+                announced.announce()
+            with CASE.assertRaises(errors.MulberryquayError):
+                api_client.ApiClient(server.address).call('GET', '/v1/services')
+        server.stop()
