Bound the connections of the readiness port

Cause: each unfinished request kept a descriptor for 10 s.

Change: above 32 connections the oldest one is closed for each new one.

No count and no log line yet.

--- a/src/mulberryquay/entry/ready.py
+++ b/src/mulberryquay/entry/ready.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import typing
 
-from gevent import server
+from gevent import server, socket
 
 from mulberryquay.coordination import clock, errors, wait_limit
 from mulberryquay.entry import http_heads, messages
@@ -13,6 +14,9 @@
 #: Longest time from accepting a connection to reading its request.
 REQUEST_TIMEOUT_MS: typing.Final = 10_000.0
 
+#: Connections whose request is awaited; above it the oldest one is closed.
+MAX_CONNECTIONS: typing.Final = 32
+
 _READY: typing.Final = (
     b'HTTP/1.1 200 OK\r\ncontent-length: 6\r\nconnection: close\r\n\r\nready\n'
 )
@@ -43,6 +47,9 @@
         self._path = path.encode()
         self._is_ready = is_ready
         self._server = server.StreamServer(listener, self._serve)
+        self._server.max_accept = 1
+        #: In the order of their accepting.
+        self._connections: dict[typing.Any, None] = {}
 
     def start(self) -> None:
         """Starts to serve."""
@@ -53,6 +60,8 @@
         self._server.stop(timeout=0)
 
     def _serve(self, connection: typing.Any, _address: typing.Any) -> None:
+        self._connections[connection] = None
+        self._close_oldest()
         reader = messages.RequestReader(connection)
         reader.wait_limit = wait_limit.WaitLimit(
             self._clock, self._clock.now() + REQUEST_TIMEOUT_MS
@@ -67,8 +76,17 @@
                 extra={'cause': str(error)},
             )
         finally:
+            self._connections.pop(connection, None)
             connection.close()
 
+    def _close_oldest(self) -> None:
+        if len(self._connections) <= MAX_CONNECTIONS:
+            return
+        oldest = next(iter(self._connections))
+        self._connections.pop(oldest)
+        with contextlib.suppress(OSError):
+            oldest.shutdown(socket.SHUT_RDWR)
+
     def _answer(self, head: http_heads.RequestHead) -> bytes:
         if head.path != self._path:
             return _NOT_FOUND
