--- a/src/mulberryquay/entry/state.py
+++ b/src/mulberryquay/entry/state.py
@@ -7,7 +7,7 @@
 import random
 import typing
 
-from mulberryquay import metrics
+from mulberryquay import api_load, metrics
 from mulberryquay.coordination import (
     clock,
     retry_budget,
@@ -135,6 +135,7 @@
     ),
     *caller_limits.METRICS,
     *leased_rates.METRICS,
+    *api_load.METRICS,
     *load_metrics.METRICS,
 )
 
