--- a/src/mulberryquay/api_load.py
+++ b/src/mulberryquay/api_load.py
@@ -64,6 +64,11 @@
     http_status = 503
 
 
+@typing.final
+class RequestTooLargeError(OSError):
+    """A peer sent more bytes than a request may have."""
+
+
 class Holder(typing.Protocol):
     """A connection to the API server."""
 
--- a/src/mulberryquay/web.py
+++ b/src/mulberryquay/web.py
@@ -190,11 +190,6 @@
     http_status = 503
 
 
-@typing.final
-class RequestTooLargeError(OSError):
-    """A peer sent more bytes than a request may have."""
-
-
 @typing.final
 class SlowRequestError(errors.MulberryquayError, OSError, ValueError):
     """A request did not arrive in time.
@@ -288,7 +283,7 @@
         """
         self._check_may_go_on()
         if self._remaining <= 0:
-            raise RequestTooLargeError(
+            raise api_load.RequestTooLargeError(
                 'got more bytes than a request of this kind may have',
             )
         self._turn.begin_read()
