--- a/testing/entry/test_caller_limits.py
+++ b/testing/entry/test_caller_limits.py
@@ -129,6 +129,10 @@
         fixtures.wait_until(lambda: memory.make_room(0))
         memory.limit = units.MAX_INT64
         fixtures.wait_until(lambda: memory.held_bytes == 0)
+        page = fixtures.send(
+            entry.admin_port, fixtures.request_bytes('/metrics')
+        )
+        CASE.assertIn(b'limit="memory-held"', page.body)
 
 
 def test_large_body_is_refused_while_callers_hold_too_much() -> None:
