--- a/src/mulberryquay/entry/caller_limits.py
+++ b/src/mulberryquay/entry/caller_limits.py
@@ -6,12 +6,11 @@
 import enum
 import logging
 import math
-import pathlib
 import resource
 import typing
 
 from mulberryquay import metrics
-from mulberryquay.coordination import clock, units
+from mulberryquay.coordination import clock, machine_memory, units
 
 #: Part of the machine's memory that callers may hold, in percent. The rest is
 #: for the process itself and for what the account does not see.
@@ -22,12 +21,10 @@
 _DESCRIPTOR_PART: typing.Final = 0.75
 
 _PERCENT: typing.Final = 100
-_KIB: typing.Final = 1024
 
 #: Time between two log lines about one limit.
 _LOG_INTERVAL_MS: typing.Final = units.SECOND_MS
 
-_MEMORY_FILE: typing.Final = pathlib.Path('/proc/meminfo')
 _LOG: typing.Final = logging.getLogger(__name__)
 
 METRICS: typing.Final = (
@@ -71,8 +68,7 @@
 
 def memory_bound(memory_mb: int, percent: int) -> int:
     """Returns the bytes that callers may hold; 0 MB for the machine's."""
-    memory = memory_mb * units.MIB or _machine_memory()
-    return memory * percent // _PERCENT
+    return machine_memory.size_bytes(memory_mb) * percent // _PERCENT
 
 
 def connection_bound(given: int) -> int:
@@ -83,13 +79,6 @@
     return max(1, int(descriptors * _DESCRIPTOR_PART))
 
 
-def _machine_memory() -> int:
-    for line in _MEMORY_FILE.read_text().splitlines():
-        if line.startswith('MemTotal:'):
-            return int(line.split()[1]) * _KIB
-    return units.MAX_INT64
-
-
 @typing.final
 class LimitNotes:
     """Counts the limits that were met, and logs them now and then."""
--- a/src/mulberryquay/entry/entry_settings.py
+++ b/src/mulberryquay/entry/entry_settings.py
@@ -229,13 +229,7 @@
         minimum=1,
         maximum=units.MIB,
     ),
-    settings.Setting(
-        'memory_mb',
-        0,
-        'memory of the machine for this process in MiB; 0 for all that '
-        '/proc/meminfo tells',
-        maximum=units.MIB * units.MIB,
-    ),
+    settings.MEMORY_MB,
     settings.Setting(
         'caller_memory_percent',
         caller_limits.MEMORY_PERCENT,
