Pass on names of client accounts as UTF-8

Cause: a whole configuration may name an account in any script, but names were encoded as Latin-1: each request of such an account ended its connection.

Change: names are sent and read as UTF-8.

Result: the new test fails before with UnicodeEncodeError; accounts, admission, regions and test_headers pass.

--- a/src/mulberryquay/entry/authentication.py
+++ b/src/mulberryquay/entry/authentication.py
@@ -49,7 +49,7 @@
         named = head.find(entry_state.dialect.account)
         if not named:
             return ANONYMOUS
-        name = named.decode('latin-1')
+        name = named.decode(errors='replace')
         if table.authenticates_callers and not table.has_account(name):
             raise _refusal(table, '')
         return Identity(table.find_account(name), '', table.revision)
@@ -117,4 +117,4 @@
     kept = headers.without((header_names.AUTHORIZATION, name_header))
     if account is None:
         return kept
-    return kept.with_added([(name_header, account.name.encode('latin-1'))])
+    return kept.with_added([(name_header, account.name.encode())])
--- a/testing/accounts/test_authentication.py
+++ b/testing/accounts/test_authentication.py
@@ -6,6 +6,7 @@
 import typing
 
 from mulberryquay.accounts import keys
+from mulberryquay.control import configuration, host_protocol
 from mulberryquay.standin import target
 from testing import fixtures
 
@@ -100,3 +101,44 @@
     assert answers[-1].outcome == 'not-run/over-rate', answers
     assert 0 < float(answers[-1].headers['retry-after']) <= 100
     assert len(received) == 2
+
+
+def test_account_with_a_name_beyond_latin_1_is_served() -> None:
+    """Its name could not be encoded, so that each request failed."""
+    received: list[target.ReceivedRequest] = []
+    name = '\u0141ukasz'
+    with fixtures.control() as control, fixtures.entry(control) as entry:
+        resources = configuration.check(
+            [
+                {'kind': 'services', 'name': 'stock', 'spec': {}},
+                {
+                    'kind': 'routes',
+                    'name': 'stock',
+                    'spec': {'path_prefix': '/stock', 'service': 'stock'},
+                },
+                {
+                    'kind': 'client-accounts',
+                    'name': name,
+                    'spec': {
+                        'authenticated': True,
+                        'key_digests': [keys.digest_of(_KEY)],
+                    },
+                },
+            ],
+            fixtures.KERNEL.resource_kinds,
+        )
+        control.daemon.cluster.orders.execute(
+            host_protocol.PutConfiguration(
+                1, b'{}', [list(resource) for resource in resources]
+            )
+        )
+        control.wait_in_force()
+        with fixtures.announced_target(
+            control,
+            'stock-a',
+            handler=lambda request: received.append(request) or target.Answer(),
+        ):
+            fixtures.wait_for_targets(entry, 'stock-a')
+            answer = fixtures.ask(entry, '/stock/x', headers=_WITH_KEY)
+    assert answer.status == 200, answer
+    assert received[0].head.find(b'mulberryquay-account') == name.encode()
