--- a/testing/decisions/doubles.py
+++ b/testing/decisions/doubles.py
@@ -4,7 +4,7 @@
 
 import typing
 
-from mulberryquay.decisions import ordering, permits, placement
+from mulberryquay.decisions import ordering, permits
 
 
 @typing.final
@@ -58,11 +58,6 @@
         """Returns the newest request."""
         return next(reversed(self._waiting.values()), None)
 
-
-@typing.final
-class FirstOption:
-    """Chooses the first option."""
-
-    def place(self, options: typing.Sequence[placement.Option]) -> int:
-        """Returns the index of the first option."""
-        return 0
+    def work_ahead(self, waiting: ordering.Waiting, now: float) -> float:
+        """Returns the work of all requests that came earlier."""
+        return sum(earlier.cost_ms for earlier in self._waiting.values())
