Recompute the limits of changed targets only

Cause: each message about targets made an entry recompute the limits of all it knows.

Change: apply recomputes the targets that the message names. What concerns all (entry lists, configuration, freshness, domains) recomputes all as before.

--- a/src/mulberryquay/entry/balancer.py
+++ b/src/mulberryquay/entry/balancer.py
@@ -132,7 +132,8 @@
             removed_names = set(self._targets) - listed
         for name in removed_names:
             self._remove(name)
-        self.refresh_limits()
+        changed_names = {row.name for row in rows} & set(self._targets)
+        self.refresh_limits([self._targets[name] for name in changed_names])
 
     def apply_domains_out(self, domains_out: frozenset[str]) -> None:
         """Sets the failure domains whose targets get no new calls."""
@@ -173,9 +174,16 @@
             self._is_fresh = is_fresh
             self.refresh_limits()
 
-    def refresh_limits(self) -> None:
-        """Recomputes the limits of all targets and serves waiting requests."""
-        for target in self._targets.values():
+    def refresh_limits(
+        self, changed: typing.Sequence[targets.TargetState] | None = None
+    ) -> None:
+        """Recomputes the limits of targets and serves waiting requests.
+
+        Without ``changed`` it does so for all targets.
+        """
+        if changed is None:
+            changed = list(self._targets.values())
+        for target in changed:
             self._refresh_target(target)
         for service, roll_out in self._roll_outs.items():
             queue = self.queue_for(service)
--- a/testing/entry/test_balancer.py
+++ b/testing/entry/test_balancer.py
@@ -11,7 +11,14 @@
 
 from mulberryquay import protocol
 from mulberryquay.coordination import allowance, clock
-from mulberryquay.entry import dialect, daemon, routing, targets
+from mulberryquay.entry import (
+    balancer,
+    daemon,
+    dialect,
+    routing,
+    state,
+    targets,
+)
 from mulberryquay.standin import target
 from testing import fixtures
 
@@ -275,3 +282,28 @@
         )
         balancer.configure({}, {'stock': known})
         CASE.assertTrue(balancer.all_targets['stock-b'].limit)
+
+
+def test_change_of_one_target_recomputes_no_other_limits() -> None:
+    """With 3,000 targets the time to learn of all grew with their square."""
+    with mock.patch.object(
+        balancer.Balancer, '_refresh_target', autospec=True
+    ) as refreshed:
+        target_balancer = state.EntryState(
+            name='entry-1',
+            region='north',
+            domain='north-1',
+            new_policy=mock.Mock(),
+        ).balancer
+        rows = [
+            list(fixtures.warm_row(f'stock-{number}', '127.0.0.1:1'))
+            for number in range(20)
+        ]
+        target_balancer.apply(
+            protocol.TargetsChanged(rows, [], is_complete=False)
+        )
+        refreshed.reset_mock()
+        target_balancer.apply(
+            protocol.TargetsChanged(rows[:1], [], is_complete=False)
+        )
+    CASE.assertEqual(refreshed.call_count, 1)
