--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,7 +1,6 @@
-"""A tenant's request crashes backends; others' with its path hide that."""
+"""A request with home regions that crashes backends is not stopped."""
 
 import asyncio
-import itertools
 import pathlib
 import sys
 
@@ -11,114 +10,27 @@
 import poison  # noqa: E402
 import standins  # noqa: E402
 
-#: As in the site file condor-obras-grown.toml.
-standins.CONTRACTS = (*standins.CONTRACTS, 'pool', 'tenants', 'quota')
-standins.BOUNDS.update(
-    quota_window_s=5, quota_overage=0.1, quota_slack=20, contact_window_s=4,
-    config_propagation_s=2.5, drain_s=2.5, catch_up_s=6, cold_slack=8,
-    budget_slack=184,
-)
-CONTACT_S = standins.BOUNDS['contact_window_s']
-PATH = '/price/nails'
-KEYS = {'bad': 'n4ryrbbkf83fgfwrz56a', 'good': 'w63is47qdqiqrh4jcda9'}
-
-
-def document():
-    document = standins.configuration(
-        1,
-        [standins.rule('r-price', 'safe', '/price/', 'mostrador', timeout_s=1.5)],
-        ['mostrador'],
-    )
-    document['tenants'] = [
-        {
-            'name': name,
-            'api_keys': [key],
-            'priority': 1,
-            'rate_per_s': 126,
-            'burst': 126,
-            'allowed_regions': [],
-        }
-        for name, key in KEYS.items()
-    ]
-    return document
-
 
 async def case(world, trouble):
-    world.add_backends(
-        'mostrador',
-        list(standins.ZONES) * 2,
-        work_s=0.14,
-        is_poison=lambda path, caller: trouble and caller == 'bad',
-        crash_after_s=0.02,
-    )
-    await world.begin(document())
+    poison.add_backends(world, trouble)
+    await world.begin(poison.document(['north-tw', 'central-tw']))
     record = world.record
-    edges = world.fleet.edges
-    await asyncio.sleep(CONTACT_S + 1)
-    end = record.now() + 45
+    await asyncio.sleep(poison.CONTACT_S + 1)
     results = []
-
-    async def look_up():
-        tasks = []
-        for number in itertools.count():
-            if record.now() > end:
-                break
-            tasks.append(
-                asyncio.ensure_future(
-                    world.ask(
-                        edges[number % len(edges)], 'GET', PATH,
-                        deadline_ms=1249, key=KEYS['good'],
-                    )
-                )
-            )
-            await asyncio.sleep(0.05)
-        for task in tasks:
-            results.append(await task)
-
-    traffic = asyncio.ensure_future(look_up())
-    bad = set()
-    for number in range(16):
-        request_id, _ = await world.ask(
-            edges[number % len(edges)], 'GET', PATH,
-            deadline_ms=1249, key=KEYS['bad'],
+    traffic = asyncio.ensure_future(
+        poison.orders(world, record.now() + 40, results)
+    )
+    edges = world.fleet.edges
+    third = await poison.crash_three(world, edges[0])
+    await asyncio.sleep(max(0, third + poison.CONTACT_S + 0.5 - record.now()))
+    # It comes again, at any machine, a little more than once in a second.
+    for number in range(20):
+        await world.ask(
+            edges[number % len(edges)], 'POST', poison.POISON, body=b'bad'
         )
-        bad.add(request_id)
-        await asyncio.sleep(2.4)
+        await asyncio.sleep(1.2)
     await traffic
-    times = sorted(
-        (run.at, run.request_id)
-        for backend in world.backends
-        for run in backend.runs
-        if run.request_id in bad
-    )
-    if len(times) < 3:
-        raise standins.CannotRun('the request did not run three times')
-    third = times[2][0]
-    late = [at for at, _ in times if at > third + CONTACT_S]
-    answers = dict(results)
-    lost = [
-        run.request_id
-        for backend in world.backends
-        for run in backend.runs
-        if run.ended == 'crash' and run.at > third + CONTACT_S
-    ]
-    failed = [
-        request_id
-        for request_id in lost
-        if request_id in answers and answers[request_id].status != 200
-    ]
-    if world.fleet.crashed():
-        raise standins.CannotRun(f'processes ended: {world.fleet.crashed()}')
-    record.say(
-        f'{len(late)} times it reached a backend later than {CONTACT_S} s '
-        'after the third, allowed are 3; backends crashed '
-        f'{sum(backend.crashes for backend in world.backends)} times'
-    )
-    record.say(
-        f'{len(lost)} look-ups of the other tenant ran on backends that it '
-        f'crashed after that, {len(failed)} of them got no success'
-    )
-    return not trouble or len(late) <= 3
+    return poison.verdict(world, trouble, third, results)
 
 
 if __name__ == '__main__':
--- a/review/harness/poison.py
+++ b/review/harness/poison.py
@@ -86,6 +86,9 @@
     ]
     if world.fleet.crashed():
         raise standins.CannotRun(f'processes ended: {world.fleet.crashed()}')
+    if not trouble:
+        record.say(f'it ran {len(run_times(world))} times and crashed nothing')
+        return not sum(backend.crashes for backend in world.backends)
     record.say(
         f'{len(late)} times it reached a backend later than {CONTACT_S} s '
         'after the third, allowed are 3; backends crashed '
@@ -95,4 +98,4 @@
         f'{len(unanswered)} ordinary orders ran on backends that it crashed '
         'after that, and their clients got no success'
     )
-    return not trouble or len(late) <= 3
+    return len(late) <= 3
--- a/review/harness/standins.py
+++ b/review/harness/standins.py
@@ -496,6 +496,8 @@
         self.runs: list[Run] = []
         #: Times and paths of all requests that reached it.
         self.arrivals: list[tuple[float, str, str]] = []
+        #: Headers of the requests that reached it, by request id.
+        self.seen_headers: dict[str, dict[str, str]] = {}
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task] = set()
@@ -617,6 +619,7 @@
         if not request_id:
             return await self._write(writer, 400, refusal, b'')
         self.arrivals.append((self.fleet.record.now(), request_id, path))
+        self.seen_headers[request_id] = headers
         deadline = time.monotonic() + (
             int(headers.get('x-deadline-milliseconds', 60000)) / 1000
         )
@@ -782,6 +785,7 @@
         body: bytes = b'',
         deadline_ms: int = 1500,
         key: str = '',
+        extra: dict[str, str] | None = None,
     ) -> tuple[str, Answer]:
         """Makes one client attempt; returns its id and its answer."""
         request_id = self.new_id()
@@ -794,6 +798,7 @@
                 'X-Request-Id': request_id,
                 'X-Deadline-Milliseconds': str(deadline_ms),
                 **({'Authorization': f'Bearer {key}'} if key else {}),
+                **(extra or {}),
             },
             body=body,
             timeout=deadline_ms / 1000,
