--- a/review/harness/standins.py
+++ b/review/harness/standins.py
@@ -514,8 +514,8 @@
     def address(self) -> str:
         return f'{self.ip}:8500'
 
-    async def start(self, *, cold_s: float = 0.0) -> None:
-        self.instance = f'i-{random.getrandbits(40):010x}'
+    async def start(self, *, cold_s: float = 0.0, instance: str = '') -> None:
+        self.instance = instance or f'i-{random.getrandbits(40):010x}'
         self.state = 'ready'
         self._born = int(time.time() * 1000)
         self._sequence = 0
