--- a/review/7/case.py
+++ b/review/7/case.py
@@ -61,7 +61,7 @@
     if node is None:
         raise standins.CannotRun('no node acknowledged the check-in')
     record.say(f'{added.instance} checked in at {node.name}')
-    await asyncio.sleep(0.1)
+    await asyncio.sleep(0.04)
     if trouble:
         for core in fleet.cores:
             core.send(signal.SIGKILL)
