review: each case reads TROUBLE in its own folder

It was read in the shared harness only, so nothing in a case's folder showed it. Behaviour is the same.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,6 +1,7 @@
 """A rolling restart lets a request through that crashes backends."""
 
 import asyncio
+import os
 import pathlib
 import signal
 import sys
@@ -53,4 +54,6 @@
 
 
 if __name__ == '__main__':
-    sys.exit(standins.play(HERE, case))
+    # TROUBLE=0 does the same without the disruption.
+    has_trouble = os.environ.get('TROUBLE', '1') != '0'
+    sys.exit(standins.play(HERE, case, trouble=has_trouble))
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,6 +1,7 @@
 """When the last tenant is taken away, anybody's requests run."""
 
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -94,4 +95,6 @@
 
 
 if __name__ == '__main__':
-    sys.exit(standins.play(HERE, case))
+    # TROUBLE=0 does the same without the disruption.
+    has_trouble = os.environ.get('TROUBLE', '1') != '0'
+    sys.exit(standins.play(HERE, case, trouble=has_trouble))
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import os
 import pathlib
 import signal
 import sys
@@ -116,4 +117,6 @@
 
 
 if __name__ == '__main__':
-    sys.exit(standins.play(HERE, case))
+    # TROUBLE=0 does the same without the disruption.
+    has_trouble = os.environ.get('TROUBLE', '1') != '0'
+    sys.exit(standins.play(HERE, case, trouble=has_trouble))
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,3 +1,5 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
-cd "$(dirname "$0")" && exec python3 -B case.py
+# TROUBLE=0 does the same without the disruption.
+cd "$(dirname "$0")" || exit 2
+TROUBLE="${TROUBLE:-1}" exec python3 -B case.py
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,6 +1,7 @@
 """A first configuration with the version r0 is acknowledged and dropped."""
 
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -45,4 +46,6 @@
 
 
 if __name__ == '__main__':
-    sys.exit(standins.play(HERE, case))
+    # TROUBLE=0 does the same without the disruption.
+    has_trouble = os.environ.get('TROUBLE', '1') != '0'
+    sys.exit(standins.play(HERE, case, trouble=has_trouble))
--- a/review/harness/standins.py
+++ b/review/harness/standins.py
@@ -816,14 +816,15 @@
         self.fleet.stop()
 
 
-def play(folder: pathlib.Path, case, *, edges: int = 6) -> int:
+def play(
+    folder: pathlib.Path, case, *, trouble: bool, edges: int = 6
+) -> int:
     """Plays a case; returns 1 if it says the rule was broken, else 0, or 2.
 
     ``case`` is an async function of the world and whether there is trouble;
     it returns whether the rule held.
     """
     record = Record(folder / 'record.txt')
-    trouble = os.environ.get('TROUBLE', '1') != '0'
     try:
         world = World(record, edges=edges)
     except CannotRun as error:
