Wait for the disk write under way before a stop gives up its data folder

What callers saw: a control host or ledger that stops while its disk writes closed its files and unlocked its folder at once. Whoever opens the folder next, such as the next run on the same machine, could read it while the old one still wrote to it; and a write that came later went to a number that may belong to another file or connection by then.

Cause: GroupCommit.close ends the task that waits for the disk's thread. The thread can't be ended and goes on.

Why: a task that is ended in FileSystem.run ends once the thread is done. A disk that does not answer for 5 s keeps the files and the lock, with a line in the log, so a stop ends all the same.

Ruled out: a marker in the queue in place of the kill, since the simulated disk of a node that crashed never answers.

--- a/src/mulberryquay/coordination/group_commit.py
+++ b/src/mulberryquay/coordination/group_commit.py
@@ -12,6 +12,8 @@
 
 #: Most records in one sync.
 _MAX_BATCH: typing.Final = 512
+#: Longest wait of `GroupCommit.close` for a write that is under way, seconds.
+_CLOSE_WAIT_S: typing.Final = 5
 
 _LOG: typing.Final = logging.getLogger(__name__)
 
@@ -80,9 +82,20 @@
         synced.get()
 
     def close(self) -> None:
-        """Stops the task and closes the journal."""
-        self._task.kill()
-        self._log.close()
+        """Stops the task and closes the journal; may be called again.
+
+        Waits for a write that is under way, up to a limit; after it the files
+        stay open and locked, since the disk may still write to them.
+        """
+        self._task.kill(timeout=_CLOSE_WAIT_S)
+        if self._task.dead:
+            self._log.close()
+        else:
+            _LOG.warning(
+                'a disk write takes longer than %s s; '
+                'the data folder stays locked until this process ends',
+                _CLOSE_WAIT_S,
+            )
 
     def _run(self) -> None:
         while True:
--- a/src/mulberryquay/coordination/journal.py
+++ b/src/mulberryquay/coordination/journal.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import fcntl
 import os
 import pathlib
@@ -96,8 +97,18 @@
         self.sync_folder(path.parent)
 
     def run(self, work: typing.Callable[[], None]) -> None:
-        """Runs ``work``, which may block on the disk, in a thread."""
-        gevent.get_hub().threadpool.apply(work)
+        """Runs ``work``, which may block on the disk, in a thread.
+
+        A caller that is ended meanwhile ends once the thread is done, which
+        can't be stopped: the files are the thread's until then.
+        """
+        running = gevent.get_hub().threadpool.spawn(work)
+        try:
+            running.get()
+        finally:
+            while not running.ready():
+                with contextlib.suppress(gevent.GreenletExit):
+                    running.wait()
 
 
 @typing.final
