Bound the queue of log lines by its bytes as well

What callers saw: a crowd whose paths have megabytes made each log line as long; the queue was bounded by its number of lines only, so an entry that can't write its log kept up to all of them.

Cause: a bound on a number of things whose size a client chooses.

Why: lines beyond 2 MiB that wait are dropped and counted, as those beyond the number are; legal lines do not meet it before the number.

--- a/src/mulberryquay/logs.py
+++ b/src/mulberryquay/logs.py
@@ -14,11 +14,14 @@
 from gevent import os as gevent_os
 from pythonjsonlogger import json
 
-from mulberryquay.coordination import clock, token_bucket
+from mulberryquay.coordination import clock, token_bucket, units
 
 #: Queue limit; lines beyond it are dropped and counted.
 MAX_QUEUED_LINES: typing.Final = 2000
 
+#: Limit of what the queue holds, in bytes.
+MAX_QUEUED_BYTES: typing.Final = 2 * units.MIB
+
 #: Token bucket for lines below level WARNING: rate and burst.
 LINES_PER_S: typing.Final = 400
 BURST_LINES: typing.Final = 2000
@@ -55,6 +58,7 @@
             rate=LINES_PER_S,
             burst=BURST_LINES,
         )
+        self._queued_bytes = 0
         self._has_lines = event.Event()
         self._task: gevent.Greenlet | None = None
         self._unreported_drops = 0
@@ -79,19 +83,26 @@
         is_allowed = (
             record.levelno >= logging.WARNING or self._rate_limit.take()
         )
-        if not is_allowed or len(self._lines) >= MAX_QUEUED_LINES:
+        if not is_allowed or self._is_full:
             self._count_dropped(1)
             return
         if self._unreported_drops:
             self._report_dropped()
         self._enqueue(record)
 
+    @property
+    def _is_full(self) -> bool:
+        is_long = len(self._lines) >= MAX_QUEUED_LINES
+        return is_long or self._queued_bytes >= MAX_QUEUED_BYTES
+
     def _count_dropped(self, count: int) -> None:
         self.dropped += count
         self._unreported_drops += count
 
     def _enqueue(self, record: logging.LogRecord) -> None:
-        self._lines.append(self.format(record).encode() + b'\n')
+        line = self.format(record).encode() + b'\n'
+        self._lines.append(line)
+        self._queued_bytes += len(line)
         self._has_lines.set()
 
     def _report_dropped(self) -> None:
@@ -119,6 +130,7 @@
         chunk = bytearray()
         while self._lines and len(chunk) < _WRITE_BYTES:
             chunk += self._lines.popleft()
+        self._queued_bytes -= len(chunk)
         unwritten = memoryview(bytes(chunk))
         try:
             while unwritten:
@@ -128,6 +140,7 @@
             lost = bytes(chunk[len(chunk) - len(unwritten) :])
             self._count_dropped(lost.count(b'\n') + len(self._lines))
             self._lines.clear()
+            self._queued_bytes = 0
 
     def _write(self, part: memoryview) -> int:
         if self._may_block:
