Bound what the claims of a ledger hold; forget claims that were never sent

What callers saw: keys and kept answers of a ledger had no bound in bytes; a client that sends a new key with each request grew it until the machine ended it, and keyed requests of everybody were refused. An entry without its ledger kept a settlement for each refused keyed request until the ledger was back.

Cause: each client can make claims exist, and nothing counted them.

An answer that no longer fits is not kept: its key stays claimed, so nothing runs twice.

--- a/src/mulberryquay/entry/claim_client.py
+++ b/src/mulberryquay/entry/claim_client.py
@@ -29,6 +29,10 @@
     http_status = 503
 
 
+def _not_connected() -> LedgerUnavailableError:
+    return LedgerUnavailableError('not connected to the ledger of this region')
+
+
 class GrantedClaim(typing.NamedTuple):
     """A claim that this entry holds until it is settled."""
 
@@ -65,6 +69,11 @@
         """Whether a stream to the ledger is open."""
         return self._stream is not None
 
+    @property
+    def unsettled_count(self) -> int:
+        """Settlements that the ledger has not confirmed."""
+        return len(self._unsettled)
+
     def start(self) -> None:
         """Connects, and reconnects until `stop`."""
         if self._address is not None:
@@ -85,9 +94,11 @@
     ) -> tuple[GrantedClaim, protocol.ClaimAnswer]:
         """Requests the right to run a request.
 
-        Raises LedgerUnavailableError. The ledger may have granted the claim
-        nevertheless, so a settlement that frees the key is queued.
+        Raises LedgerUnavailableError. A ledger that was asked may have granted
+        the claim nevertheless, so a settlement that frees the key is queued.
         """
+        if self._stream is None:
+            raise _not_connected()
         number = next(self._numbers)
         claim = protocol.Claim(number, key, digest, int(timeout))
         granted = GrantedClaim(number, key, digest)
@@ -141,9 +152,7 @@
     ) -> typing.Any:
         stream = self._stream
         if stream is None:
-            raise LedgerUnavailableError(
-                'not connected to the ledger of this region'
-            )
+            raise _not_connected()
         pending: event.AsyncResult = event.AsyncResult()
         self._pending[number] = pending
         try:
--- a/src/mulberryquay/entry/keyed.py
+++ b/src/mulberryquay/entry/keyed.py
@@ -75,6 +75,12 @@
                     'this key was used for a different request before; use a '
                     'new key for each new request',
                 )
+            case protocol.ClaimState.FULL:
+                raise outcomes.not_run(
+                    outcomes.Reason.LEDGER_FULL,
+                    'the ledger of this region keeps as many keys as it may; '
+                    'the request was not run',
+                )
             case protocol.ClaimState.UNKNOWN:
                 raise outcomes.unknown(
                     outcomes.Reason.EARLIER_RUN,
--- a/src/mulberryquay/entry/outcomes.py
+++ b/src/mulberryquay/entry/outcomes.py
@@ -77,6 +77,7 @@
     EARLIER_RUN = 'earlier-run'
     KEYED_BODY_TOO_LARGE = 'keyed-body-too-large'
     LEDGER_UNAVAILABLE = 'ledger-unavailable'
+    LEDGER_FULL = 'ledger-full'
     INTERNAL_ERROR = 'internal-error'
 
 
@@ -130,6 +131,7 @@
         Reason.ENTRY_STOPPING,
         Reason.KEY_IN_USE,
         Reason.LEDGER_UNAVAILABLE,
+        Reason.LEDGER_FULL,
     ),
 )
 
--- a/src/mulberryquay/ledger/claims.py
+++ b/src/mulberryquay/ledger/claims.py
@@ -7,9 +7,17 @@
 
 from __future__ import annotations
 
+import logging
+import math
 import typing
 
-from mulberryquay.coordination import clock, group_commit, journal, units
+from mulberryquay.coordination import (
+    clock,
+    group_commit,
+    journal,
+    packing,
+    units,
+)
 from mulberryquay.ledger import protocol
 
 #: How long a settled or unknown claim is kept.
@@ -18,10 +26,27 @@
 #: Records after which a snapshot replaces the journal.
 _SNAPSHOT_AFTER: typing.Final = 20_000
 
+#: Part of the machine's memory that claims may hold, in percent.
+MEMORY_PERCENT: typing.Final = 25
+
+#: Memory of a record beside its key, its digest and its answer.
+_RECORD_BYTES: typing.Final = 1024
+
+#: Time between two searches for claims that have expired.
+_SEARCH_INTERVAL_MS: typing.Final = units.SECOND_MS
+
 #: Added to a request's timeout before its claim becomes unknown.
 _GRACE_MS: typing.Final = 5000
 
 
+_LOG: typing.Final = logging.getLogger(__name__)
+
+
+def _answer_bytes(answer: list[typing.Any]) -> int:
+    """Returns the approximate size of a kept answer, in bytes."""
+    return len(packing.pack(answer)) if answer else 0
+
+
 class Record(typing.NamedTuple):
     """The state of a key; the journal holds one record per change."""
 
@@ -37,6 +62,16 @@
     expires_at: float
     answer: list[typing.Any]
 
+    @property
+    def size(self) -> int:
+        """The approximate size of the record in memory, in bytes."""
+        return (
+            _RECORD_BYTES
+            + len(self.key)
+            + len(self.digest)
+            + _answer_bytes(self.answer)
+        )
+
 
 class ClaimResult(typing.NamedTuple):
     """The answer to a claim."""
@@ -45,6 +80,7 @@
     answer: list[typing.Any]
 
 
+_FULL_RESULT: typing.Final = ClaimResult(protocol.ClaimState.FULL, [])
 _GRANTED_RESULT: typing.Final = ClaimResult(protocol.ClaimState.GRANTED, [])
 _RUNNING: typing.Final = protocol.ClaimState.RUNNING.value
 #: The outcome of a request that did not run; its key is free again.
@@ -56,9 +92,21 @@
 class Claims:
     """All claims of one ledger."""
 
-    def __init__(self, log: journal.Journal, time_source: clock.Clock) -> None:
-        """Restores the claims from ``log``; raises JournalCorruptError."""
+    def __init__(
+        self,
+        log: journal.Journal,
+        time_source: clock.Clock,
+        max_bytes: int = units.MAX_INT64,
+    ) -> None:
+        """Restores the claims from ``log``; raises JournalCorruptError.
+
+        Above ``max_bytes`` of records, new keys get no claim.
+        """
         self._clock = time_source
+        self._max_bytes = max_bytes
+        #: What the records hold, in bytes.
+        self.held_bytes = 0
+        self._next_search = -math.inf
         self._records: dict[str, Record] = {}
         self._pending: set[str] = set()
         self._log = log
@@ -84,6 +132,8 @@
     ) -> ClaimResult:
         """Durably grants a new key, or returns the state of an existing one.
 
+        A new key is not granted while records hold too much.
+
         Raises JournalFailedError, in which case the request must not run.
         """
         existing = self._find_unexpired(key)
@@ -101,6 +151,8 @@
             expires_at,
             [],
         )
+        if not self._has_room(record.size):
+            return _FULL_RESULT
         self._pending.add(key)
         try:
             self._commit(record)
@@ -130,6 +182,10 @@
             claim_number,
         ):
             return
+        if not self._has_room(_answer_bytes(answer)):
+            # The key stays claimed, so the request is not run again.
+            state, answer = _UNKNOWN, []
+            _LOG.warning('answer not kept', extra={'claimant': claimant})
         self._commit(
             existing._replace(
                 state=state,
@@ -152,6 +208,34 @@
         """Closes the journal."""
         self._commits.close()
 
+    def _has_room(self, size: int) -> bool:
+        """Whether records may hold ``size`` bytes more."""
+        now = self._clock.now()
+        if self._fits(size) or now < self._next_search:
+            return self._fits(size)
+        self._next_search = now + _SEARCH_INTERVAL_MS
+        self._drop_expired()
+        return self._fits(size)
+
+    def _fits(self, size: int) -> bool:
+        return self.held_bytes + size <= self._max_bytes
+
+    def _drop_expired(self) -> None:
+        """Forgets the records that a snapshot would leave out."""
+        now = self._clock.wall()
+        expired = [
+            record.key
+            for record in self._records.values()
+            if record.expires_at <= now and record.state != _RUNNING
+        ]
+        for key in expired:
+            self._forget(key)
+
+    def _forget(self, key: str) -> None:
+        record = self._records.pop(key, None)
+        if record is not None:
+            self.held_bytes -= record.size
+
     def _find_unexpired(self, key: str) -> Record | None:
         existing = self._records.get(key)
         if existing is None or existing.expires_at > self._clock.wall():
@@ -179,18 +263,13 @@
         self._store_record(Record(*fields))
 
     def _store_record(self, record: Record) -> None:
-        if record.state == _FREE:
-            self._records.pop(record.key, None)
-        else:
+        self._forget(record.key)
+        if record.state != _FREE:
             self._records[record.key] = record
+            self.held_bytes += record.size
 
     def _snapshot(self) -> list[tuple[typing.Any, ...]]:
-        now = self._clock.wall()
-        self._records = {
-            key: record
-            for key, record in self._records.items()
-            if record.expires_at > now or record.state == _RUNNING
-        }
+        self._drop_expired()
         return [tuple(record) for record in self._records.values()]
 
 
--- a/src/mulberryquay/ledger/protocol.py
+++ b/src/mulberryquay/ledger/protocol.py
@@ -23,6 +23,8 @@
     UNKNOWN = 'unknown'
     #: The key was used with a different request before.
     MISMATCH = 'mismatch'
+    #: The key is new, and the ledger holds as many as it may.
+    FULL = 'full'
 
 
 class Hello(typing.NamedTuple):
--- a/testing/entry/test_keyed.py
+++ b/testing/entry/test_keyed.py
@@ -8,7 +8,8 @@
 
 import gevent
 
-from mulberryquay.entry import daemon
+from mulberryquay.coordination import clock
+from mulberryquay.entry import claim_client, daemon
 from mulberryquay.standin import target
 from testing import fixtures
 
@@ -182,3 +183,12 @@
             too_large = _send_order(entry, 'k1', bytes(70_000))
             CASE.assertEqual(too_large.status, 413)
             CASE.assertFalse(orders.runs)
+
+
+def test_claims_that_were_never_sent_leave_nothing_behind() -> None:
+    """Each kept a settlement until the ledger was back (issue 53)."""
+    client = claim_client.ClaimClient('e', None, clock.Clock())
+    for number in range(3):
+        with CASE.assertRaises(claim_client.LedgerUnavailableError):
+            client.claim(f'key-{number}', b'd', timeout=100)
+    CASE.assertEqual(client.unsettled_count, 0)
--- a/testing/ledger/test_claims.py
+++ b/testing/ledger/test_claims.py
@@ -18,6 +18,8 @@
 CASE: typing.Final = unittest.TestCase()
 State = protocol.ClaimState
 
+_MAX_BYTES: typing.Final = 20_000
+
 
 class RestartableClaims:
     """A ledger's claims on one key, which can be restarted."""
@@ -170,3 +172,45 @@
                     ledger.restart()
                 case 'wait':
                     ledger.time_source.advance(10_000)
+
+
+def _claim_each(ledger: claims.Claims, count: int) -> list[State]:
+    """Claims keys that differ; returns the states."""
+    return [
+        ledger.claim(
+            f'key-{number}',
+            b'd',
+            claimant='e',
+            claim_number=number,
+            timeout=100,
+        ).state
+        for number in range(count)
+    ]
+
+
+def test_full_ledger_refuses_new_keys_and_keeps_the_old_ones() -> None:
+    """A client that never repeats a key ended the ledger (issue 53)."""
+    with fixtures.folder() as folder:
+        time_source = clock.ManualClock(start=1000)
+        ledger = claims.Claims(journal.Journal(folder), time_source, _MAX_BYTES)
+        states = _claim_each(ledger, 100)
+        granted = states.count(State.GRANTED)
+        CASE.assertGreater(granted, 0)
+        CASE.assertEqual(states[granted:], [State.FULL] * (100 - granted))
+        CASE.assertLessEqual(ledger.held_bytes, _MAX_BYTES)
+        again = _claim_each(ledger, granted)
+        CASE.assertEqual(set(again), {State.RUNNING})
+        for number in range(granted):
+            ledger.settle(
+                f'key-{number}',
+                claimant='e',
+                claim_number=number,
+                state=State.KEPT.value,
+                answer=[200, [], b'x' * 2000],
+            )
+        CASE.assertLessEqual(ledger.held_bytes, _MAX_BYTES)
+        settled = _claim_each(ledger, granted)
+        CASE.assertLessEqual(set(settled), {State.KEPT, State.UNKNOWN})
+        time_source.advance(claims.RETENTION_MS)
+        CASE.assertIn(State.GRANTED, _claim_each(ledger, 100))
+        ledger.close()
