Ports between processes: bound streams, unfinished messages and calls

What callers saw: 400 clients at the feed, at the port of control hosts or at that of a ledger (96 MB, 256 descriptors) took all descriptors or several times the machine's memory; the process ended, or no entry and no host got in any more. Forms: connections that send nothing, begun messages of the largest size, calls whose answers nobody reads, one whole message and then silence, compressed messages (60 kB became 60 MB, 181 to 185 MB in all).

Cause: none of the three ports counted what a peer holds before it is known.

Why: StreamLoad counts a stream, what was read of its message (decompressed), the system's receive buffer and its running calls against an eighth of the memory and a part of the descriptors (feed_streams, host_streams, entry_streams). At a bound, a stream without a whole message ends for a new one, then one that is silent for 1 s without a running call. A running call never gives way. Each refusal or closing is counted and logged.

--- a/src/mulberryquay/api_load.py
+++ b/src/mulberryquay/api_load.py
@@ -13,7 +13,13 @@
 
 from mulberryquay import metrics as metrics_module
 from mulberryquay import settings
-from mulberryquay.coordination import clock, errors, machine_memory, units
+from mulberryquay.coordination import (
+    clock,
+    errors,
+    machine_memory,
+    stream_load,
+    units,
+)
 
 #: Bodies up to this size always pass and are not counted.
 SMALL_BODY_BYTES: typing.Final = 16_384
@@ -44,7 +50,17 @@
     ),
 )
 
-#: Part of the machine's memory that bodies may hold.
+STREAM_METRICS: typing.Final = (
+    metrics_module.MetricDeclaration(
+        'mulberryquay_stream_limits_met_total',
+        'Streams between processes that were refused or closed at a limit, by '
+        'port.',
+        labels=('port',),
+        is_gauge=True,
+    ),
+)
+
+#: Part of the machine's memory that bodies and answers may hold.
 _MEMORY_SHARE: typing.Final = 8
 _DESCRIPTOR_SHARE: typing.Final = 2
 _MAX_CONNECTIONS: typing.Final = 1_000_000
@@ -206,3 +222,16 @@
     if soft_limit == resource.RLIM_INFINITY:
         return _MAX_CONNECTIONS
     return max(1, soft_limit // share)
+def stream_limits(
+    memory_mb: int, streams: int, descriptor_share: int
+) -> stream_load.Limits:
+    """Returns the limits of the streams of one port.
+
+    ``streams`` is their number, derived from the descriptors if 0.
+    """
+    return stream_load.Limits(
+        streams or share_of_descriptors(descriptor_share),
+        machine_memory.size_bytes(memory_mb) // _MEMORY_SHARE,
+    )
+
+
--- a/src/mulberryquay/control/cluster.py
+++ b/src/mulberryquay/control/cluster.py
@@ -29,6 +29,7 @@
     journal,
     rpc,
     shares,
+    stream_load,
     wire,
 )
 from mulberryquay.coordination.replication import disk, replica
@@ -47,6 +48,13 @@
 Message = tuple[typing.Any, ...]
 
 
+class StreamLimits(typing.NamedTuple):
+    """What the streams to a control host may hold, by port."""
+
+    feed: stream_load.Limits = stream_load.UNLIMITED
+    hosts: stream_load.Limits = stream_load.UNLIMITED
+
+
 class HostConfig(typing.NamedTuple):
     """The settings of a control host in its group."""
 
@@ -57,6 +65,7 @@
     is_founding: bool
     data_folder: pathlib.Path
     account_slack: rate_slack.SlackLimits = rate_slack.SlackLimits()
+    stream_limits: StreamLimits = StreamLimits()
 
 
 @typing.final
@@ -78,6 +87,7 @@
         ``bounds`` limit what a bad version gets in a roll-out.
         """
         self._info = config.info
+        self._stream_limits = config.stream_limits
         self._clock = time_source
         self._incarnation = uuid.uuid4().hex
         self._hosts: dict[str, tuple[host_protocol.HostInfo, float]] = {}
@@ -164,9 +174,20 @@
         """
         return self.replica.is_in_touch
 
+    @property
+    def stream_limits_met(self) -> dict[str, int]:
+        """How often a limit of streams was met, by port."""
+        hosts = 0 if self._server is None else self._server.limits_met
+        return {'feed': self.feed.limits_met, 'hosts': hosts}
+
     def start(self, listener: typing.Any, feed_listener: typing.Any) -> None:
         """Starts to serve the other hosts and the entries."""
-        self._server = rpc.Server(listener, host_protocol.CODEC, self._handle)
+        self._server = rpc.Server(
+            listener,
+            host_protocol.CODEC,
+            self._handle,
+            self._stream_limits.hosts,
+        )
         self._server.start()
         self.replica.start()
         self._cache.start()
@@ -174,7 +195,7 @@
         self.reports.start()
         self.permits.start()
         self.roll_outs.start()
-        self.feed.start(feed_listener)
+        self.feed.start(feed_listener, self._stream_limits.feed)
         self._task = gevent.spawn(self._watch_leadership)
 
     def stop(self) -> None:
--- a/src/mulberryquay/control/daemon.py
+++ b/src/mulberryquay/control/daemon.py
@@ -66,6 +66,20 @@
         'whether the listed hosts form a new group if the data folder is '
         'empty; otherwise this host joins theirs',
     ),
+    settings.Setting(
+        'feed_streams',
+        0,
+        'streams of entries; beyond them, one that sent no whole message is '
+        'closed for each new one; 0 for a quarter of the limit of open files',
+        maximum=units.MAX_INT64,
+    ),
+    settings.Setting(
+        'host_streams',
+        0,
+        'streams of other control hosts, bounded in the same way; 0 for an '
+        'eighth of the limit of open files',
+        maximum=units.MAX_INT64,
+    ),
     settings.Setting(
         'region',
         'region',
@@ -188,8 +202,13 @@
     ),
     *permit_desk.METRICS,
     *api_load.METRICS,
+    *api_load.STREAM_METRICS,
 )
 
+#: Parts of the descriptors that streams may use; half are for the API.
+_FEED_DESCRIPTOR_SHARE: typing.Final = 4
+_HOST_DESCRIPTOR_SHARE: typing.Final = 8
+
 _LOG: typing.Final = logging.getLogger(__name__)
 
 
@@ -235,6 +254,7 @@
                     values['account_slack_percent'] / _PERCENT,
                     values['account_window_ms'],
                 ),
+                _stream_limits(values),
             ),
             time_source,
             lease=values['target_lease_ms'],
@@ -340,3 +360,16 @@
         set_gauge('mulberryquay_control_feed_bytes_total', received, 'in')
         sent = self._cluster.feed.bytes_sent
         set_gauge('mulberryquay_control_feed_bytes_total', sent, 'out')
+        for port, count in self._cluster.stream_limits_met.items():
+            set_gauge('mulberryquay_stream_limits_met_total', count, port)
+
+
+def _stream_limits(values: settings.Values) -> cluster.StreamLimits:
+    return cluster.StreamLimits(
+        api_load.stream_limits(
+            values['memory_mb'], values['feed_streams'], _FEED_DESCRIPTOR_SHARE
+        ),
+        api_load.stream_limits(
+            values['memory_mb'], values['host_streams'], _HOST_DESCRIPTOR_SHARE
+        ),
+    )
--- a/src/mulberryquay/control/feed.py
+++ b/src/mulberryquay/control/feed.py
@@ -25,6 +25,7 @@
     history,
     shares,
     store,
+    stream_load,
     wire,
 )
 from mulberryquay.decisions import permits
@@ -80,13 +81,26 @@
         self._sent_pending: shares.EntryList | None = None
         self._sent_hosts: list[list[str]] = []
         self._tasks: list[gevent.Greenlet] = []
-        self._streams: set[wire.Stream] = set()
+        self._load = stream_load.StreamLoad('feed', stream_load.UNLIMITED)
         self._next_renewals_at = time_source.now() + _RENEWALS_INTERVAL_MS
         self.bytes_sent = 0
         self.bytes_received = 0
 
-    def start(self, listener: typing.Any) -> None:
-        """Accepts entries on ``listener``, a listening gevent socket."""
+    @property
+    def limits_met(self) -> int:
+        """How often a limit of the streams of entries was met."""
+        return self._load.limits_met
+
+    def start(
+        self,
+        listener: typing.Any,
+        limits: stream_load.Limits = stream_load.UNLIMITED,
+    ) -> None:
+        """Accepts entries on ``listener``, a listening gevent socket.
+
+        ``limits`` are for the streams of all entries.
+        """
+        self._load = stream_load.StreamLoad('feed', limits)
         self._server = server.StreamServer(listener, self._serve)
         self._server.start()
         self._tasks = [
@@ -99,13 +113,15 @@
         """Closes all streams."""
         gevent.killall(self._tasks)
         self._server.stop(timeout=0)
-        for stream in list(self._streams):
-            stream.close()
+        self._load.close_all()
 
     def _serve(self, connection: typing.Any, _address: typing.Any) -> None:
-        stream = wire.Stream(connection, protocol.CODEC)
+        with self._load.serving(connection, protocol.CODEC) as served:
+            if served is not None:
+                self._serve_stream(served.messages)
+
+    def _serve_stream(self, stream: wire.Stream) -> None:
         stream.set_timeout(_STREAM_TIMEOUT_MS)
-        self._streams.add(stream)
         outbound: queue.Queue = queue.Queue(maxsize=_MAX_QUEUED)
         entry = ''
         writer = gevent.spawn(self._write, stream, outbound)
@@ -131,7 +147,6 @@
             self._outbound_queues.pop(entry)
             self._rows.pop(entry, None)
         stream.close()
-        self._streams.discard(stream)
         self.bytes_received += stream.bytes_received
         self.bytes_sent += stream.bytes_sent
 
--- a/src/mulberryquay/coordination/memory_account.py
+++ b/src/mulberryquay/coordination/memory_account.py
@@ -10,7 +10,12 @@
 #: A holder that got no byte for so long gives way to others.
 SLOW_MS: typing.Final = units.SECOND_MS
 
-#: Time between two searches for holders that give way, as each looks at all.
+#: A reserve of this part of the limit, above it, is for what every peer needs
+#: to be served at all.
+RESERVE_SHARE: typing.Final = 4
+
+#: Time after a search for holders that give way until the next one, as each
+#: looks at all.
 _SEARCH_INTERVAL_MS: typing.Final = 20.0
 
 
@@ -63,6 +68,12 @@
         self._on_given_way = on_given_way
         self._holders: dict[Part, Holder] = {}
         self._next_search = -math.inf
+        self._next_end = -math.inf
+
+    @property
+    def now(self) -> float:
+        """The time at which a holder gets bytes now."""
+        return self._clock.now()
 
     @property
     def is_over(self) -> bool:
@@ -80,18 +91,20 @@
         part.add(-part.held_bytes)
         self._holders.pop(part, None)
 
-    def make_room(self, size: int) -> bool:
+    def make_room(self, size: int, *, in_reserve: bool = False) -> bool:
         """Returns whether ``size`` more bytes fit.
 
-        If they don't, the slow holders that hold most give way.
+        If they don't, the slow holders that hold most give way. The reserve
+        above the limit is for what every peer needs to be served at all.
         """
-        if self.held_bytes + size <= self.limit:
+        reserve = self.limit // RESERVE_SHARE if in_reserve else 0
+        excess = self.held_bytes + size - self.limit - reserve
+        if excess <= 0:
             return True
         now = self._clock.now()
         if now < self._next_search:
             return False
         self._next_search = now + _SEARCH_INTERVAL_MS
-        excess = self.held_bytes + size - self.limit
         excess -= sum(
             part.held_bytes for part in self._holders if part.gives_way
         )
@@ -101,11 +114,30 @@
             if excess <= 0:
                 break
             excess -= part.held_bytes
-            part.gives_way = True
-            self._holders[part].give_way()
-            self._on_given_way()
+            self._end(part)
         return excess <= 0
 
+    def end_slowest(self, parts: typing.Iterable[Part]) -> bool:
+        """Lets the holder give way that was slow longest; False if none is."""
+        now = self._clock.now()
+        if now < self._next_end:
+            return False
+        slowest = min(
+            (part for part in parts if self._is_slow(part, now)),
+            key=lambda part: part.progressed_at,
+            default=None,
+        )
+        if slowest is None:
+            self._next_end = now + _SEARCH_INTERVAL_MS
+            return False
+        self._end(slowest)
+        return True
+
+    def _end(self, part: Part) -> None:
+        part.gives_way = True
+        self._holders[part].give_way()
+        self._on_given_way()
+
     def _is_slow(self, part: Part, now: float) -> bool:
         is_late = now - part.progressed_at >= SLOW_MS
         may_end = is_late and not part.gives_way
--- a/src/mulberryquay/coordination/packing.py
+++ b/src/mulberryquay/coordination/packing.py
@@ -33,7 +33,7 @@
     return body
 
 
-def unpack(body: bytes) -> typing.Any:
+def unpack(body: bytes | bytearray) -> typing.Any:
     """Returns the value that `pack` encoded.
 
     Raises ValueError and msgpack.UnpackException for other bytes.
--- a/src/mulberryquay/coordination/rpc.py
+++ b/src/mulberryquay/coordination/rpc.py
@@ -9,7 +9,7 @@
 import gevent
 from gevent import event, lock, server
 
-from mulberryquay.coordination import clock, errors, wire
+from mulberryquay.coordination import clock, errors, stream_load, wire
 
 #: Timeout for connecting to a peer.
 CONNECT_TIMEOUT_MS: typing.Final = 500.0
@@ -131,7 +131,7 @@
             return
         match message:
             case _Call():
-                answered.set(self._codec.decode(message.fields))
+                answered.set(self._codec.from_fields(message.fields))
             case _Failure():
                 answered.set_exception(
                     RemoteError(
@@ -193,12 +193,21 @@
         listener: typing.Any,
         codec: wire.MessageCodec,
         handle: typing.Callable[[typing.Any], Message],
+        limits: stream_load.Limits = stream_load.UNLIMITED,
     ) -> None:
-        """``handle`` returns the answer or raises MulberryquayError."""
+        """``handle`` returns the answer or raises MulberryquayError.
+
+        ``limits`` are for the streams of all callers.
+        """
         self._codec = codec
         self._handle = handle
         self._server = server.StreamServer(listener, self._serve)
-        self._streams: set[wire.Stream] = set()
+        self._load = stream_load.StreamLoad('hosts', limits)
+
+    @property
+    def limits_met(self) -> int:
+        """How often a limit of the streams of callers was met."""
+        return self._load.limits_met
 
     def start(self) -> None:
         """Starts to accept connections."""
@@ -207,20 +216,18 @@
     def stop(self) -> None:
         """Stops accepting and closes all streams."""
         self._server.stop(timeout=0)
-        for stream in list(self._streams):
-            stream.close()
+        self._load.close_all()
 
     def _serve(self, connection: typing.Any, _address: typing.Any) -> None:
-        stream = wire.Stream(connection, _ENVELOPES)
-        self._streams.add(stream)
-        try:
-            while True:
-                gevent.spawn(self._answer, stream, stream.receive())
-        except (wire.StreamClosedError, wire.ProtocolError) as error:
-            _LOG.debug('stream ended', extra={'cause': str(error)})
-        finally:
-            self._streams.discard(stream)
-            stream.close()
+        with self._load.serving(connection, _ENVELOPES) as served:
+            if served is None:
+                return
+            stream = served.messages
+            try:
+                while True:
+                    served.spawn(self._answer, stream, stream.receive())
+            except (wire.StreamClosedError, wire.ProtocolError) as error:
+                _LOG.debug('stream ended', extra={'cause': str(error)})
 
     def _answer(self, stream: wire.Stream, call: _Call) -> None:
         answer: Message
@@ -228,7 +235,7 @@
             answer = _Call(
                 call.number,
                 self._codec.fields_of(
-                    self._handle(self._codec.decode(call.fields)),
+                    self._handle(self._codec.from_fields(call.fields)),
                 ),
             )
         except errors.MulberryquayError as error:
--- a/src/mulberryquay/coordination/wire.py
+++ b/src/mulberryquay/coordination/wire.py
@@ -15,13 +15,14 @@
 from mulberryquay.coordination import clock, errors, packing, read_turn, units
 
 _READ_BYTES: typing.Final = 65536
+#: Buffer for finding the end of a message; it grows with long ones.
+_SCAN_BYTES: typing.Final = 16_384
 _MAX_MESSAGE_BYTES: typing.Final = units.MAX_BODY_BYTES
 
 #: Length from which messages are compressed; shorter ones gain little.
 _COMPRESS_BYTES: typing.Final = 512
 
-#: Limits of the elements that an array or map may announce: memory for them
-#: is reserved before they arrive.
+#: Limits of the elements that an array or map may announce.
 _MAX_ELEMENTS: typing.Final = 1_000_000
 
 #: The msgpack extension type of a compressed message.
@@ -45,6 +46,10 @@
     code = 'stream-closed'
 
 
+def _ignore_size(_size: int) -> None:
+    """Does nothing with what a message takes so far."""
+
+
 @typing.final
 class MessageCodec:
     """Encodes and decodes NamedTuples; the position of a type is its tag."""
@@ -77,10 +82,24 @@
             raise ProtocolError(f'got message tag {tag}, expected 0 or more')
         return self._types[tag]
 
-    def decode(self, fields: typing.Any) -> typing.Any:
-        """Returns the typed message; raises ProtocolError."""
+    def decode(
+        self,
+        fields: typing.Any,
+        on_unpacked: typing.Callable[[int], None] = _ignore_size,
+    ) -> typing.Any:
+        """Returns the typed message; raises ProtocolError.
+
+        ``on_unpacked`` is called with what a compressed message takes so far,
+        and may raise StreamClosedError.
+        """
         if isinstance(fields, msgpack.ExtType):
-            fields = _decompress(fields)
+            fields = _decompress(fields, on_unpacked)
+        return self.from_fields(fields)
+
+    def from_fields(self, fields: typing.Any) -> typing.Any:
+        """Returns the message of its `fields_of`; raises ProtocolError."""
+        if isinstance(fields, msgpack.ExtType):
+            raise ProtocolError('got a compressed message inside another one')
         try:
             return self._type_of(fields[0])(*fields[1:])
         except (TypeError, IndexError, KeyError) as error:
@@ -89,20 +108,41 @@
             ) from error
 
 
-def _decompress(packed: msgpack.ExtType) -> typing.Any:
+def _decompress(
+    packed: msgpack.ExtType, on_unpacked: typing.Callable[[int], None]
+) -> typing.Any:
     """Returns the fields of a compressed message; raises ProtocolError."""
     decompressor = zlib.decompressobj()
+    body = bytearray()
+    compressed = packed.data
     try:
-        body = decompressor.decompress(packed.data, _MAX_MESSAGE_BYTES)
-        if not decompressor.eof:
-            raise ProtocolError(
-                f'got a message of more than {_MAX_MESSAGE_BYTES} bytes',
-            )
+        while not decompressor.eof:
+            part = decompressor.decompress(compressed, _READ_BYTES)
+            compressed = decompressor.unconsumed_tail
+            if not part and not decompressor.eof:
+                raise ProtocolError('got a compressed message without its end')
+            body += part
+            on_unpacked(len(body))
+            if len(body) > _MAX_MESSAGE_BYTES:
+                raise ProtocolError(
+                    f'got a message of more than {_MAX_MESSAGE_BYTES} bytes',
+                )
+        _check_whole(body)
         return packing.unpack(body)
     except (zlib.error, ValueError, msgpack.UnpackException) as error:
         raise ProtocolError(f'got a damaged message: {error}') from error
 
 
+def _check_whole(body: bytearray) -> None:
+    """Raises an error unless a message has all that it announces.
+
+    Decoding reserves memory for elements before it reaches them.
+    """
+    scanner = msgpack.Unpacker(max_buffer_size=_MAX_MESSAGE_BYTES)
+    scanner.feed(body)
+    scanner.skip()
+
+
 Greeting = typing.TypeVar('Greeting')
 
 
@@ -130,6 +170,10 @@
     return message
 
 
+def _not_a_message(error: Exception) -> ProtocolError:
+    return ProtocolError(f'got bytes that are not a message: {error}')
+
+
 @typing.final
 class Stream:
     """A message stream over one connected socket.
@@ -137,22 +181,38 @@
     Many greenlets may send, but only one may receive.
     """
 
-    def __init__(self, connection: typing.Any, codec: MessageCodec) -> None:
-        """Takes ownership of ``connection``, a connected gevent socket."""
+    def __init__(
+        self,
+        connection: typing.Any,
+        codec: MessageCodec,
+        on_buffered: typing.Callable[[int], None] = _ignore_size,
+    ) -> None:
+        """Takes ownership of ``connection``, a connected gevent socket.
+
+        ``on_buffered`` is called with the size of what was received of an
+        unfinished message, and may raise StreamClosedError.
+        """
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._socket = connection
         self._codec = codec
         self._send_lock = lock.BoundedSemaphore(1)
         self._turn = read_turn.ReadTurn()
-        self._unpacker = msgpack.Unpacker(
-            max_buffer_size=_MAX_MESSAGE_BYTES,
-            max_array_len=_MAX_ELEMENTS,
-            max_map_len=_MAX_ELEMENTS,
-            ext_hook=packing.decode_extension,
+        self._on_buffered = on_buffered
+        #: Finds the ends of messages, without building what they announce.
+        self._scanner: typing.Any = msgpack.Unpacker(
+            read_size=_SCAN_BYTES, max_buffer_size=_MAX_MESSAGE_BYTES
         )
+        self._scanned = 0
+        #: What was received and not decoded.
+        self._buffer = bytearray()
         self.bytes_sent = 0
         self.bytes_received = 0
 
+    @property
+    def is_sending(self) -> bool:
+        """Whether a message waits until the peer reads."""
+        return bool(self._send_lock.locked())
+
     def send(self, message: tuple[typing.Any, ...]) -> None:
         """Sends one message; raises StreamClosedError and UnencodableError."""
         body = self._codec.encode(message)
@@ -169,18 +229,49 @@
         Raises StreamClosedError and ProtocolError.
         """
         while True:
+            if self._scanner is None:
+                raise StreamClosedError('the stream is closed')
             try:
-                fields = self._unpacker.unpack()
+                self._scanner.skip()
             except msgpack.OutOfData:
-                self._feed_unpacker()
+                self._fill_buffer()
             except (msgpack.UnpackException, ValueError) as error:
-                raise ProtocolError(
-                    f'got bytes that are not a message: {error}'
-                ) from error
+                raise _not_a_message(error) from error
             else:
-                return self._codec.decode(fields)
+                return self._decode(self._take_fields())
+
+    def _decode(self, fields: typing.Any) -> typing.Any:
+        """Returns the typed message; counts what a compressed one takes."""
+        if not isinstance(fields, msgpack.ExtType):
+            return self._codec.from_fields(fields)
+        buffered = len(self._buffer)
+        try:
+            return self._codec.decode(
+                fields, lambda size: self._on_buffered(buffered + size)
+            )
+        finally:
+            self._on_buffered(buffered)
+
+    def _take_fields(self) -> typing.Any:
+        """Decodes the message that the scanner has passed."""
+        end = self._scanner.tell()
+        size = end - self._scanned
+        self._scanned = end
+        with memoryview(self._buffer) as received:
+            body = bytes(received[:size])
+        del self._buffer[:size]
+        self._on_buffered(len(self._buffer))
+        try:
+            return msgpack.unpackb(
+                body,
+                max_array_len=_MAX_ELEMENTS,
+                max_map_len=_MAX_ELEMENTS,
+                ext_hook=packing.decode_extension,
+            )
+        except (msgpack.UnpackException, ValueError) as error:
+            raise _not_a_message(error) from error
 
-    def _feed_unpacker(self) -> None:
+    def _fill_buffer(self) -> None:
         self._turn.begin_read()
         try:
             chunk = self._socket.recv(_READ_BYTES)
@@ -190,12 +281,13 @@
             raise StreamClosedError('the peer closed the stream')
         self._turn.end_read(len(chunk))
         self.bytes_received += len(chunk)
-        try:
-            self._unpacker.feed(chunk)
-        except msgpack.UnpackException as error:
+        if len(self._buffer) + len(chunk) > _MAX_MESSAGE_BYTES:
             raise ProtocolError(
                 f'got a message of more than {_MAX_MESSAGE_BYTES} bytes',
-            ) from error
+            )
+        self._buffer += chunk
+        self._scanner.feed(chunk)
+        self._on_buffered(len(self._buffer))
 
     def set_timeout(self, duration: float | None) -> None:
         """Sets the timeout of each later call in ms; None for no timeout."""
@@ -213,6 +305,9 @@
     def close(self) -> None:
         """Closes the socket; later calls raise StreamClosedError."""
         self._socket.close()
+        # Its owner may be kept until the garbage collector runs.
+        self._scanner = None
+        self._buffer = bytearray()
 
 
 def connect(
--- a/src/mulberryquay/entry/domain_messages.py
+++ b/src/mulberryquay/entry/domain_messages.py
@@ -10,7 +10,7 @@
 
 import msgpack
 
-from mulberryquay.coordination import packing, wire
+from mulberryquay.coordination import packing, units, wire
 from mulberryquay.decisions import sightings
 
 #: Most targets in one datagram, which must not be split on its way.
@@ -59,6 +59,9 @@
     slowness: int
 
 
+#: Longest datagram once it is decompressed.
+_MAX_UNPACKED_BYTES: typing.Final = units.MIB
+
 _CODEC: typing.Final = wire.MessageCodec(
     (SightingsAsked, SightingsTold, CallBegun, CallEnded)
 )
@@ -77,12 +80,20 @@
         fields = packing.unpack(datagram)
     except (ValueError, msgpack.UnpackException) as error:
         raise wire.ProtocolError(f'got a damaged datagram: {error}') from error
-    message = _CODEC.decode(fields)
+    message = _CODEC.decode(fields, _check_unpacked)
     if not _is_well_formed(message):
         raise wire.ProtocolError('got a datagram with fields of other types')
     return typing.cast(Message, message)
 
 
+def _check_unpacked(size: int) -> None:
+    """Raises ProtocolError for what no compressed datagram needs."""
+    if size > _MAX_UNPACKED_BYTES:
+        raise wire.ProtocolError(
+            f'got a datagram of more than {_MAX_UNPACKED_BYTES} bytes',
+        )
+
+
 def row_of(sighting: sightings.Sighting) -> list[typing.Any]:
     """Returns the row of `SightingsTold` for a sighting."""
     age = min(sighting.report_age_ms, float(_MAX_FIGURE))
--- a/src/mulberryquay/ledger/server.py
+++ b/src/mulberryquay/ledger/server.py
@@ -5,10 +5,9 @@
 import logging
 import typing
 
-import gevent
 from gevent import server
 
-from mulberryquay.coordination import journal, wire
+from mulberryquay.coordination import journal, stream_load, wire
 from mulberryquay.ledger import claims, protocol
 
 _LOG: typing.Final = logging.getLogger(__name__)
@@ -19,13 +18,21 @@
     """Accepts entry streams; each claim waits for its sync in its own task."""
 
     def __init__(
-        self, ledger_claims: claims.Claims, listener: typing.Any
+        self,
+        ledger_claims: claims.Claims,
+        listener: typing.Any,
+        limits: stream_load.Limits,
     ) -> None:
         """Serves the claims on ``listener``, a listening gevent socket."""
         self._claims = ledger_claims
         self._server = server.StreamServer(listener, self._serve)
         self._claimants: dict[str, wire.Stream] = {}
-        self._streams: set[wire.Stream] = set()
+        self._load = stream_load.StreamLoad('entries', limits)
+
+    @property
+    def limits_met(self) -> int:
+        """How often a limit of the streams of entries was met."""
+        return self._load.limits_met
 
     def start(self) -> None:
         """Starts to serve."""
@@ -34,25 +41,26 @@
     def stop(self) -> None:
         """Stops serving and closes all streams."""
         self._server.stop(timeout=0)
-        for stream in list(self._streams):
-            stream.close()
+        self._load.close_all()
 
     def _serve(self, connection: typing.Any, _address: typing.Any) -> None:
-        stream = wire.Stream(connection, protocol.CODEC)
-        self._streams.add(stream)
+        with self._load.serving(connection, protocol.CODEC) as served:
+            if served is not None:
+                self._serve_stream(served)
+
+    def _serve_stream(self, served: stream_load.ServedStream) -> None:
         claimant = ''
         try:
-            claimant = self._accept_hello(stream)
-            self._read(stream, claimant)
+            claimant = self._accept_hello(served.messages)
+            self._read(served, claimant)
         except (wire.StreamClosedError, wire.ProtocolError) as error:
             _LOG.info(
                 'ledger stream closed',
                 extra={'claimant': claimant, 'code': error.code},
             )
         finally:
-            self._streams.discard(stream)
-            stream.close()
-            self._handle_disconnect(claimant, stream)
+            served.close()
+            self._handle_disconnect(claimant, served.messages)
 
     def _accept_hello(self, stream: wire.Stream) -> str:
         hello = wire.check_hello(
@@ -64,14 +72,15 @@
         self._claimants[claimant] = stream
         return claimant
 
-    def _read(self, stream: wire.Stream, claimant: str) -> None:
+    def _read(self, served: stream_load.ServedStream, claimant: str) -> None:
+        stream = served.messages
         while True:
             message = stream.receive()
             match message:
                 case protocol.Claim():
-                    gevent.spawn(self._claim, stream, claimant, message)
+                    served.spawn(self._claim, stream, claimant, message)
                 case protocol.Settle():
-                    gevent.spawn(self._settle, stream, claimant, message)
+                    served.spawn(self._settle, stream, claimant, message)
                 case _:
                     raise wire.ProtocolError(
                         f'unexpected message {type(message).__name__} '
--- a/src/mulberryquay/sockets.py
+++ b/src/mulberryquay/sockets.py
@@ -12,6 +12,24 @@
 
 _BACKLOG: typing.Final = 1024
 
+#: Receive buffers of accepted connections, in bytes: of each one, and of one
+#: that is read as fast as it sends.
+_RECEIVE_BYTES: typing.Final = 8192
+_WIDE_RECEIVE_BYTES: typing.Final = 32768
+
+#: Send buffer of a connection whose peer may read nothing, in bytes.
+_SEND_BYTES: typing.Final = 32768
+
+#: The system keeps up to twice the size of the buffer of what is not read.
+_UNREAD_FACTOR: typing.Final = 2
+
+#: What the system keeps of an accepted connection that is not read, in bytes,
+#: and what it keeps more of a widened one.
+UNREAD_BYTES: typing.Final = _UNREAD_FACTOR * _RECEIVE_BYTES
+WIDENED_BYTES: typing.Final = _UNREAD_FACTOR * (
+    _WIDE_RECEIVE_BYTES - _RECEIVE_BYTES
+)
+
 #: SO_LINGER with a timeout of 0 s: closing the socket sends a reset.
 _LINGER_ZERO: typing.Final = struct.pack('ii', 1, 0)
 _NO_LINGER: typing.Final = struct.pack('ii', 0, 0)
@@ -66,6 +84,8 @@
     # Accepted sockets inherit TCP_NODELAY. Without it, an answer written in
     # two parts waits about 40 ms for the peer's delayed ACK.
     listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    # Accepted sockets inherit the size of the buffer.
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BYTES)
     if reuse_port:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
     try:
@@ -78,6 +98,25 @@
     return listener
 
 
+def widen(connection: typing.Any) -> None:
+    """Lets the system keep more of a connection that is read at once.
+
+    A peer far away sends a buffer each round trip.
+    """
+    connection.setsockopt(
+        socket.SOL_SOCKET, socket.SO_RCVBUF, _WIDE_RECEIVE_BYTES
+    )
+
+
+def bound_unsent(listener: typing.Any) -> None:
+    """Lets the system keep less of what peers do not take.
+
+    For connections that are accepted from now on; without a bound, each may
+    hold some megabytes.
+    """
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BYTES)
+
+
 def bind_datagrams(address: str) -> typing.Any:
     """Returns a gevent socket that receives datagrams on ``IP:PORT``.
 
--- a/testing/coordination/test_memory_account.py
+++ b/testing/coordination/test_memory_account.py
@@ -62,3 +62,30 @@
         account.close(part)
     CASE.assertEqual(account.held_bytes, 0)
     CASE.assertTrue(account.make_room(100))
+
+
+def test_slowest_holder_gives_its_place() -> None:
+    """Without it, slow callers kept all places of an entry (issue 53)."""
+    time_source = clock.ManualClock()
+    account, given_way = _account(time_source)
+    holders = [_Holder() for _ in range(3)]
+    parts = [account.open(holder) for holder in holders]
+    CASE.assertFalse(account.end_slowest(parts))
+    time_source.advance(memory_account.SLOW_MS)
+    parts[0].progressed_at = time_source.now()
+    CASE.assertTrue(account.end_slowest(parts))
+    CASE.assertTrue(account.end_slowest(parts))
+    CASE.assertFalse(account.end_slowest(parts))
+    CASE.assertEqual(
+        [holder.gave_way for holder in holders], [False, True, True]
+    )
+    CASE.assertEqual(len(given_way), 2)
+
+
+def test_reserve_is_for_what_every_peer_needs() -> None:
+    """A peer must be served while others hold the limit (issue 53)."""
+    account, _ = _account(clock.ManualClock())
+    account.open(_Holder()).add(100)
+    CASE.assertFalse(account.make_room(1))
+    CASE.assertTrue(account.make_room(25, in_reserve=True))
+    CASE.assertFalse(account.make_room(26, in_reserve=True))
--- a/testing/coordination/test_wire.py
+++ b/testing/coordination/test_wire.py
@@ -12,7 +12,8 @@
 from hypothesis import strategies
 
 from mulberryquay import protocol
-from mulberryquay.coordination import wire
+from mulberryquay.coordination import units, wire
+from mulberryquay.entry import domain_messages
 from testing import fixtures
 
 CASE: typing.Final = unittest.TestCase()
@@ -129,3 +130,45 @@
     receiver.kill()
     CASE.assertGreater(reads, 0)
     CASE.assertLess(reads, _MAX_READS)
+
+
+def _compressed(content: bytes) -> msgpack.ExtType:
+    return msgpack.ExtType(1, zlib.compress(content))
+
+
+def test_compressed_message_ends_where_its_reader_says() -> None:
+    """A short message may be one of 64 MiB."""
+    sizes = []
+
+    def check(size: int) -> None:
+        sizes.append(size)
+        if size > units.MIB:
+            raise wire.StreamClosedError('too large')
+
+    fields = _compressed(msgpack.packb([0, bytes(8 * units.MIB)]))
+    with CASE.assertRaises(wire.StreamClosedError):
+        protocol.CODEC.decode(fields, check)
+    CASE.assertLess(sizes[-1], 2 * units.MIB)
+
+
+def test_compressed_message_inside_another_is_refused() -> None:
+    """Nobody sends one, and nothing counts what it takes."""
+    inner = _compressed(msgpack.packb([0]))
+    with CASE.assertRaises(wire.ProtocolError):
+        protocol.CODEC.from_fields(inner)
+    with CASE.assertRaises(wire.ProtocolError):
+        protocol.CODEC.decode(_compressed(msgpack.packb(inner)))
+
+
+def test_compressed_datagram_of_a_megabyte_is_refused() -> None:
+    """One of 64 KiB may be of 64 MiB."""
+    content = msgpack.packb([1, 7, [bytes(2 * units.MIB)]])
+    with CASE.assertRaisesRegex(wire.ProtocolError, 'datagram of more than'):
+        domain_messages.decode(msgpack.packb(_compressed(content)))
+
+
+def test_compressed_messages_of_all_sizes_are_read_back() -> None:
+    """The end of the compressed bytes may come after that of the message."""
+    for size in range(65_520, 65_540):
+        message = protocol.ConfigDelta([['x' * size]])
+        CASE.assertEqual(_decode(protocol.CODEC.encode(message)), message)
