API and metrics servers: watches and unread answers give way and count

What callers saw (400 clients, a machine of 96 MB, 256 descriptors): watches that had begun kept every place, so nobody else was answered for 30 s; answers that nobody reads did the same; what they held was not counted (437 MB); a watch kept each line it had sent (818 MB).

Cause: only bodies counted, and only requests that were being read could give way. bottle keeps the first part of an answer until its end, pywsgi each part until the next one; the system kept megabytes unsent for each connection.

Evidence: test_crowds and test_web's tests failed before, in the new form of a crowd in which each client awaits its answer before the next one comes. The unit tests of api_load lack what they call on older code.

Why: an answer counts three times its size until it is sent, and its connection may give way then; a watch may from its begin. Memory of those that gave way is waited for before the next answer. Lines of watches are split so that the kept first part is small.

Ruled out: closing new clients in place of watches, which left no place at all.

--- a/src/mulberryquay/api_load.py
+++ b/src/mulberryquay/api_load.py
@@ -1,8 +1,8 @@
 """Bounds what the clients of a process's API server hold.
 
-Bodies are counted against a part of the machine's memory, connections against
-a part of the process's descriptors. Above either, clients that keep the
-process waiting give way; a request that runs never does.
+Bodies and answers are counted against a part of the machine's memory,
+connections against a part of the process's descriptors. Above either, clients
+that keep the process waiting give way; a request that runs never does.
 """
 
 from __future__ import annotations
@@ -11,6 +11,8 @@
 import resource
 import typing
 
+import gevent
+
 from mulberryquay import metrics as metrics_module
 from mulberryquay import settings
 from mulberryquay.coordination import (
@@ -39,7 +41,8 @@
 METRICS: typing.Final = (
     metrics_module.MetricDeclaration(
         'mulberryquay_api_body_bytes',
-        'Bytes of the bodies that requests to the API hold, beyond small ones.',
+        'Bytes that requests to the API hold: of bodies, beyond small ones, '
+        'and of answers that are not sent yet.',
         is_gauge=True,
     ),
     metrics_module.MetricDeclaration(
@@ -65,6 +68,10 @@
 _DESCRIPTOR_SHARE: typing.Final = 2
 _MAX_CONNECTIONS: typing.Final = 1_000_000
 
+#: Copies of an answer that are kept until it is sent: as text, as bytes, and
+#: in its framing.
+_ANSWER_COPIES: typing.Final = 3
+
 #: Some bodies of legal size fit on any machine.
 _MIN_HELD_BYTES: typing.Final = 2 * units.MIB
 _LOG_INTERVAL_MS: typing.Final = 10_000.0
@@ -92,12 +99,12 @@
         """Ends the wait for more bytes of the connection soon."""
 
 
-class _Body:
-    """What one request holds of its body."""
+class _Part:
+    """What one request holds of its body, or of its answer."""
 
     def __init__(self, now: float) -> None:
         self.held = 0
-        self.last_received = now
+        self.last_progress = now
 
 
 @typing.final
@@ -124,11 +131,13 @@
         self._connections: set[Holder] = set()
         #: In the order of the begin of their wait.
         self._waiting: dict[Holder, None] = {}
-        self._bodies: dict[Holder, _Body] = {}
+        self._parts: dict[Holder, _Part] = {}
+        #: Gave way for their memory and have not freed it yet.
+        self._ending: set[Holder] = set()
 
     @property
     def held_bytes(self) -> int:
-        """What bodies beyond small ones hold."""
+        """What bodies beyond small ones and answers hold."""
         return self._held
 
     def open(self, holder: Holder) -> bool:
@@ -156,48 +165,77 @@
     def end_wait(self, holder: Holder) -> None:
         """The request runs, or its head is complete."""
         self._waiting.pop(holder, None)
+        self._ending.discard(holder)
 
     def grow(self, holder: Holder, size: int) -> None:
         """Counts received bytes; others give way if they do not fit.
 
         Raises ApiBusyError if none of them can.
         """
+        self._add(holder, size)
+        if not self._make_room(holder):
+            self._record('memory')
+            self.release(holder)
+            raise ApiBusyError(
+                'bodies of other requests hold all memory for them; the '
+                'request was not run, try again later',
+            )
+
+    def begin_send(self, holder: Holder, size: int) -> None:
+        """Counts an answer until the release; others give way for it."""
+        self.release(holder)
+        self._add(holder, _ANSWER_COPIES * size)
+        self._make_room(holder)
+
+    def await_room(self) -> None:
+        """Returns once those that gave way have freed their memory."""
+        while self._ending:
+            gevent.sleep(0)
+
+    def release(self, holder: Holder) -> None:
+        """The body or the answer of a request is held no longer."""
+        self._ending.discard(holder)
+        self._forget(holder)
+
+    def _add(self, holder: Holder, size: int) -> None:
         now = self._clock.now()
-        body = self._bodies.get(holder)
-        if body is None:
-            body = _Body(now)
-            self._bodies[holder] = body
-        body.last_received = now
-        body.held += size
+        part = self._parts.get(holder)
+        if part is None:
+            part = _Part(now)
+            self._parts[holder] = part
+        part.last_progress = now
+        part.held += size
         self._count_held(size)
+
+    def _make_room(self, growing: Holder) -> bool:
+        """Lets others give way; returns whether that was enough."""
         while self._held > self._max_held:
-            slowest = self._find_slowest(holder, now)
+            slowest = self._find_slowest(growing)
+            if slowest is None:
+                return False
             self._record('memory')
-            self.release(slowest)
-            if slowest is holder:
-                raise ApiBusyError(
-                    'bodies of other requests hold all memory for them; the '
-                    'request was not run, try again later',
-                )
+            self._forget(slowest)
+            self._ending.add(slowest)
             slowest.give_way()
+        return True
 
-    def release(self, holder: Holder) -> None:
-        """The body of a request is held no longer."""
-        body = self._bodies.pop(holder, None)
-        if body is not None:
-            self._count_held(-body.held)
+    def _forget(self, holder: Holder) -> None:
+        part = self._parts.pop(holder, None)
+        if part is not None:
+            self._count_held(-part.held)
 
-    def _find_slowest(self, growing: Holder, now: float) -> Holder:
-        """Returns whom to end; the growing one if no other body is waited for.
+    def _find_slowest(self, growing: Holder) -> Holder | None:
+        """Returns whom to end, if any waits for its peer.
 
         It held the most for the longest time without a byte.
         """
+        now = self._clock.now()
         costs = {
-            other: body.held * (now - body.last_received)
-            for other, body in self._bodies.items()
+            other: part.held * (now - part.last_progress)
+            for other, part in self._parts.items()
             if other in self._waiting and other is not growing
         }
-        return max(costs, key=costs.__getitem__, default=growing)
+        return max(costs, key=costs.__getitem__, default=None)
 
     def _count_held(self, size: int) -> None:
         self._held += size
@@ -216,12 +254,6 @@
             self._next_log = now + _LOG_INTERVAL_MS
 
 
-def share_of_descriptors(share: int) -> int:
-    """Returns the ``share``-th part of how many files may be open."""
-    soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    if soft_limit == resource.RLIM_INFINITY:
-        return _MAX_CONNECTIONS
-    return max(1, soft_limit // share)
 def stream_limits(
     memory_mb: int, streams: int, descriptor_share: int
 ) -> stream_load.Limits:
@@ -235,3 +267,9 @@
     )
 
 
+def share_of_descriptors(share: int) -> int:
+    """Returns the ``share``-th part of how many files may be open."""
+    soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft_limit == resource.RLIM_INFINITY:
+        return _MAX_CONNECTIONS
+    return max(1, soft_limit // share)
--- a/src/mulberryquay/control/api.py
+++ b/src/mulberryquay/control/api.py
@@ -356,6 +356,7 @@
     """
     first = changes.since(since)
     bottle.response.content_type = _JSON_LINES
+    web.begin_stream()
 
     def lines() -> typing.Iterator[str]:
         sent = since
@@ -363,7 +364,7 @@
         while True:
             for change in unsent:
                 sent += 1
-                yield to_line(sent, change)
+                yield from web.line_parts(to_line(sent, change))
             if not changes.wait(sent, timeout=BOOKMARK_INTERVAL_MS):
                 yield _to_json_line({'bookmark': sent})
             try:
--- a/src/mulberryquay/web.py
+++ b/src/mulberryquay/web.py
@@ -9,6 +9,7 @@
 import typing
 
 import bottle
+import gevent
 from gevent import monkey, pywsgi, socket
 
 from mulberryquay import metrics as metrics_module
@@ -35,6 +36,9 @@
 #: Python takes some milliseconds at most.
 _TURN_BYTES: typing.Final = 8192
 
+#: Characters of a stream that may be kept until its end.
+_KEPT_PART_LENGTH: typing.Final = 1024
+
 #: Connections accepted before others are closed for them.
 _MAX_ACCEPT: typing.Final = 8
 
@@ -157,6 +161,22 @@
         )
 
 
+def begin_stream() -> None:
+    """Notes that the answer has no end; it ends if others need its place."""
+    bottle.request.environ[_INPUT_KEY].begin_stream()
+
+
+def line_parts(line: str) -> typing.Iterator[str]:
+    """Yields a line of a stream so that little of it is kept once it is sent.
+
+    bottle keeps the first part of an answer until its end, and pywsgi each
+    part until the next one.
+    """
+    yield line[:_KEPT_PART_LENGTH]
+    yield line[_KEPT_PART_LENGTH:]
+    yield ''
+
+
 def query_integer(name: str, *, default: int | None = None) -> int:
     """Returns an integer query parameter; raises InvalidInputError."""
     text = bottle.request.query.get(name)
@@ -173,6 +193,7 @@
     listener: typing.Any, app: bottle.Bottle, load: api_load.ApiLoad
 ) -> pywsgi.WSGIServer:
     """Starts a server for ``app`` on a listening gevent socket."""
+    sockets.bound_unsent(listener)
     server = pywsgi.WSGIServer(
         listener, app, log=None, handler_class=_BoundedHandler
     )
@@ -215,6 +236,9 @@
         #: Whether a request did not arrive whole, so that the connection can
         #: carry no other one.
         self.has_ended = False
+        #: Sends an answer without end, if any.
+        self._stream_task: gevent.Greenlet | None = None
+        self._is_sending = False
         #: Set by the first byte of a request.
         self._wait_limit: wait_limit.WaitLimit | None = None
 
@@ -230,11 +254,39 @@
         self._load.begin_wait(self)
         read_turn.yield_now()
 
+    def begin_stream(self) -> None:
+        """The answer has no end from now on, so it may end for others."""
+        self._stream_task = gevent.getcurrent()
+        self._load.begin_wait(self)
+
+    @contextlib.contextmanager
+    def sending(self, size: int) -> typing.Iterator[None]:
+        """Lets the connection give way while its peer does not read."""
+        self._load.begin_send(self, size)
+        self._is_sending = True
+        if self._stream_task is None:
+            self._load.begin_wait(self)
+        try:
+            yield
+        finally:
+            if self._stream_task is None:
+                self._load.end_wait(self)
+            self._is_sending = False
+            self._load.release(self)
+
     def give_way(self) -> None:
-        """Ends the wait for bytes, so that the connection is closed."""
+        """Ends the wait for the peer, so that the connection is closed."""
         self.has_ended = True
+        if self._stream_task is not None:
+            gevent.kill(self._stream_task)
+            return
         with contextlib.suppress(OSError):
-            self._socket.shutdown(socket.SHUT_RD)
+            if self._is_sending:
+                # The system would keep what was not sent for minutes.
+                sockets.set_reset_on_close(self._socket, is_reset=True)
+                self._socket.shutdown(socket.SHUT_RDWR)
+            else:
+                self._socket.shutdown(socket.SHUT_RD)
 
     def end_wait(self) -> None:
         """The head of a request has been read."""
@@ -242,6 +294,7 @@
 
     def end_request(self) -> None:
         """The request has been answered."""
+        self._stream_task = None
         self._load.release(self)
 
     def read_body(self, body: typing.Any, max_bytes: int) -> bytes:
@@ -263,6 +316,7 @@
                     self._load.grow(self, len(part))
         except api_load.ApiBusyError:
             self.has_ended = True
+            parts.clear()
             raise
         finally:
             self._load.end_wait(self)
@@ -358,11 +412,37 @@
             load.close(self._input)
             load.release(self._input)
 
+    def handle_one_response(self) -> None:
+        """Runs one request once there is memory for its answer."""
+        self.server.load.await_room()
+        super().handle_one_response()
+
+    def _sendall(self, data: bytes) -> None:
+        with self._input.sending(len(data)):
+            super()._sendall(data)
+
+    def handle_error(
+        self, kind: typing.Any, error: typing.Any, traceback: typing.Any
+    ) -> None:
+        """Answers 500, or nothing if a stream gave way before it began."""
+        if self._input.has_ended and issubclass(kind, gevent.GreenletExit):
+            self.close_connection = True
+            return
+        super().handle_error(kind, error, traceback)
+
     def handle_one_request(self) -> typing.Any:
         """Serves one request; returns what pywsgi expects."""
         self._input.begin_request()
         result = super().handle_one_request()
         self._input.end_request()
+        if isinstance(result, tuple):
+            _, refusal = result
+            with (
+                contextlib.suppress(OSError),
+                self._input.sending(len(refusal)),
+            ):
+                self.socket.sendall(refusal)
+            return None
         if result is True and self._input.has_ended:
             return None
         return result
--- a/testing/test_api_load.py
+++ b/testing/test_api_load.py
@@ -85,6 +85,32 @@
     CASE.assertEqual(scene.load.held_bytes, 0)
 
 
+def test_unread_answer_gives_way_to_another_one() -> None:
+    """An answer is never refused for its own size."""
+    scene = _Scene()
+    unread, newer = scene.open(), scene.open()
+    scene.load.begin_send(unread, units.MIB)
+    scene.clock.run(1000)
+    scene.load.begin_send(newer, 2 * units.MIB)
+    CASE.assertEqual((unread.gave_way, newer.gave_way), (True, False))
+    scene.load.release(newer)
+    CASE.assertEqual(scene.load.held_bytes, 0)
+
+
+def test_request_runs_once_those_that_gave_way_have_ended() -> None:
+    """Answers would pile up while the tasks of others still hold theirs."""
+    scene = _Scene()
+    unread, newer = scene.open(), scene.open()
+    scene.load.begin_send(unread, units.MIB)
+    scene.clock.run(1000)
+    scene.load.begin_send(newer, units.MIB)
+    task = gevent.spawn(scene.load.await_room)
+    gevent.sleep(0)
+    CASE.assertFalse(task.dead)
+    scene.load.release(unread)
+    task.get(timeout=fixtures.TIMEOUT_S)
+
+
 def test_connection_that_waits_longest_gives_way_to_a_new_one() -> None:
     """One that is served must not be closed for another."""
     scene = _Scene(connections=2)
--- a/testing/test_crowds.py
+++ b/testing/test_crowds.py
@@ -7,12 +7,12 @@
 from __future__ import annotations
 
 import contextlib
+import json
 import os
 import typing
 import unittest
 from unittest import mock
 
-from mulberryquay.entry import http_heads
 from testing import crowds, fixtures, processes
 
 CASE: typing.Final = unittest.TestCase()
@@ -27,8 +27,14 @@
 _CLIENTS: typing.Final = 400
 _HEAD_BYTES: typing.Final = 16_384
 _BODY_BYTES: typing.Final = 1_000_000
+_RESOURCE_BYTES: typing.Final = 300_000
 
 _START: typing.Final = b'POST /stock/x HTTP/1.1\r\nHost: t\r\n'
+_WATCH: typing.Final = b'GET /v1/watch?since=0 HTTP/1.1\r\nHost: t\r\n\r\n'
+_ANSWERS: typing.Final = b'GET /metrics HTTP/1.1\r\nHost: t\r\n\r\n' * 60
+_LARGE_ANSWERS: typing.Final = (
+    b'GET /v1/services/stock HTTP/1.1\r\nHost: t\r\n\r\n' * 100
+)
 _SHORT_LINE: typing.Final = b'a:b\r\n'
 _ODD_LINES: typing.Final = (
     b'te:\r\n',
@@ -37,6 +43,8 @@
     b'host:\r\n',
 )
 
+_SERVICE: typing.Final = {'version': 1, 'spec': {}}
+
 #: Settings that code without them ignores.
 _ENVIRONMENT: typing.Final = {'MULBERRYQUAY_MEMORY_MB': str(_MACHINE_MB)}
 
@@ -49,6 +57,21 @@
     return block * (size // len(block))
 
 
+def _service(size: int) -> typing.Any:
+    """Returns a service whose description takes about ``size`` bytes."""
+    return {'version': 1, 'spec': {'health_path': '/' + 'x' * size}}
+
+
+def _announcement(name: str) -> bytes:
+    """Returns the announcement of a target with a long version."""
+    body = json.dumps(
+        fixtures.announcement(name, '127.0.0.1:9', version='x' * _BODY_BYTES)
+    )
+    return fixtures.request_bytes(
+        '/v1/announcements', method='POST', body=body.encode()
+    )
+
+
 _SHORT_LINES: typing.Final = _lines([_SHORT_LINE], _HEAD_BYTES - 100)
 
 
@@ -66,7 +89,7 @@
         )
         stack.enter_context(mock.patch.dict(os.environ, _ENVIRONMENT))
         entry = stack.enter_context(processes.entry(control.daemon.feed_port))
-        fixtures.wait_until(lambda: _is_answered(entry.port, '/stock/x'))
+        fixtures.wait_until(lambda: crowds.is_answered(entry.port, '/stock/x'))
         yield entry
 
 
@@ -79,7 +102,7 @@
         processes.control(folder) as (process, line),
     ):
         port = fixtures.parse_ports(line)[0]
-        fixtures.wait_until(lambda: _is_answered(port, '/readyz'))
+        fixtures.wait_until(lambda: crowds.is_answered(port, '/readyz'))
         yield process, port
 
 
@@ -99,13 +122,6 @@
         yield process, fixtures.parse_ports(line)[-1]
 
 
-def _is_answered(port: int, path: str) -> bool:
-    with contextlib.suppress(OSError, http_heads.CutShortError):
-        answer = fixtures.send(port, fixtures.request_bytes(path))
-        return answer.status == 200
-    return False
-
-
 def _check_entry(*clients: crowds.Client) -> None:
     """Checks an entry that meets a crowd of equal parts of ``clients``."""
     with _entry() as entry:
@@ -113,30 +129,36 @@
             entry.process,
             entry.port,
             clients,
-            lambda: _is_answered(entry.port, '/stock/x'),
+            lambda: crowds.is_answered(entry.port, '/stock/x'),
         )
 
 
-def _check_descriptors_of_api(beginning: bytes) -> None:
+def _check_descriptors_of_api(
+    client: crowds.Client, service: typing.Any = _SERVICE
+) -> None:
     """Checks a control host whose API meets more clients than it may open."""
     with (
         crowds.descriptor_limit(_DESCRIPTORS) as lift_limit,
         _control() as (process, port),
     ):
         lift_limit()
+        processes.client(port).call('PUT', '/v1/services/stock', service)
         _check(
             process,
             port,
-            [crowds.Client(beginning)],
-            lambda: _is_answered(port, '/readyz'),
+            [client],
+            lambda: crowds.is_answered(port, '/readyz'),
         )
         CASE.assertLess(crowds.open_descriptors(process.pid), _DESCRIPTORS)
 
 
-def _check_api(*clients: crowds.Client) -> None:
+def _check_api(*clients: crowds.Client, service: typing.Any = _SERVICE) -> None:
     """Checks a control host whose API meets a crowd."""
     with _control() as (process, port):
-        _check(process, port, clients, lambda: _is_answered(port, '/readyz'))
+        processes.client(port).call('PUT', '/v1/services/stock', service)
+        _check(
+            process, port, clients, lambda: crowds.is_answered(port, '/readyz')
+        )
 
 
 def _check(
@@ -146,17 +168,7 @@
     is_answered: Ask,
 ) -> None:
     crowd = list(clients) * (_CLIENTS // len(clients))
-    with crowds.gathered(port, crowd):
-        crowds.wait_until_at_rest(process.pid)
-        _check_process(process)
-        fixtures.wait_until(is_answered)
-    fixtures.wait_until(is_answered)
-    _check_process(process)
-
-
-def _check_process(process: typing.Any) -> None:
-    CASE.assertIsNone(process.poll(), 'the process has ended')
-    CASE.assertLess(crowds.peak_memory_mb(process.pid), _MACHINE_MB)
+    crowds.check(process, port, crowd, is_answered, _MACHINE_MB)
 
 
 def test_many_short_header_lines_in_unfinished_heads() -> None:
@@ -213,7 +225,7 @@
             entry.process,
             entry.port,
             [crowds.Client(b'')],
-            lambda: _is_answered(entry.port, '/stock/x'),
+            lambda: crowds.is_answered(entry.port, '/stock/x'),
         )
         CASE.assertLess(
             crowds.open_descriptors(entry.process.pid), _DESCRIPTORS
@@ -230,7 +242,7 @@
                 crowds.Client(_START + _SHORT_LINES),
                 crowds.Client(_START, _SHORT_LINES, 20),
             ],
-            lambda: _is_answered(entry.admin_port, '/metrics'),
+            lambda: crowds.is_answered(entry.admin_port, '/metrics'),
         )
 
 
@@ -253,16 +265,97 @@
     _check_api(crowds.Client(head + b'x' * (_BODY_BYTES - 1)))
 
 
+def test_announcements_with_long_versions_at_the_api() -> None:
+    """Each target is kept for its lease with all that it said (issue 53)."""
+    _check_api(
+        *(
+            crowds.Client(_announcement(f'stock-{number}'), awaits_answer=True)
+            for number in range(_CLIENTS)
+        )
+    )
+
+
+def test_declared_resources_of_many_names_at_the_api() -> None:
+    """Each is kept until it is deleted (issue 53)."""
+    body = json.dumps(_service(_RESOURCE_BYTES)).encode()
+    _check_api(
+        *(
+            crowds.Client(
+                fixtures.request_bytes(
+                    f'/v1/services/stock-{number}', method='PUT', body=body
+                ),
+                awaits_answer=True,
+            )
+            for number in range(_CLIENTS)
+        )
+    )
+
+
 def test_more_connections_to_the_api_than_descriptors() -> None:
     """Without one left, neither operators nor targets get in (issue 45)."""
-    _check_descriptors_of_api(b'')
+    _check_descriptors_of_api(crowds.Client(b''))
 
 
 def test_more_unfinished_requests_to_the_api_than_descriptors() -> None:
     """As above; each began a request (issue 45)."""
     _check_descriptors_of_api(
-        b'PUT /v1/services/stock HTTP/1.1\r\nHost: t\r\n'
-        b'Content-Length: 9\r\n\r\n'
+        crowds.Client(
+            b'PUT /v1/services/stock HTTP/1.1\r\nHost: t\r\n'
+            b'Content-Length: 9\r\n\r\n'
+        )
+    )
+
+
+def test_more_watches_of_the_api_than_descriptors() -> None:
+    """A watch has no end, so none gave its place to others (issue 53)."""
+    _check_descriptors_of_api(crowds.Client(_WATCH))
+
+
+def test_watches_of_the_api_that_have_begun_give_way() -> None:
+    """They did not end, and each new client was closed for it (issue 53)."""
+    _check_descriptors_of_api(crowds.Client(_WATCH, awaits_answer=True))
+
+
+def test_answers_of_the_api_that_nobody_reads() -> None:
+    """Each is kept until it is sent (issue 53)."""
+    _check_api(crowds.Client(_ANSWERS, receive_bytes=2048))
+
+
+def test_large_answers_of_the_api_that_nobody_reads() -> None:
+    """One of each client fits no memory (issue 53)."""
+    _check_api(
+        crowds.Client(_LARGE_ANSWERS, receive_bytes=2048),
+        service=_service(_BODY_BYTES),
+    )
+
+
+def test_unsent_answers_of_the_api_fit_the_machine() -> None:
+    """The system keeps them for the process (issue 53)."""
+    client = crowds.Client(_LARGE_ANSWERS, receive_bytes=2048)
+    with _control() as (process, port):
+        processes.client(port).call(
+            'PUT', '/v1/services/stock', _service(60_000)
+        )
+        with crowds.gathered(port, [client] * _CLIENTS):
+            crowds.wait_until_at_rest(process.pid)
+            held_mb = crowds.memory_mb(process.pid) + crowds.unsent_mb(port)
+            CASE.assertLess(held_mb, _MACHINE_MB)
+            fixtures.wait_until(lambda: crowds.is_answered(port, '/readyz'))
+
+
+def test_large_lines_of_watches_that_nobody_reads() -> None:
+    """As above (issue 53)."""
+    _check_api(
+        crowds.Client(_WATCH, receive_bytes=2048),
+        service=_service(_BODY_BYTES),
+    )
+
+
+def test_more_unread_answers_of_the_api_than_descriptors() -> None:
+    """None of them gave its place to others (issue 53)."""
+    _check_descriptors_of_api(
+        crowds.Client(_LARGE_ANSWERS, receive_bytes=2048, awaits_answer=True),
+        _service(60_000),
     )
 
 
@@ -276,5 +369,5 @@
                 crowds.Client(_START + _SHORT_LINES),
                 crowds.Client(_START, _SHORT_LINES, 20),
             ],
-            lambda: _is_answered(port, '/metrics'),
+            lambda: crowds.is_answered(port, '/metrics'),
         )
--- a/testing/test_web.py
+++ b/testing/test_web.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import typing
 import unittest
@@ -10,7 +11,9 @@
 
 import gevent
 
-from mulberryquay import web
+from gevent import event, socket
+
+from mulberryquay import api_load, metrics, sockets, web
 from mulberryquay.coordination import clock
 from testing import fixtures
 
@@ -58,3 +61,75 @@
             gevent.sleep(2 * _TIMEOUT_MS / clock.MS_PER_SECOND)
         CASE.assertIs(connection.sock, kept)
         connection.close()
+
+
+@contextlib.contextmanager
+def _one_connection_server() -> typing.Iterator[tuple[int, event.Event]]:
+    """Yields the port of a server that keeps one connection.
+
+    ``GET /stream`` answers with a stream that ends when the event is set, and
+    ``PUT /body`` with the size of the body.
+    """
+    ends = event.Event()
+    app = web.new_app()
+
+    def stream() -> typing.Iterator[str]:
+        web.begin_stream()
+        ends.wait()
+        yield 'end'
+
+    def body() -> str:
+        return str(len(web.read_body(100)))
+
+    app.route('/stream', 'GET', stream)
+    app.route('/body', 'PUT', body)
+    listener = sockets.listen('127.0.0.1:0')
+    load = api_load.ApiLoad(
+        {'memory_mb': 0, 'api_connections': 1},
+        metrics.Metrics(api_load.METRICS),
+    )
+    server = web.start_server(listener, app, load)
+    try:
+        yield sockets.port_of(listener), ends
+    finally:
+        ends.set()
+        server.stop()
+
+
+def _connect(port: int) -> socket.socket:
+    return socket.create_connection(('127.0.0.1', port), fixtures.TIMEOUT_S)
+
+
+def _asks(port: int) -> None:
+    """Checks that a new connection is served."""
+    answer = fixtures.send(
+        port, fixtures.request_bytes('/body', method='PUT', body=b'abc')
+    )
+    CASE.assertEqual((answer.status, answer.body), (200, b'3'))
+
+
+def test_stream_without_bytes_so_far_is_closed_for_a_new_connection() -> None:
+    """A status of the 500s would say that something is broken."""
+    with _one_connection_server() as (port, _ends), _connect(port) as old:
+        old.sendall(fixtures.request_bytes('/stream'))
+        gevent.sleep(0.1)
+        _asks(port)
+        CASE.assertEqual(old.recv(1000), b'')
+
+
+def test_request_after_a_stream_gives_way_with_a_refusal() -> None:
+    """Only the stream itself is closed without an answer."""
+    with _one_connection_server() as (port, ends), _connect(port) as old:
+        ends.set()
+        old.sendall(fixtures.request_bytes('/stream'))
+        received = b''
+        while not received.endswith(b'0\r\n\r\n'):
+            received += old.recv(1000)
+        old.sendall(
+            fixtures.request_bytes('/body', method='PUT', body=b'ab')[:-1]
+        )
+        gevent.sleep(0.1)
+        _asks(port)
+        refusal = old.recv(1000)
+        CASE.assertTrue(refusal.startswith(b'HTTP/1.1 503 '), refusal)
+        CASE.assertIn(b'api-busy', refusal)
