Announced versions have at most 1,024 characters

What callers saw: 400 announcements with versions of 1 MB each took 899 to 1036 MB of a control host, since each change of a target keeps its version.

Cause: a text that a client chooses and that is kept had no bound of its own.

Why: a longer one is refused with 400 on the API.

--- a/src/mulberryquay/control/announcements.py
+++ b/src/mulberryquay/control/announcements.py
@@ -15,6 +15,10 @@
 _PORT_PATTERN: typing.Final = re.compile('[1-9][0-9]{0,4}')
 _MAX_STATUS: typing.Final = 599
 
+#: Longest version of a target's software, in characters. Control hosts and
+#: entries keep one for each target and each change of it.
+MAX_VERSION_LENGTH: typing.Final = 1024
+
 #: The ``cold_ms`` of a target that does not report whether it is cold.
 COLD_MS_UNKNOWN: typing.Final = -1
 
@@ -47,6 +51,7 @@
     for field in ('name', 'service', 'region', 'domain'):
         schema.check_name(spec[field], label=f'announcement.{field}')
     _check_address(spec['address'])
+    _check_version(spec['version'])
     shed_status = spec.pop('shed_status')
     return protocol.TargetRow(
         **spec,
@@ -57,6 +62,14 @@
     )
 
 
+def _check_version(version: str) -> None:
+    if len(version) > MAX_VERSION_LENGTH:
+        raise schema.InvalidResourceError(
+            f'announcement.version: got {len(version)} characters, expected '
+            f'at most {MAX_VERSION_LENGTH}',
+        )
+
+
 def _check_address(address: str) -> None:
     host, _, port = address.rpartition(':')
     if not _is_ip_address(host.strip('[]')) or not _is_port(port):
--- a/testing/control/test_api.py
+++ b/testing/control/test_api.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import json
 import typing
 import unittest
 
@@ -242,3 +243,21 @@
         time_source.advance(directory.TARGET_LEASE_MS)
         targets.add_hint('t', hint._replace(incarnation=6))
         CASE.assertEqual(targets.get('t').allowance, 1)
+
+
+def test_announcement_with_a_long_version_is_refused() -> None:
+    """Every change of the target would keep it."""
+    with fixtures.control() as control:
+        for length, status in ((1024, 200), (1025, 400)):
+            body = fixtures.announcement(
+                'stock-a', '127.0.0.1:9', version='x' * length
+            )
+            answer = fixtures.send(
+                control.daemon.api_port,
+                fixtures.request_bytes(
+                    '/v1/announcements',
+                    method='POST',
+                    body=json.dumps(body).encode(),
+                ),
+            )
+            CASE.assertEqual(answer.status, status, answer.body)
