Entries: what callers and other entries hold counts, and the slow give way

Cause: the account of memory saw heads and bodies, not requests that wait in a row, their copies, answers and records, nor what the system keeps unread. Places were bounded by who opened a connection, never in all.

Why: each request counts several times its size from its head to its answer's end, answers count while they wait, a small receive buffer bounds what the system keeps (widened while a body is read).

Ruled out: a lower limit of requests in a row, which legal callers meet.

--- a/src/mulberryquay/entry/admin.py
+++ b/src/mulberryquay/entry/admin.py
@@ -12,7 +12,7 @@
 from mulberryquay.entry import request_records, state
 
 #: The other descriptors are for callers and targets.
-_DESCRIPTOR_SHARE: typing.Final = 8
+_DESCRIPTOR_SHARE: typing.Final = 16
 
 
 @typing.final
--- a/src/mulberryquay/entry/answer_row.py
+++ b/src/mulberryquay/entry/answer_row.py
@@ -33,15 +33,24 @@
 class Turn:
     """The place of one request in the row of its connection."""
 
-    __slots__ = ('_row', 'is_sending', 'size', 'task', 'turn_came')
+    __slots__ = (
+        '_row',
+        'held_bytes',
+        'is_sending',
+        'size',
+        'task',
+        'turn_came',
+    )
 
     def __init__(self, row: AnswerRow, size: int) -> None:
         """Belongs to ``row``; ``size`` is that of the request in bytes."""
         self._row = row
         self.size = size
+        #: What is counted for the request beside its body and its answer.
+        self.held_bytes = 0
         #: The task that serves the request, once it is started.
         self.task: gevent.Greenlet | None = None
-        #: Whether a buffered answer is being sent.
+        #: Whether an answer that is here as a whole is being sent.
         self.is_sending = False
         #: Set when all answers ahead are sent; None until one waits for it.
         self.turn_came: event.Event | None = None
@@ -105,7 +114,7 @@
 
     @property
     def is_sending(self) -> bool:
-        """Whether a buffered answer is being sent."""
+        """Whether an answer that is here as a whole is being sent."""
         return bool(self._turns) and self._turns[0].is_sending
 
     def enter(self, size: int) -> Turn:
--- a/src/mulberryquay/entry/answers.py
+++ b/src/mulberryquay/entry/answers.py
@@ -73,9 +73,12 @@
     context: AnswerContext,
     received: outcomes.Received,
     limit: wait_limit.WaitLimit,
+    hold: typing.Callable[[int], None],
 ) -> bool:
     """Sends a target's answer; returns whether to keep the connection.
 
+    ``hold`` counts what waits to be sent, or raises.
+
     Raises OSError when the caller is gone and AnswerCutShortError when the
     target's answer ended early or the deadline passed before its end.
     """
@@ -87,7 +90,7 @@
         context = context._replace(keeps_alive=False)
     encoded_head = _encode_head(context, received, framing)
     if received.body is not None:
-        http_heads.send_all(connection, encoded_head + received.body)
+        http_heads.send_all(connection, encoded_head + received.body, hold)
         return keeps_alive
     if ends_with_connection:
         # Unless reset, the caller takes the end of this process for the end
@@ -95,7 +98,7 @@
         sockets.set_reset_on_close(connection, is_reset=True)
     http_heads.send_all(connection, encoded_head)
     if framing is not http_heads.Framing.NONE:
-        _send_body(connection, received, framing, limit)
+        _send_body(connection, received, framing, limit, hold)
         connection.settimeout(wait_limit.STALL_TIMEOUT_S)
     if ends_with_connection:
         sockets.set_reset_on_close(connection, is_reset=False)
@@ -229,6 +232,7 @@
     received: outcomes.Received,
     framing: http_heads.Framing,
     limit: wait_limit.WaitLimit,
+    hold: typing.Callable[[int], None],
 ) -> None:
     is_chunked = framing is http_heads.Framing.CHUNKED
     for part in _body_parts(received, limit):
@@ -236,6 +240,7 @@
             connection,
             http_heads.encode_chunk(part) if is_chunked else part,
             limit,
+            hold,
         )
     if is_chunked:
         connection.sendall(http_heads.LAST_CHUNK)
@@ -245,10 +250,11 @@
     connection: typing.Any,
     part: bytes,
     limit: wait_limit.WaitLimit,
+    hold: typing.Callable[[int], None],
 ) -> None:
     try:
         limit.apply(connection)
-        connection.sendall(part)
+        http_heads.send_all(connection, part, hold)
     except TimeoutError as error:
         raise AnswerCutShortError(
             'the caller read no more of its answer in time',
--- a/src/mulberryquay/entry/attempt.py
+++ b/src/mulberryquay/entry/attempt.py
@@ -28,6 +28,11 @@
 _FIRST_FAILURE_STATUS: typing.Final = 300
 
 
+def _hold_any(_size: int) -> bool:
+    """Lets any answer be kept."""
+    return True
+
+
 class OutgoingRequest(typing.NamedTuple):
     """A request ready to be sent to any target."""
 
@@ -43,6 +48,8 @@
     deadline: float
     #: Request id, which targets of some dialects repeat on the answer.
     request_id: bytes = b''
+    #: Counts an answer of a size, unless callers hold too much to keep it.
+    holds_answer: typing.Callable[[int], bool] = _hold_any
 
 
 @typing.final
@@ -232,7 +239,9 @@
         if self._outgoing.method == b'HEAD':
             return False
         is_sized = head.framing is http_heads.Framing.LENGTH
-        return is_sized and head.length <= MAX_BUFFERED_ANSWER_BYTES
+        if not is_sized or head.length > MAX_BUFFERED_ANSWER_BYTES:
+            return False
+        return self._outgoing.holds_answer(head.length)
 
     def _read_whole_answer(
         self,
--- a/src/mulberryquay/entry/caller.py
+++ b/src/mulberryquay/entry/caller.py
@@ -17,11 +17,18 @@
 from gevent import event, socket
 
 from mulberryquay import sockets
-from mulberryquay.coordination import errors, read_turn, units, wait_limit
+from mulberryquay.coordination import (
+    errors,
+    memory_account,
+    read_turn,
+    units,
+    wait_limit,
+)
 from mulberryquay.entry import (
     answer_row,
     answers,
     caller_limits,
+    caller_memory,
     exchange,
     http_heads,
     messages,
@@ -32,12 +39,6 @@
 
 _DISCARD_TIMEOUT_MS: typing.Final = 1000.0
 
-#: Memory of a connection beside what is read and sent on it.
-_CONNECTION_BYTES: typing.Final = 16384
-
-#: An unfinished head up to this size never ends for the memory of others.
-_SMALL_HEAD_BYTES: typing.Final = 4096
-
 #: How long a stopping entry waits for the first request of a connection.
 _FIRST_REQUEST_MS: typing.Final = 500.0
 
@@ -87,10 +88,15 @@
         self._is_ending = False
         #: Whether to close without waiting for the caller's end.
         self._makes_place = False
-        self._part = entry_state.memory.open(self)
-        self._part.add(_CONNECTION_BYTES)
-        #: What is counted of a head that is not complete.
-        self._head_bytes = 0
+        #: Those that this one belongs to.
+        self._connections = (
+            entry_state.connections.peers
+            if is_peer
+            else entry_state.connections.callers
+        )
+        self._memory = caller_memory.ConnectionMemory(
+            entry_state, self, connection, self._reader
+        )
         #: The body that is being read, if any.
         self._body: request_body.RequestBody | None = None
         #: Whether an answer could not be sent to its end.
@@ -106,12 +112,20 @@
         """Whether no request is being served or was read in part."""
         return not self._row and self._reader.is_between_messages
 
+    @property
+    def part(self) -> memory_account.Part:
+        """What the connection holds in memory."""
+        return self._memory.part
+
     @property
     def waits_for_peer(self) -> bool:
         """Whether only the caller can end the wait."""
         if self._body is not None or self._row.is_sending:
             return True
-        return not (self._row or self._is_peer)
+        if self._is_peer and self._reader.is_between_messages:
+            # A request of the other entry may be on its way.
+            return False
+        return not self._row
 
     def give_way(self) -> None:
         """Ends the wait for the caller, as others need the memory."""
@@ -170,7 +184,8 @@
                 return True
             if head is None:
                 return True
-            self._start_exchange(head)
+            if not self._start_exchange(head):
+                return True
             keeps_reading = head.keeps_alive
             options = self._state.options.pipelining
             ahead = options.max_requests - 1
@@ -194,27 +209,15 @@
             head = self._reader.take_head()
             if head is not None:
                 return head if self._may_serve_another() else None
-            if not self._wait_for_input():
+            if not (self._reader.has_received or self._wait_for_input()):
                 return None
             if not self._reader.receive():
                 self._check_between_messages()
                 return None
-            if not self._hold_head():
+            if not self._memory.hold_head():
                 self._refuse(request_body.memory_refusal())
                 return None
 
-    def _hold_head(self) -> bool:
-        """Counts an unfinished head; returns whether it may be kept."""
-        memory = self._state.memory
-        size = self._reader.unfinished_bytes
-        self._part.progressed_at = self._state.clock.now()
-        self._part.add(size - self._head_bytes)
-        self._head_bytes = size
-        if size <= _SMALL_HEAD_BYTES or memory.make_room(0):
-            return True
-        self._state.limit_notes.note(caller_limits.Limit.MEMORY)
-        return False
-
     def _may_serve_another(self) -> bool:
         """Waits, while the entry stops, until the answers ahead are sent.
 
@@ -252,18 +255,42 @@
             limits = self._state.routing_table.limits
             self.deadline = self._state.clock.now() + limits.idle_timeout_ms
 
-    def _start_exchange(self, head: http_heads.RequestHead) -> None:
-        """Starts to serve a request; returns once its body is read."""
+    def _make_room(self, size: int) -> bool:
+        """Returns whether a request of ``size`` bytes may be served.
+
+        Beside others, it waits for their answers if it does not fit.
+        """
+        memory = self._state.memory
+        if self._row and not memory.make_room(size):
+            self._wait_for_row(0)
+        return memory.make_room(size, in_reserve=True)
+
+    def _start_exchange(self, head: http_heads.RequestHead) -> bool:
+        """Starts to serve a request; returns once its body is read.
+
+        Returns False if it is not served: it does not fit and was refused,
+        or an answer ahead closed the connection.
+        """
+        size = head.size
+        held_bytes = caller_memory.request_bytes(size)
+        has_room = self._make_room(held_bytes)
+        if self._row.is_closed:
+            return False
+        if not has_room:
+            self._state.limit_notes.note(caller_limits.Limit.MEMORY)
+            self._refuse(request_body.memory_refusal())
+            return False
         self._has_served = True
         self._makes_place = False
         self.deadline = math.inf
-        self._state.connections.begin_request(self)
-        self._part.add(head.size)
+        self._connections.begin_request(self)
+        self._memory.part.add(held_bytes)
         # Slow ones may hold what this request needs, also at its target.
         self._state.memory.make_room(0)
-        turn = self._row.enter(head.size)
+        turn = self._row.enter(size)
+        turn.held_bytes = held_bytes
         body = request_body.RequestBody(
-            self._socket, self._reader, head, self._state, self._part
+            self._socket, self._reader, head, self._state, self.part
         )
         served = exchange.Exchange(
             self._state,
@@ -277,8 +304,11 @@
         turn.task.rawlink(turn.leave_if_killed)
         if head.framing is not http_heads.Framing.NONE:
             self._body = body
+            self._memory.widen(head)
             served.body_ended.wait()
             self._body = None
+        self._memory.count_input()
+        return True
 
     def _serve(self, served: exchange.Exchange, turn: answer_row.Turn) -> None:
         self._state.in_flight += 1
@@ -299,10 +329,10 @@
             self._leave(turn, keeps_alive=keeps_alive)
 
     def _leave(self, turn: answer_row.Turn, *, keeps_alive: bool) -> None:
-        self._part.add(-turn.size)
+        self._memory.part.add(-turn.held_bytes)
         turn.leave(keeps_alive=keeps_alive)
         if not self._row:
-            self._state.connections.end_requests(self)
+            self._connections.end_requests(self)
 
     def _wait_for_row(self, length: int) -> None:
         """Returns once at most ``length`` requests are not answered."""
@@ -330,7 +360,7 @@
             outcomes.Reason.REQUEST_TIMEOUT,
             'the head of the request was not complete in time',
         )
-        if self._part.gives_way:
+        if self._memory.part.gives_way:
             refusal = request_body.memory_refusal()
         self._refuse(refusal)
 
@@ -385,8 +415,7 @@
     def _close(self, *, is_graceful: bool) -> None:
         """Closes the connection, with a reset if an answer is incomplete."""
         self._input_watcher.close()
-        self._reader.drop()
-        self._state.memory.close(self._part)
+        self._memory.close()
         try:
             if is_graceful and not self._makes_place:
                 self._discard_unread_input()
--- a/src/mulberryquay/entry/connections.py
+++ b/src/mulberryquay/entry/connections.py
@@ -11,7 +11,12 @@
 from gevent import lock, socket
 
 from mulberryquay.coordination import clock, errors
-from mulberryquay.entry import header_names, http_heads, messages
+from mulberryquay.entry import (
+    caller_limits,
+    header_names,
+    http_heads,
+    messages,
+)
 
 #: Minimum time between two new connections to a target, which needs about
 #: this long for each.
@@ -109,9 +114,14 @@
         address: tuple[str, int],
         time_source: clock.Clock,
         header_filter: header_names.HeaderFilter = header_names.DEFAULT_FILTER,
+        all_open: caller_limits.OpenConnections | None = None,
     ) -> None:
-        """Opens nothing yet; answers are read with ``header_filter``."""
+        """Opens nothing yet; answers are read with ``header_filter``.
+
+        ``all_open`` counts the connections of all pools.
+        """
         self._header_filter = header_filter
+        self._all_open = all_open or caller_limits.OpenConnections()
         #: Whether the target puts the id of the request on its answers, so
         #: that a late second copy of an answer is recognized.
         self.echoes_ids = False
@@ -166,6 +176,7 @@
                 self.discard(connection)
             elif self._fits(connection, is_for_probe=is_for_probe):
                 found = connection
+                self._all_open.remove_idle(connection)
             else:
                 unfit.append(connection)
         self._idle += reversed(unfit)
@@ -205,11 +216,19 @@
         if connection.socket.timeout is not None:
             connection.socket.settimeout(None)
         self._idle.append(connection)
+        self._all_open.add_idle(connection, self)
 
     def discard(self, connection: TargetConnection) -> None:
         """Closes a connection."""
         connection.socket.close()
-        self._open_count -= 1
+        connection.reader.close()
+        self._all_open.remove_idle(connection)
+        self._count(-1)
+
+    def drop_idle(self, connection: TargetConnection) -> None:
+        """Closes a connection that is not in use, and forgets it."""
+        self._idle.remove(connection)
+        self.discard(connection)
 
     def close_idle(self) -> None:
         """Closes the connections that are not in use."""
@@ -217,23 +236,31 @@
             self.discard(self._idle.pop())
 
     def _open(self, timeout: float) -> TargetConnection:
-        self._open_count += 1
+        if not self._all_open.make_room():
+            raise ConnectionBudgetError(
+                'all connections that this entry may open are in use',
+            )
+        self._count(1)
         try:
             with gevent.Timeout(timeout / clock.MS_PER_SECOND, TimeoutError):
                 connected_socket = self._connect()
         except (OSError, ValueError, OverflowError) as error:
             # Also an address that no socket takes.
-            self._open_count -= 1
+            self._count(-1)
             raise ConnectFailedError(
                 f'cannot connect to the target: {error}'
             ) from error
         except BaseException:
-            self._open_count -= 1
+            self._count(-1)
             raise
         connected_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connected_socket.settimeout(None)
         return TargetConnection(connected_socket, self._header_filter)
 
+    def _count(self, change: int) -> None:
+        self._open_count += change
+        self._all_open.to_targets += change
+
     def _connect(self) -> typing.Any:
         """Connects once it is this task's turn; raises OSError."""
         with self._open_lock:
--- a/src/mulberryquay/entry/daemon.py
+++ b/src/mulberryquay/entry/daemon.py
@@ -8,12 +8,13 @@
 import typing
 
 from mulberryquay import settings, sockets
-from mulberryquay.coordination import clock, paced_task, units, watchdog
+from mulberryquay.coordination import clock, paced_task
 from mulberryquay.entry import (
     admin,
     balancer,
     caller,
     caller_limits,
+    caller_server,
     control_link,
     dialect,
     domain_keeper,
@@ -37,9 +38,6 @@
 #: Interval at which bounds of rate limits that have ended are raised.
 _RELEASE_INTERVAL_MS: typing.Final = 50.0
 
-#: Connections accepted before others that must be closed for them are.
-_MAX_ACCEPTED: typing.Final = 16
-
 _STOP_POLL_INTERVAL_MS: typing.Final = 20.0
 
 #: Longest time to send the answers of requests that a stop has ended.
@@ -114,10 +112,6 @@
             interval=_RELEASE_INTERVAL_MS,
             needed=self._state.balancer.has_rate_limits,
         )
-        self._caller_watchdog = watchdog.Watchdog(
-            self._state.clock,
-            interval=units.SECOND_MS,
-        )
         self._prober = prober.Prober(
             self._state,
             path=values['probe_path'],
@@ -142,8 +136,9 @@
             )
             for address in filter(None, [values['ready_listen']])
         ]
-        #: The open connections of callers and other entries.
-        self.caller_connections: set[caller.CallerConnection] = set()
+        self._caller_server = caller_server.CallerServer(
+            self._state, self._listener, self._peer_listener
+        )
 
     @property
     def port(self) -> int:
@@ -160,17 +155,16 @@
         """The state shared by the components of the entry."""
         return self._state
 
+    @property
+    def caller_connections(self) -> set[caller.CallerConnection]:
+        """The open connections of callers and other entries."""
+        return self._caller_server.connections
+
     def start(self) -> None:
         """Starts to serve."""
         for component in self._components():
             component.start()
-        self._servers = [
-            sockets.DrainingServer(self._listener, self._serve_caller),
-            sockets.DrainingServer(self._peer_listener, self._serve_peer),
-        ]
-        for server in self._servers:
-            server.max_accept = _MAX_ACCEPTED
-            server.start()
+        self._caller_server.start()
 
     def stop(self) -> None:
         """Stops after requests in flight have finished.
@@ -187,13 +181,12 @@
         planned_stop.begin(drain_ms + self._values['stop_timeout_ms'])
         self._control_link.announce_leaving()
         time_source.sleep(drain_ms)
-        for server in self._servers:
-            server.close_port()
-        while self._is_busy() and not planned_stop.has_ended:
-            for connection in list(self.caller_connections):
-                connection.close_if_idle()
+        self._caller_server.close_ports()
+        while self._caller_server.is_busy and not planned_stop.has_ended:
+            self._caller_server.close_idle()
             time_source.sleep(_STOP_POLL_INTERVAL_MS)
         self._end_requests()
+        self._caller_server.stop()
         for component in self._components():
             component.stop()
 
@@ -239,7 +232,7 @@
 
     def _end_requests(self) -> None:
         """Answers the requests that are still in flight."""
-        if not self._is_busy():
+        if not self._caller_server.is_busy:
             return
         time_source = self._state.clock
         _LOG.warning(
@@ -261,10 +254,6 @@
         """Applies changed settings; only ``control`` may change at run time."""
         self._control_link.configure(values['control'].split(','))
 
-    def _is_busy(self) -> bool:
-        """Whether a connection of a caller or an entry is open."""
-        return any(server.is_busy for server in self._servers)
-
     def _components(self) -> list[_Component]:
         """Returns the components to start and stop with this entry."""
         return [
@@ -275,7 +264,6 @@
             self._queue_task,
             self._release_task,
             self._state.watchdog,
-            self._caller_watchdog,
             self._state.caller_watch,
             self._admin,
             *self._ready_servers,
@@ -286,35 +274,6 @@
         self._state.balancer.serve_waiting()
         return bool(self._state.balancer.waiting_by_rank)
 
-    def _serve_caller(
-        self, connection: typing.Any, address: typing.Any
-    ) -> None:
-        if not self._state.connections.admit(address[0]):
-            connection.close()
-            return
-        served = caller.CallerConnection(self._state, connection)
-        self._state.connections.add(served, address[0])
-        self._run_connection(served)
-
-    def _serve_peer(
-        self,
-        connection: typing.Any,
-        _address: typing.Any,
-    ) -> None:
-        self._run_connection(
-            caller.CallerConnection(self._state, connection, is_peer=True),
-        )
-
-    def _run_connection(self, connection: caller.CallerConnection) -> None:
-        self.caller_connections.add(connection)
-        self._caller_watchdog.watch(connection)
-        try:
-            connection.run()
-        finally:
-            self.caller_connections.discard(connection)
-            self._caller_watchdog.release(connection)
-            self._state.connections.remove(connection)
-
     def _is_ready(self) -> bool:
         entry_state = self._state
         is_usable = entry_state.is_fresh or (
@@ -331,7 +290,12 @@
             'mulberryquay_caller_memory_bytes', entry_state.memory.held_bytes
         )
         set_gauge(
-            'mulberryquay_caller_connections', len(entry_state.connections)
+            'mulberryquay_record_bytes',
+            entry_state.request_history.held_bytes,
+        )
+        set_gauge(
+            'mulberryquay_caller_connections',
+            len(entry_state.connections.callers),
         )
         waiting = entry_state.balancer.waiting_by_rank
         set_gauge('mulberryquay_waiting', waiting.total())
@@ -373,6 +337,11 @@
             ),
             caller_limits.connection_bound(values['max_connections']),
             values['max_address_connections'],
+            caller_limits.peer_connection_bound(values['max_peer_connections']),
+            caller_limits.memory_bound(
+                values['memory_mb'], values['record_memory_percent']
+            ),
+            caller_limits.open_connection_bound(values['max_open_connections']),
         ),
     )
 
--- a/src/mulberryquay/entry/entry_settings.py
+++ b/src/mulberryquay/entry/entry_settings.py
@@ -6,7 +6,13 @@
 
 from mulberryquay import settings
 from mulberryquay.coordination import units
-from mulberryquay.entry import caller_limits, dialect, prober, state
+from mulberryquay.entry import (
+    caller_limits,
+    dialect,
+    prober,
+    request_records,
+    state,
+)
 
 SERVE_STALE: typing.Final = 'serve'
 REFUSE_STALE: typing.Final = 'refuse'
@@ -238,6 +244,14 @@
         minimum=1,
         maximum=PERCENT,
     ),
+    settings.Setting(
+        'record_memory_percent',
+        request_records.MEMORY_PERCENT,
+        'part of this memory that the records of requests may hold, in '
+        'percent; above it, the oldest are dropped',
+        minimum=1,
+        maximum=PERCENT,
+    ),
     settings.Setting(
         'max_connections',
         0,
@@ -245,6 +259,20 @@
         'without a whole request is closed; 0 for three quarters of the '
         'descriptors of this process',
     ),
+    settings.Setting(
+        'max_peer_connections',
+        0,
+        'connections of other entries, which relay requests; bounded in the '
+        'same way; 0 for an eighth of the descriptors of this process',
+    ),
+    settings.Setting(
+        'max_open_connections',
+        0,
+        'connections in all, of callers, of other entries and to targets; '
+        'beyond them, one to a target that is not in use is closed, else the '
+        'caller that waited longest without a whole request; 0 for seven '
+        'eighths of the descriptors of this process',
+    ),
     settings.Setting(
         'max_address_connections',
         0,
--- a/src/mulberryquay/entry/exchange.py
+++ b/src/mulberryquay/entry/exchange.py
@@ -220,8 +220,11 @@
         self._turn.wait()
         self._status = kept.status
         context = self._answer_context(is_reusable=True)
+        self._begin_sending()
         http_heads.send_all(
-            self._socket, answers.encode_kept_answer(context, kept)
+            self._socket,
+            answers.encode_kept_answer(context, kept),
+            self._body.hold_unsent,
         )
         self._outcome = outcomes.Outcome.ANSWERED
         self._reason = outcomes.Reason.KEPT_ANSWER
@@ -231,25 +234,24 @@
         """Sends a target's answer; returns whether to keep the connection."""
         active_forwarder = typing.cast(forwarder.Forwarder, self._forwarder)
         if received.body is not None:
-            self._body.hold(len(received.body))
             # The target is free again however slowly the caller reads.
             active_forwarder.finish(received)
         self._wait_for_turn(received)
         self._status = received.head.status
         if received.body is not None:
-            self._turn.is_sending = True
-            self._body.note_progress()
+            self._begin_sending()
         try:
             keeps_alive = answers.send_answer(
                 self._socket,
                 self._answer_context(is_reusable=True),
                 received,
                 self._wait_limit(),
+                self._body.hold_unsent,
             )
         except answers.AnswerCutShortError as error:
             if not error.is_by_caller:
                 active_forwarder.record_broken_answer(error.reason)
-            active_forwarder.abandon(received)
+            self._abandon(received)
             raise
         except BaseException:
             self._abandon(received)
@@ -258,6 +260,11 @@
             active_forwarder.finish(received)
         return keeps_alive and self._body.is_read
 
+    def _begin_sending(self) -> None:
+        """Notes that only the caller can end the wait from now on."""
+        self._turn.is_sending = True
+        self._body.note_progress()
+
     def _wait_for_turn(self, received: outcomes.Received) -> None:
         """Returns once all answers ahead are sent.
 
@@ -319,6 +326,7 @@
                 remaining_body,
                 limit.deadline,
                 is_relayed=self._is_relayed,
+                holds_answer=self._body.holds_answer,
             ),
         )
 
@@ -358,6 +366,7 @@
         if self._forwarder is not None:
             # This entry has made the retries; the caller must not add more.
             refusal.headers.append((header_names.NO_RETRY, b'1'))
+        self._begin_sending()
         self._socket.sendall(answers.encode_refusal(context, refusal))
         return context.keeps_alive
 
@@ -370,19 +379,21 @@
         )
         route = self._admission.route if self._admission else None
         active_forwarder = self._forwarder
-        record = request_records.RequestRecord(
-            self._request_id,
-            entry_state.clock.wall(),
-            self._head.method,
-            self._head.path,
-            self._account_name,
-            route.name if route else '',
-            route.service_class.name if route else '',
-            self._outcome.value,
-            self._reason.value,
-            self._status,
-            entry_state.clock.now() - self._started,
-            active_forwarder.attempts if active_forwarder else [],
+        record = request_records.shortened(
+            request_records.RequestRecord(
+                self._request_id,
+                entry_state.clock.wall(),
+                self._head.method,
+                self._head.path,
+                self._account_name,
+                route.name if route else '',
+                route.service_class.name if route else '',
+                self._outcome.value,
+                self._reason.value,
+                self._status,
+                entry_state.clock.now() - self._started,
+                active_forwarder.attempts if active_forwarder else [],
+            )
         )
         entry_state.record_request(
             record, self._admission.account if self._admission else None
--- a/src/mulberryquay/entry/http_heads.py
+++ b/src/mulberryquay/entry/http_heads.py
@@ -12,6 +12,9 @@
 LAST_CHUNK: typing.Final = b'0\r\n\r\n'
 LINE_END: typing.Final = b'\r\n'
 
+#: Memory of a kept header beside its name and value.
+_PAIR_BYTES: typing.Final = 160
+
 #: Digits of the largest number that a header may have.
 _MAX_DIGITS: typing.Final = 18
 
@@ -117,7 +120,12 @@
     @property
     def size(self) -> int:
         """The approximate size of the head in memory, in bytes."""
-        return len(self.path) + len(self.forwarded_headers.lines)
+        known_bytes = sum(
+            _PAIR_BYTES + len(name) + len(value)
+            for name, value in self.known_headers
+        )
+        line_bytes = len(self.path) + len(self.forwarded_headers.lines)
+        return line_bytes + known_bytes
 
     def find(self, name: bytes) -> bytes | None:
         """Returns the first known header's value; ``name`` is in lower case."""
@@ -221,8 +229,33 @@
     return b'%x\r\n%b\r\n' % (len(part), part)
 
 
-def send_all(connection: typing.Any, message: bytes) -> None:
-    """Sends all bytes; cheaper than ``sendall`` for small messages."""
-    sent = connection.send(message)
+def _hold_nothing(_size: int) -> None:
+    """Counts nothing that waits to be sent."""
+
+
+def send_all(
+    connection: typing.Any,
+    message: bytes,
+    hold: typing.Callable[[int], None] = _hold_nothing,
+) -> None:
+    """Sends all bytes; cheaper than ``sendall`` for small messages.
+
+    Calls ``hold`` with the size of a message that the system does not take
+    at once, before it waits for the peer.
+    """
+    sent = _send_at_once(connection, message)
     if sent < len(message):
+        hold(len(message))
         connection.sendall(memoryview(message)[sent:])
+
+
+def _send_at_once(connection: typing.Any, message: bytes) -> int:
+    """Returns how many bytes the system took without a wait."""
+    timeout = connection.gettimeout()
+    connection.settimeout(0)
+    try:
+        return int(connection.send(message))
+    except BlockingIOError:
+        return 0
+    finally:
+        connection.settimeout(timeout)
--- a/src/mulberryquay/entry/messages.py
+++ b/src/mulberryquay/entry/messages.py
@@ -32,6 +32,13 @@
 #: Largest piece that is read while a head is expected.
 _HEAD_READ_BYTES: typing.Final = 16384
 
+#: How a head ends, or what may be the end of one in a chunked body.
+_HEAD_END: typing.Final = b'\n\r\n'
+_ODD_HEAD_END: typing.Final = b'\n\n'
+
+#: Smallest piece of a chunked body that is parsed at once.
+_PIECE_BYTES: typing.Final = 1024
+
 #: Limit of what is read without a part of the body or the end of the message:
 #: chunk sizes with extensions, and trailers.
 MAX_FRAMING_BYTES: typing.Final = 65536
@@ -65,6 +72,8 @@
         #: Bytes received of the head that is being read.
         self._head_bytes = 0
         self._framing_bytes = 0
+        #: Bytes that were received and are not parsed yet.
+        self._received = b''
         self._turn = read_turn.ReadTurn()
         self._error: http_heads.MessageError | None = None
         self._in_message = False
@@ -78,12 +87,19 @@
     @property
     def is_between_messages(self) -> bool:
         """Whether the connection is between two messages."""
-        return not (self._events or self._in_message or self._error)
+        is_reading = self._in_message or self._received
+        return not (self._events or is_reading or self._error)
+
+    @property
+    def has_received(self) -> bool:
+        """Whether bytes are here that were not parsed yet."""
+        return bool(self._received)
 
     @property
     def unfinished_bytes(self) -> int:
-        """Bytes received of a head that is not complete."""
-        return self._head_bytes if self._in_head else 0
+        """Bytes received of a head that is not complete, and behind it."""
+        head_bytes = self._head_bytes if self._in_head else 0
+        return head_bytes + len(self._received)
 
     def on_message_begin(self) -> None:
         """Called by the parser."""
@@ -140,11 +156,8 @@
         """
         if self._error:
             raise self._error
-        self._turn.begin_read()
-        if self.wait_limit is not None:
-            self.wait_limit.apply(self._socket)
         event_count = len(self._events)
-        received = self._receive_piece()
+        received = self._parse_piece()
         if not received:
             return False
         if len(self._events) > event_count:
@@ -160,20 +173,48 @@
     def drop(self) -> None:
         """Frees what was kept beside the events; ends the reading."""
         self._parser = None
+        self._received = b''
         self._lines = head_lines.HeadLines(self._header_filter)
 
-    def _receive_piece(self) -> int:
-        """Receives and parses bytes; returns their number.
+    def close(self) -> None:
+        """Frees all that was read; nothing can be read any more.
 
-        The bytes are kept by no frame of an error.
+        The parser refers to its reader, so the garbage collector, which runs
+        rarely, would free them later.
         """
-        chunk = self._socket.recv(
-            _HEAD_READ_BYTES if self._in_head else READ_BYTES
-        )
+        self.drop()
+        self._events.clear()
+
+    def _parse_piece(self) -> int:
+        """Parses some bytes, received if none are left; returns their number.
+
+        Returns 0 if the peer closed. The bytes are kept by no frame of an
+        error.
+        """
+        received = self._received or self._receive()
+        end = self._piece_end(received)
+        self._received = received[end:]
+        if received:
+            self._parse(received[:end])
+        return end
+
+    def _receive(self) -> bytes:
+        """Returns received bytes, none if the peer closed; raises OSError."""
+        self._turn.begin_read()
+        if self.wait_limit is not None:
+            self.wait_limit.apply(self._socket)
+        chunk: bytes = self._socket.recv(self._most_received())
         if chunk:
             self._turn.end_read(len(chunk))
-            self._parse(chunk)
-        return len(chunk)
+        return chunk
+
+    def _most_received(self) -> int:
+        """Returns how many bytes are received at once."""
+        return _HEAD_READ_BYTES if self._in_head else READ_BYTES
+
+    def _piece_end(self, received: bytes) -> int:
+        """Returns how many of the received bytes are parsed at once."""
+        return len(received)
 
     def _parse(self, chunk: bytes) -> None:
         if self._in_head:
@@ -231,6 +272,8 @@
         super().__init__(connection, header_filter)
         self._parser = httptools.HttpRequestParser(self)
         self._url = b''
+        #: Bytes of a body of known length that are not parsed yet.
+        self._body_bytes = 0
         self._on_begin = on_begin
 
     def on_message_begin(self) -> None:
@@ -243,6 +286,7 @@
         """Frees what was kept beside the events; ends the reading."""
         super().drop()
         self._url = b''
+        self._on_begin = _ignore_begin
 
     def on_url(self, url: bytes) -> None:
         """Called by the parser, possibly once per part."""
@@ -271,8 +315,41 @@
             self._parser.should_keep_alive(),
             version == '1.0',
         )
+        self._body_bytes = length
         self._queue_head(head)
 
+    def on_body(self, body: bytes) -> None:
+        """Called by the parser."""
+        super().on_body(body)
+        self._body_bytes -= len(body)
+
+    def _most_received(self) -> int:
+        """Returns how many bytes are received at once.
+
+        What stands behind a body of known length is not received with it.
+        """
+        most = super()._most_received()
+        if not self._in_head and self._body_bytes > 0:
+            return min(most, self._body_bytes)
+        return most
+
+    def _piece_end(self, received: bytes) -> int:
+        """Returns the end of what is parsed at once.
+
+        A parsed head holds many times its size, so the next one is parsed
+        once it is served. The body of a known length is parsed as a whole.
+        """
+        if not self._in_head and self._body_bytes > 0:
+            return min(self._body_bytes, len(received))
+        start = _PIECE_BYTES
+        if self._in_head:
+            # Empty lines before a request end no head.
+            start = len(received) - len(received.lstrip(http_heads.LINE_END))
+        found = received.find(_HEAD_END, start)
+        end = len(received) if found < 0 else found + len(_HEAD_END)
+        odd = received.find(_ODD_HEAD_END, start, end)
+        return end if odd < 0 else odd + len(_ODD_HEAD_END)
+
     def take_head(self) -> http_heads.RequestHead | None:
         """Returns the next request if all of its head was received.
 
--- a/src/mulberryquay/entry/outgoing.py
+++ b/src/mulberryquay/entry/outgoing.py
@@ -31,6 +31,8 @@
     deadline: float
     #: Whether another entry relayed the request.
     is_relayed: bool
+    #: Counts an answer of a size, unless callers hold too much to keep it.
+    holds_answer: typing.Callable[[int], bool]
 
 
 def build(
@@ -70,6 +72,7 @@
             incoming.remaining_body,
             incoming.deadline,
             incoming.request_id.encode('latin-1'),
+            incoming.holds_answer,
         ),
         head.find(header_names.NO_RETRY) is None,
         admitted.identity,
--- a/src/mulberryquay/entry/request_body.py
+++ b/src/mulberryquay/entry/request_body.py
@@ -10,6 +10,7 @@
 from mulberryquay.coordination import memory_account, wait_limit
 from mulberryquay.entry import (
     admission,
+    answers,
     caller_limits,
     http_heads,
     messages,
@@ -22,7 +23,7 @@
 #: Only requests that fit can be sent to a second target.
 REPLAY_BYTES: typing.Final = 65536
 
-#: A body up to this size is never refused for the memory that others hold.
+#: A body or an answer up to this size may use the reserve of the account.
 _SMALL_BYTES: typing.Final = 16384
 
 _CONTINUE: typing.Final = b'HTTP/1.1 100 Continue\r\n\r\n'
@@ -53,6 +54,8 @@
         )
         #: What is counted in the part for the request.
         self.held_bytes = 0
+        #: The largest message that waited to be sent.
+        self._unsent_bytes = 0
         self._gives_way = False
         self._socket = connection
         self._reader = reader
@@ -76,8 +79,7 @@
         """
         if self._is_read:
             return b''
-        if self._expected_bytes > _SMALL_BYTES:
-            self._make_room(self._expected_bytes)
+        self._make_room(self._expected_bytes)
         if self._expects_continue:
             self._socket.sendall(_CONTINUE)
         parts = []
@@ -87,8 +89,7 @@
                 break
             parts.append(part)
             self.hold(len(part))
-            if self.held_bytes > _SMALL_BYTES:
-                self._make_room(0)
+            self._make_room(0)
         admission.check_length(service, self._size)
         return b''.join(parts)
 
@@ -116,6 +117,31 @@
         self.held_bytes += size
         self._part.add(size)
 
+    def holds_answer(self, size: int) -> bool:
+        """Counts ``size`` bytes of the answer; False if they do not fit."""
+        if not self._fits(size):
+            self._state.limit_notes.note(caller_limits.Limit.MEMORY)
+            return False
+        self.hold(size)
+        return True
+
+    def hold_unsent(self, size: int) -> None:
+        """Counts a message of ``size`` bytes that waits for the caller.
+
+        Counts one at a time. Raises AnswerCutShortError if it does not fit.
+        """
+        added = max(0, size - self._unsent_bytes)
+        if not self._fits(added):
+            self._state.limit_notes.note(caller_limits.Limit.MEMORY_HELD)
+            raise answers.AnswerCutShortError(
+                'the caller did not read its answer at once, and callers hold '
+                'too much memory of this entry',
+                outcomes.Reason.MEMORY_LIMIT,
+                is_by_caller=True,
+            )
+        self._unsent_bytes += added
+        self.hold(added)
+
     def note_progress(self) -> None:
         """Notes that the caller is not slow now."""
         self._part.progressed_at = self._state.clock.now()
@@ -128,11 +154,16 @@
 
     def _make_room(self, size: int) -> None:
         """Raises RefusedError if callers would hold too much."""
-        if self._state.memory.make_room(size):
+        if self._fits(size):
             return
         self._state.limit_notes.note(caller_limits.Limit.MEMORY)
         raise memory_refusal()
 
+    def _fits(self, size: int) -> bool:
+        """Whether there is room; a small request may use the reserve."""
+        is_small = max(size, self.held_bytes) <= _SMALL_BYTES
+        return self._state.memory.make_room(size, in_reserve=is_small)
+
     def _read_part(self, limit: wait_limit.WaitLimit) -> bytes | None:
         self._reader.wait_limit = limit
         try:
@@ -170,5 +201,5 @@
     """Returns the error for a request that would hold too much."""
     return outcomes.not_run(
         outcomes.Reason.MEMORY_LIMIT,
-        'callers hold too much memory of this entry',
+        'callers hold too much memory or too many connections of this entry',
     )
--- a/src/mulberryquay/entry/request_records.py
+++ b/src/mulberryquay/entry/request_records.py
@@ -8,7 +8,7 @@
 import collections
 import typing
 
-from mulberryquay.coordination import errors
+from mulberryquay.coordination import errors, units
 
 #: Maximum number of records of plain requests, which the first attempt
 #: answered.
@@ -17,6 +17,16 @@
 #: Maximum number of records of all other requests.
 MAX_NOTABLE_RECORDS: typing.Final = 10_000
 
+#: Part of the machine's memory that records may hold, in percent.
+MEMORY_PERCENT: typing.Final = 5
+
+#: Longest path and id that a record keeps.
+_MAX_KEPT: typing.Final = 1024
+
+#: Memory of a record beside its texts, and of each attempt in it.
+_RECORD_BYTES: typing.Final = 1024
+_ATTEMPT_BYTES: typing.Final = 512
+
 #: Decimal places of times in JSON.
 _DIGITS: typing.Final = 3
 
@@ -51,7 +61,7 @@
     #: Milliseconds since the Unix epoch.
     received_at: float
     method: bytes
-    #: The path as received; `to_json` removes the query.
+    #: The beginning of the path as received; `to_json` removes the query.
     path: bytes
     account: str
     route: str
@@ -62,6 +72,22 @@
     duration_ms: float
     tries: list[AttemptRecord]
 
+    @property
+    def size(self) -> int:
+        """The approximate size of the record in memory, in bytes."""
+        text_bytes = len(self.request_id) + len(self.path) + len(self.account)
+        attempt_bytes = _ATTEMPT_BYTES * len(self.tries)
+        return _RECORD_BYTES + text_bytes + attempt_bytes
+
+
+def shortened(record: RequestRecord) -> RequestRecord:
+    """Returns a record with texts of the caller as long as they are kept."""
+    if len(record.path) + len(record.request_id) <= _MAX_KEPT:
+        return record
+    return record._replace(
+        path=record.path[:_MAX_KEPT], request_id=record.request_id[:_MAX_KEPT]
+    )
+
 
 @typing.final
 class RequestHistory:
@@ -72,21 +98,42 @@
         *,
         max_plain: int = MAX_PLAIN_RECORDS,
         max_notable: int = MAX_NOTABLE_RECORDS,
+        max_bytes: int = units.MAX_INT64,
+        on_limit: typing.Callable[[], None] | None = None,
     ) -> None:
-        """Starts empty."""
+        """Starts empty; each kind of records may hold half of the bytes.
+
+        Calls ``on_limit`` for each record that it drops for their memory.
+        """
         self._limits = (max_plain, max_notable)
+        self._max_bytes = max_bytes // 2
+        self._on_limit = on_limit
+        self._sizes = [0, 0]
         self._records: tuple[
             collections.OrderedDict[str, RequestRecord],
             collections.OrderedDict[str, RequestRecord],
         ] = (collections.OrderedDict(), collections.OrderedDict())
 
+    @property
+    def held_bytes(self) -> int:
+        """The approximate size of all records in memory."""
+        return sum(self._sizes)
+
     def add(self, record: RequestRecord) -> None:
         """Adds a record; drops the oldest of its kind if there are too many."""
         is_notable = record.reason != 'none' or len(record.tries) != 1
         records = self._records[is_notable]
+        replaced = records.pop(record.request_id, None)
+        if replaced is not None:
+            self._sizes[is_notable] -= replaced.size
         records[record.request_id] = record
+        self._sizes[is_notable] += record.size
         if len(records) > self._limits[is_notable]:
-            records.popitem(last=False)
+            self._drop_oldest(is_notable=is_notable)
+        while self._sizes[is_notable] > self._max_bytes:
+            self._drop_oldest(is_notable=is_notable)
+            if self._on_limit is not None:
+                self._on_limit()
 
     def get(self, request_id: str) -> RequestRecord:
         """Returns a record; raises UnknownRequestError."""
@@ -98,6 +145,10 @@
             f'no record of request {request_id!r} here; it may be too old',
         )
 
+    def _drop_oldest(self, *, is_notable: bool) -> None:
+        _, oldest = self._records[is_notable].popitem(last=False)
+        self._sizes[is_notable] -= oldest.size
+
 
 def to_json(record: RequestRecord) -> dict[str, typing.Any]:
     """Returns a record as the admin API shows it."""
--- a/src/mulberryquay/entry/service_queue.py
+++ b/src/mulberryquay/entry/service_queue.py
@@ -360,10 +360,14 @@
                 outcomes.Reason.QUEUE_TIMEOUT,
                 'no target had capacity in time',
             ) from None
-        except BaseException:
+        except BaseException as error:
             if waiter.target is not None:
                 # The request ends, but a target was just granted to it.
                 self.release(waiter.target)
+            waiter.forget()
+            if isinstance(error, outcomes.RefusedError):
+                # The frames so far refer to the refusal.
+                raise error.with_traceback(None)
             raise
         finally:
             self._waiting.withdraw(waiter)
--- a/src/mulberryquay/entry/state.py
+++ b/src/mulberryquay/entry/state.py
@@ -219,17 +219,22 @@
         bounds = self.options.caller_bounds
         #: What callers hold in memory.
         self.memory = memory_account.MemoryAccount(
-            bounds.memory_bytes,
+            bounds.account_limit,
             self.clock,
             functools.partial(
                 self.limit_notes.note, caller_limits.Limit.MEMORY_HELD
             ),
         )
-        self.connections = caller_limits.Connections(bounds, self.limit_notes)
+        self.connections = caller_limits.new_places(
+            bounds, self.limit_notes, self.memory.end_slowest
+        )
         self.routing_table = routing.RoutingTable({})
         self.share_view = shares.ShareView(name)
         target_context = targets.TargetContext(
-            self.dialect, self._handle_suspension, self._handle_rate_limit
+            self.dialect,
+            self._handle_suspension,
+            self._handle_rate_limit,
+            self.connections.all_open,
         )
         self.relays = relays.Relays(
             name,
@@ -252,7 +257,12 @@
         self.watchdog = watchdog.Watchdog(self.clock)
         self.claims = claim_client.ClaimClient(name, ledger, self.clock)
         self.crashes = crash_tracker.CrashTracker(self.clock)
-        self.request_history = request_records.RequestHistory()
+        self.request_history = request_records.RequestHistory(
+            max_bytes=bounds.record_bytes,
+            on_limit=functools.partial(
+                self.limit_notes.note, caller_limits.Limit.RECORDS
+            ),
+        )
         self.splits = splits.TrafficSplitter()
         self.version_reports = version_reports.VersionReports(self.clock)
         self.caller_watch = caller_watch.CallerWatch(self.clock)
--- a/src/mulberryquay/entry/targets.py
+++ b/src/mulberryquay/entry/targets.py
@@ -9,6 +9,7 @@
 from mulberryquay import protocol, settings
 from mulberryquay.coordination import clock, token_bucket
 from mulberryquay.entry import (
+    caller_limits,
     connections,
     dialect,
     latency_averages,
@@ -75,6 +76,8 @@
     on_suspension: typing.Callable[[outcomes.Reason], None] = _ignore_suspension
     #: Called with each target whose rate limit changed.
     on_rate_limit: typing.Callable[[TargetState], None] = _ignore_rate_limit
+    #: Counts the connections to all of them.
+    all_open: caller_limits.OpenConnections | None = None
 
 
 @typing.final
@@ -127,6 +130,7 @@
             settings.parse_address(row.address),
             time_source,
             self.dialect.header_filter,
+            context.all_open,
         )
         self.pool.echoes_ids = self.dialect.caller_sets_request_id
         #: Calls from this entry that the target is running.
--- a/src/mulberryquay/entry/waiting_requests.py
+++ b/src/mulberryquay/entry/waiting_requests.py
@@ -43,6 +43,13 @@
             return typing.cast(targets.TargetState | None, self.granted.get())
         return None
 
+    def forget(self) -> None:
+        """Drops the refusal, which refers to frames that refer to this.
+
+        Only the garbage collector, which runs rarely, would free them.
+        """
+        self.granted = event.AsyncResult()
+
 
 @typing.final
 class WaitingRequests(typing.Generic[_Criteria]):
--- a/testing/entry/test_caller_limits.py
+++ b/testing/entry/test_caller_limits.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import contextlib
+import gc
 import typing
 import unittest
 
+import gevent
 from gevent import socket
 
 from mulberryquay import metrics
-from mulberryquay.coordination import clock, units
+from mulberryquay.coordination import clock, memory_account, units
 from mulberryquay.entry import caller_limits
 from mulberryquay.standin import target
 from testing import fixtures
@@ -23,11 +25,28 @@
 _SEND_TIMEOUT_S: typing.Final = 0.2
 
 
+_STALL_S: typing.Final = 0.5
+
+#: What each request or connection has.
+_REQUEST_TYPES: typing.Final = frozenset(
+    ('RequestHead', 'Waiter', 'RefusedError', 'Exchange', 'CallerConnection')
+)
+
+
+def _stall(_request: target.ReceivedRequest) -> target.Answer:
+    gevent.sleep(_STALL_S)
+    return target.Answer()
+
+
 class _Connection:
     """A connection that only notes that it must make place."""
 
     def __init__(self) -> None:
         self.is_closed = False
+        account = memory_account.MemoryAccount(
+            units.MAX_INT64, clock.ManualClock(), lambda: None
+        )
+        self.part = memory_account.Part(account, 0)
 
     def make_place(self) -> None:
         """Notes the call."""
@@ -98,6 +117,13 @@
     CASE.assertGreater(caller_limits.connection_bound(0), 0)
 
 
+def _has_stopped(stand_in: target.StandInTarget) -> bool:
+    """Whether a target that had requests gets no more."""
+    count = stand_in.runs.total()
+    gevent.sleep(_SEND_TIMEOUT_S)
+    return count > 0 and count == stand_in.runs.total()
+
+
 def test_answers_that_nobody_reads_give_way() -> None:
     """They were kept for as long as the caller stayed (issue 45)."""
     with (
@@ -112,7 +138,7 @@
             'stock-a',
             lambda _request: target.Answer(body=b'x' * _LARGE_BYTES),
         )
-        stack.enter_context(large)
+        stand_in = stack.enter_context(large)
         fixtures.wait_for_targets(entry, 'stock-a')
         connection = stack.enter_context(
             contextlib.closing(
@@ -124,7 +150,8 @@
         request = fixtures.request_bytes('/stock/x')
         with contextlib.suppress(TimeoutError):
             connection.sendall(request * _MANY)
-        fixtures.wait_until(lambda: memory.held_bytes >= _LARGE_BYTES)
+        fixtures.wait_until(lambda: _has_stopped(stand_in))
+        CASE.assertGreaterEqual(memory.held_bytes, _LARGE_BYTES)
         memory.limit = 1
         fixtures.wait_until(lambda: memory.make_room(0))
         memory.limit = units.MAX_INT64
@@ -160,3 +187,64 @@
             CASE.assertEqual(small.status, 200)
             memory.limit = whole_limit
             fixtures.wait_until(lambda: memory.held_bytes == 0)
+
+
+def test_ended_requests_need_no_garbage_collector() -> None:
+    """It runs rarely, so what it has to free is held meanwhile (issue 53)."""
+    with (
+        fixtures.control() as control,
+        fixtures.entry(control) as entry,
+        fixtures.announced_target(control, 'stock-a', _stall, slots=1),
+    ):
+        control.declare(max_queue=1)
+        control.wait_in_force()
+        fixtures.wait_for_targets(entry, 'stock-a')
+        gc.collect()
+        gc.set_debug(gc.DEBUG_SAVEALL)
+        try:
+            callers = [
+                gevent.spawn(fixtures.ask, entry, '/stock/x') for _ in range(8)
+            ]
+            statuses = {caller.get().status for caller in callers}
+            fixtures.wait_until(lambda: not entry.caller_connections)
+            gc.collect()
+            kept = {type(part).__name__ for part in gc.garbage}
+        finally:
+            gc.set_debug(0)
+            gc.garbage.clear()
+    CASE.assertEqual(statuses, {200, 503})
+    CASE.assertFalse(kept & _REQUEST_TYPES)
+
+
+class _Pool:
+    """A pool whose connections are numbers."""
+
+    def __init__(self) -> None:
+        self.dropped: list[int] = []
+        self.all_open = caller_limits.OpenConnections(limit=2)
+
+    def open_idle(self, number: int) -> None:
+        """Opens a connection that is not used at once."""
+        self.all_open.to_targets += 1
+        self.all_open.add_idle(number, self)
+
+    def drop_idle(self, connection: int) -> None:
+        """Closes a connection."""
+        self.dropped.append(connection)
+        self.all_open.remove_idle(connection)
+        self.all_open.to_targets -= 1
+
+
+def test_target_connection_that_was_idle_longest_gives_way() -> None:
+    """One in use never ends for another one."""
+    pool = _Pool()
+    pool.open_idle(1)
+    pool.open_idle(2)
+    pool.all_open.remove_idle(1)
+    CASE.assertTrue(pool.all_open.make_room())
+    pool.all_open.to_targets += 1
+    CASE.assertEqual(pool.dropped, [2])
+    CASE.assertFalse(pool.all_open.make_room())
+    pool.all_open.add_idle(1, pool)
+    CASE.assertTrue(pool.all_open.make_room())
+    CASE.assertEqual(pool.dropped, [2, 1])
