Send control hosts no more at once than their ports take; bound the log by bytes

What callers saw: a control host that was away while a service of 900 kB was changed 30 times (memory_mb 96) never came back into its group; 30 s later it had none of it. With the limits of streams, the leader's message of up to 64 log entries, whatever their size, is above what the other's port may hold, and it is sent again and again. Without these limits the same happens above 64 MiB.

Cause: a bound on a number of things whose size a client chooses.

Why: a message has log entries of up to 1 MiB in memory, or a single larger one.

--- a/src/mulberryquay/coordination/replication/log.py
+++ b/src/mulberryquay/coordination/replication/log.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import bisect
+import itertools
+import math
 import typing
 
-from mulberryquay.coordination import errors
+from mulberryquay.coordination import errors, memory_size
 
 #: A log entry that changes nothing; a leader begins its term with one.
 NO_OP: typing.Final = 'start'
@@ -52,6 +55,8 @@
         self._base_term = base_term
         self._base_members = base_members
         self._entries = list(entries)
+        #: The bytes of each log entry in memory.
+        self._sizes = [memory_size.measure(entry) for entry in self._entries]
         self._members = self._find_members()
 
     @property
@@ -69,6 +74,11 @@
         """The term of the newest log entry."""
         return self._entries[-1].term if self._entries else self._base_term
 
+    @property
+    def held_bytes(self) -> int:
+        """What the log entries take in memory."""
+        return sum(self._sizes)
+
     @property
     def members(self) -> Members:
         """The voters of the newest MEMBERS entry, committed or not."""
@@ -97,24 +107,42 @@
             )
         return self._entries[index - self._base_index - 1]
 
-    def since(self, index: int, *, limit: int) -> list[Entry]:
-        """Returns up to ``limit`` log entries from ``index`` on."""
+    def since(
+        self, index: int, *, limit: int, max_bytes: float = math.inf
+    ) -> list[Entry]:
+        """Returns up to ``limit`` log entries from ``index`` on.
+
+        They take up to ``max_bytes`` in memory, unless the first one is
+        larger.
+        """
         if index <= self._base_index:
             raise CompactedError(
                 f'got index {index}, expected more than {self._base_index}',
             )
         start = index - self._base_index - 1
-        return self._entries[start : start + limit]
+        sizes = itertools.accumulate(self._sizes[start : start + limit])
+        fitting = bisect.bisect_right(list(sizes), max_bytes)
+        return self._entries[start : start + max(1, fitting)]
+
+    def count_until(self, index: int, *, limit: int, max_bytes: float) -> int:
+        """Returns how many log entries up to ``index`` fit both bounds."""
+        end = index - self._base_index
+        sizes = self._sizes[max(0, end - limit) : end]
+        sums = itertools.accumulate(reversed(sizes))
+        return bisect.bisect_right(list(sums), max_bytes)
 
     def append(self, entry: Entry) -> None:
         """Appends the next log entry."""
         self._entries.append(entry)
+        self._sizes.append(memory_size.measure(entry))
         if entry.kind == MEMBERS:
             self._members = entry.content
 
     def truncate(self, index: int) -> None:
         """Removes the log entries from ``index`` on."""
-        self._entries = self._entries[: index - self._base_index - 1]
+        length = index - self._base_index - 1
+        self._entries = self._entries[:length]
+        self._sizes = self._sizes[:length]
         self._members = self._find_members()
 
     def members_at(self, index: int) -> Members:
@@ -129,6 +157,7 @@
         members = self.members_at(index)
         term = self.term_at(index)
         self._entries = self._entries[index - self._base_index :]
+        self._sizes = self._sizes[index - self._base_index :]
         self._base_members = members
         self._base_term = term
         self._base_index = index
@@ -139,6 +168,7 @@
         self._base_term = term
         self._base_members = members
         self._entries = []
+        self._sizes = []
         self._members = members
 
     def _find_members(self) -> Members:
--- a/src/mulberryquay/coordination/replication/progress.py
+++ b/src/mulberryquay/coordination/replication/progress.py
@@ -4,10 +4,13 @@
 
 import typing
 
+from mulberryquay.coordination import units
 from mulberryquay.coordination.replication import messages, state
 
-#: Most log entries in one call.
+#: Most log entries in one call, and most of their bytes in memory; a larger
+#: one is alone.
 _MAX_ENTRIES: typing.Final = 64
+_MAX_BYTES: typing.Final = units.MIB
 
 
 @typing.final
@@ -43,7 +46,9 @@
     peer.sent_commit_index = replica_state.commit_index
     if previous < replica_state.log.base_index:
         return _snapshot_request(replica_state, term, peer)
-    entries = replica_state.log.since(peer.next_index, limit=_MAX_ENTRIES)
+    entries = replica_state.log.since(
+        peer.next_index, limit=_MAX_ENTRIES, max_bytes=_MAX_BYTES
+    )
     return messages.AppendRequest(
         peer.identity,
         replica_state.identity,
--- a/src/mulberryquay/coordination/replication/state.py
+++ b/src/mulberryquay/coordination/replication/state.py
@@ -5,15 +5,18 @@
 import logging
 import typing
 
-from mulberryquay.coordination import clock, errors, signals
+from mulberryquay.coordination import clock, errors, signals, units
 from mulberryquay.coordination.replication import disk, log
 
-#: Number of log entries at which the next snapshot is due.
+#: Number of log entries, and their bytes in memory, at which the next snapshot
+#: is due.
 SNAPSHOT_ENTRIES: typing.Final = 512
+_SNAPSHOT_BYTES: typing.Final = 4 * units.MIB
 
 #: Log entries covered by a snapshot that stay in memory for followers that
-#: lag a little.
+#: lag a little, and their bytes.
 _KEPT_ENTRIES: typing.Final = 64
+_KEPT_BYTES: typing.Final = units.MIB
 
 _LOG: typing.Final = logging.getLogger(__name__)
 
@@ -263,17 +266,22 @@
             self._synced_index = max(self._synced_index, index)
 
     def compact_if_due(self) -> None:
-        """Writes a snapshot once the log has SNAPSHOT_ENTRIES entries."""
-        if len(self.log) < SNAPSHOT_ENTRIES or self._is_compacting:
+        """Writes a snapshot once the log is long, or holds much."""
+        is_long = len(self.log) >= SNAPSHOT_ENTRIES
+        is_due = is_long or self.log.held_bytes >= _SNAPSHOT_BYTES
+        if not is_due or self._is_compacting:
             return
         self._is_compacting = True
         try:
             self.compact()
         finally:
             self._is_compacting = False
-        keep_from = min(self._applied_index, self._synced_index)
-        if keep_from - _KEPT_ENTRIES > self.log.base_index:
-            self.log.discard_until(keep_from - _KEPT_ENTRIES)
+        covered = min(self._applied_index, self._synced_index)
+        kept = self.log.count_until(
+            covered, limit=_KEPT_ENTRIES, max_bytes=_KEPT_BYTES
+        )
+        if covered - kept > self.log.base_index:
+            self.log.discard_until(covered - kept)
 
     def _drop_known(self, entries: list[log.Entry]) -> list[log.Entry]:
         for offset, entry in enumerate(entries):
--- a/testing/control/test_group.py
+++ b/testing/control/test_group.py
@@ -55,6 +55,7 @@
     hosts: typing.Sequence[int],
     *,
     found: bool = True,
+    memory_mb: int = 0,
 ) -> fixtures.Control:
     values = settings.with_defaults(
         control_daemon.SETTINGS,
@@ -65,6 +66,7 @@
             'host_listen': f'127.0.0.1:{port}',
             'hosts': ','.join(f'127.0.0.1:{host}' for host in hosts),
             'found': found,
+            'memory_mb': memory_mb,
         },
     )
     daemon = control_daemon.ControlDaemon(values, fixtures.KERNEL)
@@ -73,10 +75,16 @@
 
 
 @contextlib.contextmanager
-def _group() -> typing.Iterator[list[fixtures.Control]]:
-    with fixtures.folder() as folder:
+def _group(
+    folder: pathlib.Path | None = None, *, memory_mb: int = 0
+) -> typing.Iterator[list[fixtures.Control]]:
+    with contextlib.ExitStack() as stack:
+        folder = folder or stack.enter_context(fixtures.folder())
         ports = [_free_port() for _ in range(3)]
-        hosts = [_start_host(folder, port, ports) for port in ports]
+        hosts = [
+            _start_host(folder, port, ports, memory_mb=memory_mb)
+            for port in ports
+        ]
         try:
             fixtures.wait_until(lambda: _leader_of(hosts))
             yield hosts
@@ -215,16 +223,44 @@
 def test_added_host_becomes_a_voter() -> None:
     """Guards against a new host that never joins the hosts in its settings."""
     with _group() as hosts, fixtures.folder() as folder:
-        members = hosts[0].daemon.cluster.replica.members
-        ports = [
-            int(address.rpartition(':')[-1]) for address in members.values()
-        ]
+        ports = _ports_of(hosts[0])
         hosts.append(_start_host(folder, _free_port(), ports, found=False))
         replica = hosts[-1].daemon.cluster.replica
         fixtures.wait_until(lambda: replica.identity in replica.members)
         CASE.assertEqual(len(replica.members), 4)
 
 
+def _ports_of(host: fixtures.Control) -> list[int]:
+    """Returns the ports of all hosts of a group."""
+    addresses = host.daemon.cluster.replica.members.values()
+    return [int(address.rpartition(':')[-1]) for address in addresses]
+
+
+def test_host_that_was_away_for_large_changes_catches_up() -> None:
+    """Guards against messages that no host can take.
+
+    All that it had missed came in one, above what streams may hold.
+    """
+    with fixtures.folder() as folder, _group(folder, memory_mb=96) as hosts:
+        leader = fixtures.wait_until(lambda: _leader_of(hosts))
+        away = next(host for host in hosts if host is not leader)
+        hosts.remove(away)
+        replica = away.daemon.cluster.replica
+        address = replica.members[replica.identity]
+        port = int(address.rpartition(':')[-1])
+        away.daemon.stop()
+        for version in range(1, 31):
+            path = f'/{version}{"x" * 900_000}'
+            body = {'version': version, 'spec': {'health_path': path}}
+            leader.client.call('PUT', '/v1/services/stock', body)
+        back = _start_host(folder, port, _ports_of(leader), memory_mb=96)
+        hosts.append(back)
+        fixtures.wait_until(
+            lambda: back.daemon.store.revision == leader.daemon.store.revision
+        )
+        CASE.assertEqual(back.daemon.store.get('services', 'stock').version, 30)
+
+
 def test_new_entry_gets_the_last_known_state_without_a_majority() -> None:
     """Guards against an entry that starts empty while no majority is up.
 
