Bound what declared resources, and their older versions, hold

What callers saw: 400 services of 300 kB, declared one after the other, took a control host to 161 MB at a machine of 96 MB, and so did 400 versions of one service.

Cause: nothing bounded what is declared in all; watches kept 4,096 changes of any size.

Why: above store_memory_percent (3 of memory_mb, from 2 to 16 MiB) a resource that takes more than it did is refused with 507 store-full; the leader decides, so all hosts agree. Deletes and smaller versions always pass, and so does an evacuation, whose names are bounded by the failure domains. A whole configuration replaces the others; one that takes more bytes than the limit is refused with 413, since no other host could take the message: it would block the log for all later changes (by reading). The watch history keeps 4 MiB of older changes; a watch that lags by more gets 410, as it does after a restart.

Ruled out: a limit that all hosts agree on in the log, which needs another record; a refusal at the leader is enough as only it proposes.

--- a/src/mulberryquay/control/cluster.py
+++ b/src/mulberryquay/control/cluster.py
@@ -30,6 +30,7 @@
     rpc,
     shares,
     stream_load,
+    units,
     wire,
 )
 from mulberryquay.coordination.replication import disk, replica
@@ -66,6 +67,8 @@
     data_folder: pathlib.Path
     account_slack: rate_slack.SlackLimits = rate_slack.SlackLimits()
     stream_limits: StreamLimits = StreamLimits()
+    #: What declared resources may hold in memory.
+    max_store_bytes: int = units.MAX_INT64
 
 
 @typing.final
@@ -94,7 +97,7 @@
         self._replica_network = rpc.Clients(host_protocol.CODEC)
         self._network = rpc.Clients(host_protocol.CODEC)
         self._permit_network = rpc.Clients(host_protocol.CODEC)
-        self.state = replicated_state.ReplicatedState()
+        self.state = replicated_state.ReplicatedState(config.max_store_bytes)
         self.targets = directory.Directory(
             time_source,
             ended=self.state.ended_targets,
--- a/src/mulberryquay/control/daemon.py
+++ b/src/mulberryquay/control/daemon.py
@@ -16,7 +16,7 @@
     permit_desk,
     roll_out_api,
 )
-from mulberryquay.coordination import clock, crash_guard, units
+from mulberryquay.coordination import clock, crash_guard, machine_memory, units
 from mulberryquay.coordination import store as store_module
 from mulberryquay.decisions import rate_slack, roll_outs
 from mulberryquay.kernel import plugins
@@ -80,6 +80,15 @@
         'eighth of the limit of open files',
         maximum=units.MAX_INT64,
     ),
+    settings.Setting(
+        'store_memory_percent',
+        3,
+        'part of memory_mb that declared resources may hold, in percent, but '
+        'from 2 to 16 MiB; above it, a resource that takes more than it did '
+        'is refused, and so is a whole configuration of more bytes',
+        minimum=1,
+        maximum=_PERCENT,
+    ),
     settings.Setting(
         'region',
         'region',
@@ -148,6 +157,17 @@
         'Revision of the newest accepted change.',
         is_gauge=True,
     ),
+    metrics.MetricDeclaration(
+        'mulberryquay_control_store_bytes',
+        'Memory that declared resources hold, as limited by '
+        'store_memory_percent.',
+        is_gauge=True,
+    ),
+    metrics.MetricDeclaration(
+        'mulberryquay_control_store_full_total',
+        'Resources and configurations that this host refused at that limit.',
+        is_gauge=True,
+    ),
     metrics.MetricDeclaration(
         'mulberryquay_control_targets',
         'Targets that hold a lease.',
@@ -205,6 +225,9 @@
     *api_load.STREAM_METRICS,
 )
 
+#: Some resources of legal size fit on any machine.
+_MIN_STORE_BYTES: typing.Final = 2 * units.MIB
+
 #: Parts of the descriptors that streams may use; half are for the API.
 _FEED_DESCRIPTOR_SHARE: typing.Final = 4
 _HOST_DESCRIPTOR_SHARE: typing.Final = 8
@@ -255,6 +278,7 @@
                     values['account_window_ms'],
                 ),
                 _stream_limits(values),
+                _store_bound(values),
             ),
             time_source,
             lease=values['target_lease_ms'],
@@ -360,10 +384,29 @@
         set_gauge('mulberryquay_control_feed_bytes_total', received, 'in')
         sent = self._cluster.feed.bytes_sent
         set_gauge('mulberryquay_control_feed_bytes_total', sent, 'out')
+        self._refresh_limits()
+
+    def _refresh_limits(self) -> None:
+        set_gauge = self._metrics.set_gauge
+        set_gauge('mulberryquay_control_store_bytes', self.store.held_bytes)
+        set_gauge(
+            'mulberryquay_control_store_full_total', self.store.limits_met
+        )
         for port, count in self._cluster.stream_limits_met.items():
             set_gauge('mulberryquay_stream_limits_met_total', count, port)
 
 
+def _store_bound(values: settings.Values) -> int:
+    """Returns what declared resources may hold, in bytes.
+
+    A snapshot of them fits one message between control hosts.
+    """
+    memory = machine_memory.size_bytes(values['memory_mb'])
+    percent = int(values['store_memory_percent'])
+    bound = max(_MIN_STORE_BYTES, memory * percent // _PERCENT)
+    return min(bound, units.MAX_CONFIGURATION_BYTES)
+
+
 def _stream_limits(values: settings.Values) -> cluster.StreamLimits:
     return cluster.StreamLimits(
         api_load.stream_limits(
--- a/src/mulberryquay/control/orders.py
+++ b/src/mulberryquay/control/orders.py
@@ -232,6 +232,7 @@
             order.domain,
             version=version + 1,
             spec={'region': order.region, 'state': order.state},
+            is_limited=False,
         )
 
     def _domain_version(self, domain: str) -> int:
--- a/src/mulberryquay/control/replicated_state.py
+++ b/src/mulberryquay/control/replicated_state.py
@@ -5,7 +5,7 @@
 import typing
 
 from mulberryquay.control import ended_targets
-from mulberryquay.coordination import journal, store
+from mulberryquay.coordination import journal, store, units
 from mulberryquay.coordination.replication import replica
 
 #: A change that no majority has synced within this time is reported as
@@ -67,10 +67,10 @@
 class ReplicatedState:
     """The state that all control hosts agree on."""
 
-    def __init__(self) -> None:
-        """Starts empty."""
+    def __init__(self, max_store_bytes: int = units.MAX_INT64) -> None:
+        """Starts empty; declared resources hold so much at most."""
         self._logs = {tag: SharedLog(tag) for tag in ('store', 'endings')}
-        self.store = store.Store(self._logs['store'])
+        self.store = store.Store(self._logs['store'], max_bytes=max_store_bytes)
         self.ended_targets = ended_targets.EndedTargets(self._logs['endings'])
         self._states: dict[str, _StateMachine] = {
             'store': self.store,
--- a/src/mulberryquay/coordination/history.py
+++ b/src/mulberryquay/coordination/history.py
@@ -7,7 +7,7 @@
 
 from gevent import event
 
-from mulberryquay.coordination import clock, errors
+from mulberryquay.coordination import clock, errors, memory_size, units
 
 Change = typing.TypeVar('Change')
 
@@ -24,11 +24,17 @@
 class History(typing.Generic[Change]):
     """Keeps the newest changes; revisions have no gaps."""
 
-    def __init__(self, *, size: int) -> None:
-        """Keeps at most ``size`` changes."""
-        self._changes: collections.deque[Change] = collections.deque(
-            maxlen=size,
-        )
+    def __init__(self, *, size: int, max_bytes: int = units.MAX_INT64) -> None:
+        """Keeps at most ``size`` changes, and ``max_bytes`` of older ones.
+
+        The newest change is always kept.
+        """
+        self._max_size = size
+        self._max_bytes = max_bytes
+        self._changes: collections.deque[Change] = collections.deque()
+        #: The bytes of each change.
+        self._sizes: collections.deque[int] = collections.deque()
+        self._held_bytes = 0
         self._revision = 0
         self._changed = event.Event()
 
@@ -40,6 +46,8 @@
     def restart(self, revision: int) -> None:
         """Continues from a snapshot taken at ``revision``."""
         self._changes.clear()
+        self._sizes.clear()
+        self._held_bytes = 0
         self._revision = revision
         previous_event = self._changed
         self._changed = event.Event()
@@ -48,6 +56,11 @@
     def append(self, change: Change) -> None:
         """Adds the next change and wakes all waiting tasks."""
         self._changes.append(change)
+        self._sizes.append(memory_size.measure(change))
+        self._held_bytes += self._sizes[-1]
+        while self._is_long:
+            self._changes.popleft()
+            self._held_bytes -= self._sizes.popleft()
         self._revision += 1
         previous_event = self._changed
         self._changed = event.Event()
@@ -70,6 +83,13 @@
             return []
         return list(self._changes)[-missing:]
 
+    @property
+    def _is_long(self) -> bool:
+        if len(self._changes) == 1:
+            return False
+        is_many = len(self._changes) > self._max_size
+        return is_many or self._held_bytes > self._max_bytes
+
     def wait(self, revision: int, *, timeout: float) -> bool:
         """Waits for a change after ``revision``; False on timeout (ms)."""
         if self._revision > revision:
--- a/src/mulberryquay/coordination/store.py
+++ b/src/mulberryquay/coordination/store.py
@@ -8,6 +8,9 @@
 A whole configuration replaces all resources of its kinds at once, under one
 version. Of two configurations with the same version, the first one that was
 accepted stays in force.
+
+What resources hold together has a limit, above which single ones may only
+shrink. A whole configuration replaces all others, so only its own size counts.
 """
 
 from __future__ import annotations
@@ -17,10 +20,19 @@
 
 from gevent import lock
 
-from mulberryquay.coordination import errors, history, journal, schema
-
-#: Number of changes kept, from which watches can resume.
+from mulberryquay.coordination import (
+    errors,
+    history,
+    journal,
+    memory_size,
+    packing,
+    schema,
+    units,
+)
+
+#: Number of changes kept, from which watches can resume, and their bytes.
 WATCH_HISTORY: typing.Final = 4096
+_WATCH_HISTORY_BYTES: typing.Final = 4 * units.MIB
 
 #: Number of records after which a snapshot replaces them.
 SNAPSHOT_AFTER: typing.Final = 512
@@ -55,6 +67,22 @@
     code = 'version-conflict'
 
 
+@typing.final
+class StoreFullError(errors.MulberryquayError):
+    """The declared resources hold as much as they may; delete some."""
+
+    code = 'store-full'
+    http_status = 507
+
+
+@typing.final
+class ConfigurationTooLargeError(errors.MulberryquayError):
+    """A whole configuration is larger than all resources may be."""
+
+    code = 'configuration-too-large'
+    http_status = 413
+
+
 class Resource(typing.NamedTuple):
     """One change of a resource; ``spec`` is None if it was deleted."""
 
@@ -94,15 +122,27 @@
         *,
         history_size: int = WATCH_HISTORY,
         snapshot_after: int = SNAPSHOT_AFTER,
+        max_bytes: int = units.MAX_INT64,
     ) -> None:
-        """Restores the state from ``log``; raises JournalCorruptError."""
+        """Restores the state from ``log``; raises JournalCorruptError.
+
+        Resources grow one by one up to ``max_bytes`` in memory, or in one
+        configuration up to ``max_bytes`` as it is sent.
+        """
         self._log = log
         self._snapshot_after = snapshot_after
         self._write_lock = lock.BoundedSemaphore(1)
         self._resources: dict[Key, Resource] = {}
+        #: The bytes in memory of each one.
+        self._sizes: dict[Key, int] = {}
+        self._max_bytes = max_bytes
+        #: What all of them hold.
+        self.held_bytes = 0
+        #: How often the limit was met.
+        self.limits_met = 0
         self._configuration = Configuration(0, zlib.compress(b''))
         self._changes: history.History[Resource] = history.History(
-            size=history_size,
+            size=history_size, max_bytes=_WATCH_HISTORY_BYTES
         )
         recovered = log.recover()
         if recovered.snapshot is not None:
@@ -158,12 +198,15 @@
         *,
         version: int,
         spec: schema.Spec | None,
+        is_limited: bool = True,
     ) -> Resource:
         """Persists a change and returns it with its revision.
 
-        A ``spec`` of None deletes. Raises VersionConflictError,
-        JournalFailedError, and NotFoundError for the delete of a resource
-        that never existed.
+        A ``spec`` of None deletes. Unless ``is_limited``, it has no part in
+        the limit of all: it must not fail for what others declared, and its
+        names are bounded otherwise. Raises VersionConflictError,
+        StoreFullError, JournalFailedError, and NotFoundError for the delete
+        of a resource that never existed.
         """
         with self._write_lock:
             current = self._resources.get((kind, name))
@@ -172,6 +215,8 @@
             if current is not None and version <= current.version:
                 return _check_resend(current, version, spec)
             change = Resource(kind, name, version, spec, self.revision + 1)
+            if spec is not None and is_limited:
+                self._check_room(change)
             self._commit(Change([tuple(change)]))
             return change
 
@@ -185,7 +230,8 @@
         """Replaces all resources of ``kinds``; returns the version in force.
 
         If the version in force is as high or higher, it is returned and
-        nothing changes. Raises JournalFailedError.
+        nothing changes. Raises ConfigurationTooLargeError and
+        JournalFailedError.
         """
         with self._write_lock:
             if configuration.version <= self._configuration.version:
@@ -198,7 +244,9 @@
             packed = configuration._replace(
                 document=zlib.compress(configuration.document),
             )
-            self._commit(Change([tuple(row) for row in changed], tuple(packed)))
+            change = Change([tuple(row) for row in changed], tuple(packed))
+            self._check_size(change)
+            self._commit(change)
             return configuration.version
 
     def close(self) -> None:
@@ -211,7 +259,7 @@
         for row in change.resources:
             resource = Resource(*row)
             if resource.revision > self.revision:
-                self._resources[resource.kind, resource.name] = resource
+                self._keep(resource)
                 self._changes.append(resource)
         if change.configuration:
             configuration = Configuration(*change.configuration)
@@ -232,9 +280,40 @@
         self._changes.restart(revision)
         self._configuration = Configuration(*configuration)
         self._resources = {}
+        self._sizes = {}
+        self.held_bytes = 0
         for row in rows:
-            resource = Resource(*row)
-            self._resources[resource.kind, resource.name] = resource
+            self._keep(Resource(*row))
+
+    def _keep(self, resource: Resource) -> None:
+        key = (resource.kind, resource.name)
+        size = memory_size.measure(resource)
+        self.held_bytes += size - self._sizes.get(key, 0)
+        self._sizes[key] = size
+        self._resources[key] = resource
+
+    def _check_room(self, change: Resource) -> None:
+        """Raises StoreFullError if a change grows the state too far."""
+        held = self._sizes.get((change.kind, change.name), 0)
+        growth = memory_size.measure(change) - held
+        if growth <= 0 or self.held_bytes + growth <= self._max_bytes:
+            return
+        self.limits_met += 1
+        raise StoreFullError(
+            f'{change.kind} {change.name!r}: resources hold {self.held_bytes} '
+            f'bytes and would hold {growth} more, of {self._max_bytes}; '
+            'delete some of them',
+        )
+
+    def _check_size(self, change: Change) -> None:
+        """Raises ConfigurationTooLargeError if no other host could take it."""
+        size = len(packing.pack(change))
+        if size > self._max_bytes:
+            self.limits_met += 1
+            raise ConfigurationTooLargeError(
+                f'got a configuration that takes {size} bytes, expected at '
+                f'most {self._max_bytes}; it was not put in force',
+            )
 
     def _commit(self, change: Change) -> None:
         self._log.append([tuple(change)])
--- a/testing/coordination/test_store.py
+++ b/testing/coordination/test_store.py
@@ -31,6 +31,66 @@
         CASE.assertEqual(resources.revision, 1)
 
 
+def test_resources_above_the_limit_may_only_shrink() -> None:
+    """Guards against what clients declare without end, name by name.
+
+    Orders that must not fail for it have no part in the limit. A restart
+    counts the same.
+    """
+    with fixtures.folder() as folder:
+        resources = _open(folder, max_bytes=4000)
+        resources.put(KIND, 'a', version=1, spec={'path': 'x' * 2500})
+        held = resources.held_bytes
+        for name in ('a', 'b'):
+            with CASE.assertRaises(store.StoreFullError):
+                resources.put(KIND, name, version=2, spec={'path': 'x' * 4000})
+        CASE.assertEqual(
+            (resources.held_bytes, resources.limits_met), (held, 2)
+        )
+        resources.put(
+            'domains', 'd', version=1, spec={'s': 'y' * 4000}, is_limited=False
+        )
+        resources.put(KIND, 'a', version=2, spec={'path': 'x' * 2400})
+        resources.put(KIND, 'a', version=3, spec=None)
+        resources.put('domains', 'd', version=2, spec=None)
+        resources.put(KIND, 'b', version=2, spec={'path': 'x' * 2500})
+        held = resources.held_bytes
+        resources.close()
+        reopened = _open(folder, max_bytes=4000)
+        CASE.assertEqual(reopened.held_bytes, held)
+        reopened.close()
+
+
+def test_configuration_that_no_other_host_could_take_is_refused() -> None:
+    """Guards against a record that no host can get, before all later ones."""
+    rows = [(KIND, 's', {'path': 'x' * 4000})]
+    with fixtures.folder() as folder:
+        resources = _open(folder, max_bytes=4000)
+        with CASE.assertRaises(store.ConfigurationTooLargeError):
+            resources.put_configuration(
+                store.Configuration(1, b''), rows, kinds={KIND}
+            )
+        CASE.assertEqual(resources.revision, 0)
+        smaller = [(KIND, 's', {'path': 'x' * 3000})]
+        for version in (1, 2):
+            resources.put_configuration(
+                store.Configuration(version, b''), smaller, kinds={KIND}
+            )
+        CASE.assertEqual(resources.configuration.version, 2)
+
+
+def test_watch_history_is_bounded_by_its_bytes() -> None:
+    """Guards against one resource that is changed again and again."""
+    changes: history.History = history.History(size=10, max_bytes=10_000)
+    for number in range(1, 30):
+        changes.append(f'{number:4000}')
+    CASE.assertEqual([int(kept) for kept in changes.since(27)], [28, 29])
+    with CASE.assertRaises(history.RevisionCompactedError):
+        changes.since(26)
+    changes.append('x' * 20_000)
+    CASE.assertEqual(len(changes.since(29)), 1)
+
+
 def test_equal_version_with_other_content_is_a_conflict() -> None:
     """Of concurrent puts with one version, only one must be accepted."""
     with fixtures.folder() as folder:
--- a/testing/test_crowds.py
+++ b/testing/test_crowds.py
@@ -57,9 +57,10 @@
     return block * (size // len(block))
 
 
-def _service(size: int) -> typing.Any:
+def _service(size: int, version: int = 1) -> typing.Any:
     """Returns a service whose description takes about ``size`` bytes."""
-    return {'version': 1, 'spec': {'health_path': '/' + 'x' * size}}
+    path = f'/{version}{"x" * size}'
+    return {'version': version, 'spec': {'health_path': path}}
 
 
 def _announcement(name: str) -> bytes:
@@ -291,6 +292,23 @@
     )
 
 
+def test_declared_resource_of_many_versions_at_the_api() -> None:
+    """Each is kept for watches and for control hosts that lag (issue 53)."""
+    _check_api(
+        *(
+            crowds.Client(
+                fixtures.request_bytes(
+                    '/v1/services/stock',
+                    method='PUT',
+                    body=json.dumps(_service(_RESOURCE_BYTES, number)).encode(),
+                ),
+                awaits_answer=True,
+            )
+            for number in range(2, _CLIENTS + 2)
+        )
+    )
+
+
 def test_more_connections_to_the_api_than_descriptors() -> None:
     """Without one left, neither operators nor targets get in (issue 45)."""
     _check_descriptors_of_api(crowds.Client(b''))
