--- a/src/mulberryquay/coordination/journal.py
+++ b/src/mulberryquay/coordination/journal.py
@@ -129,6 +129,7 @@
         self._descriptor = -1
         self._snapshot_number = 0
         self._record_count = 0
+        self._record_bytes = 0
         self._failed = False
 
     @property
@@ -141,6 +142,11 @@
         """The number of records that a restart would replay."""
         return self._record_count
 
+    @property
+    def bytes_since_snapshot(self) -> int:
+        """The bytes that a restart would read beside the snapshot."""
+        return self._record_bytes
+
     def recover(self) -> Recovered:
         """Reads the newest snapshot and the records after it.
 
@@ -157,6 +163,7 @@
             os.ftruncate(self._descriptor, good_bytes)
             self._file_system.sync(self._descriptor)
         self._record_count = len(records)
+        self._record_bytes = good_bytes
         self._remove_older()
         return Recovered(snapshot, records, len(body) - good_bytes)
 
@@ -179,6 +186,7 @@
         except OSError as error:
             self._fail(error)
         self._record_count += len(encoded)
+        self._record_bytes += len(body)
 
     def compact(self, snapshot: Record) -> None:
         """Replaces all records with ``snapshot``; raises JournalFailedError.
@@ -203,6 +211,7 @@
             self._descriptor = -1
         self._snapshot_number = snapshot_number
         self._record_count = 0
+        self._record_bytes = 0
         self._open_journal(self._path(_JOURNAL_PREFIX, snapshot_number))
         self._remove_older()
 
--- a/src/mulberryquay/ledger/claims.py
+++ b/src/mulberryquay/ledger/claims.py
@@ -26,6 +26,11 @@
 #: Records after which a snapshot replaces the journal.
 _SNAPSHOT_AFTER: typing.Final = 20_000
 
+#: Bytes of records after which it does as well, a part of what claims hold if
+#: that is more; a start reads all of them.
+_SNAPSHOT_BYTES: typing.Final = 4 * units.MIB
+_SNAPSHOT_SHARE: typing.Final = 4
+
 #: Part of the machine's memory that claims may hold, in percent.
 MEMORY_PERCENT: typing.Final = 25
 
@@ -251,14 +256,20 @@
 
     def _commit(self, record: Record) -> None:
         self._commits.commit(tuple(record))
-        is_due = self._log.records_since_snapshot >= _SNAPSHOT_AFTER
-        if is_due and not self._is_compacting:
+        if self._is_snapshot_due and not self._is_compacting:
             self._is_compacting = True
             try:
                 self._commits.compact(self._snapshot)
             finally:
                 self._is_compacting = False
 
+    @property
+    def _is_snapshot_due(self) -> bool:
+        if self._log.records_since_snapshot >= _SNAPSHOT_AFTER:
+            return True
+        least = max(_SNAPSHOT_BYTES, self.held_bytes // _SNAPSHOT_SHARE)
+        return self._log.bytes_since_snapshot >= least
+
     def _apply(self, fields: journal.Record) -> None:
         self._store_record(Record(*fields))
 
--- a/testing/test_stream_crowds.py
+++ b/testing/test_stream_crowds.py
@@ -8,6 +8,7 @@
 import contextlib
 import functools
 import os
+import pathlib
 import typing
 import unittest
 import zlib
@@ -25,6 +26,9 @@
 _DESCRIPTORS: typing.Final = 256
 _CLIENTS: typing.Final = 400
 
+#: Length of a key, far above that of any request.
+_LONG_KEY_BYTES: typing.Final = 300_000
+
 #: Clients that claim keys of their own.
 _CLAIMING_CLIENTS: typing.Final = 20
 
@@ -68,15 +72,15 @@
 
 
 @contextlib.contextmanager
-def _ledger() -> typing.Iterator[_Daemon]:
+def _ledger(folder: pathlib.Path | None = None) -> typing.Iterator[_Daemon]:
     """Yields a ledger and the port for entries."""
     port, admin_port = processes.free_ports(2)
     with (
-        fixtures.folder() as folder,
+        fixtures.folder() as new_folder,
         mock.patch.dict(os.environ, _ENVIRONMENT),
         fixtures.process(
             'ledger',
-            f'--data_folder={folder}',
+            f'--data_folder={folder or new_folder}',
             f'--listen=127.0.0.1:{port}',
             f'--admin_listen=127.0.0.1:{admin_port}',
         ) as (process, _),
@@ -255,3 +259,40 @@
         crowds.check(
             daemon.process, daemon.port, clients, is_answered, _MACHINE_MB
         )
+
+
+def _claim_and_give_back(number: int) -> list[crowds.Client]:
+    """Returns clients that claim a long key and then set it free again."""
+    key = f'{number}'.ljust(_LONG_KEY_BYTES)
+    hello = _hello('entry')
+    claim = protocol.Claim(number, key, b'd', 600_000)
+    settle = protocol.Settle(
+        number, number, key, b'd', protocol.ClaimState.GRANTED.value, []
+    )
+    return [
+        crowds.Client(
+            hello + protocol.CODEC.encode(message), awaits_answer=True
+        )
+        for message in (claim, settle)
+    ]
+
+
+def test_ledger_restarts_after_claims_that_were_given_back() -> None:
+    """All that was ever written was read at once, at each later start."""
+    clients = [
+        client
+        for number in range(_CLIENTS // 2)
+        for client in _claim_and_give_back(number)
+    ]
+    with fixtures.folder() as folder:
+        with (
+            _ledger(folder) as daemon,
+            crowds.gathered(daemon.port, clients),
+        ):
+            daemon.process.kill()
+        with _ledger(folder) as daemon:
+            fixtures.wait_until(
+                lambda: crowds.is_answered(daemon.api_port, daemon.path)
+            )
+            peak_mb = crowds.peak_memory_mb(daemon.process.pid)
+            CASE.assertLess(peak_mb, _MACHINE_MB)
