Refuse the deregistration of a name that no target can have

Cause: the name came from the path and was checked for announcements only.

Evidence: test_deregistration_under_a_name_that_no_target_has_is_refused failed before with 200 for a name of 8,000 characters.

Why: such a name can't announce itself either (400), so there is no target that has to end. A name that is valid and unknown is acknowledged and kept as before.

--- a/src/mulberryquay/control/directory.py
+++ b/src/mulberryquay/control/directory.py
@@ -7,7 +7,13 @@
 
 from mulberryquay import protocol
 from mulberryquay.control import announcements, ended_targets, host_protocol
-from mulberryquay.coordination import allowance, clock, errors, history
+from mulberryquay.coordination import (
+    allowance,
+    clock,
+    errors,
+    history,
+    schema,
+)
 
 #: A target that has not renewed for this long is removed. Entries notice a
 #: crashed target at their next call, and a target that stops reports that it
@@ -230,8 +236,10 @@
         """Stops new requests to an incarnation on all hosts and returns it.
 
         An ``incarnation`` of 0 stands for the one known here or, if there is
-        none, for any that started before now.
+        none, for any that started before now. Raises InvalidResourceError
+        for a name that no target can have.
         """
+        schema.check_name(name, label='name of the target')
         if not incarnation:
             state = self._targets.get(name)
             incarnation = int(self._clock.wall())
--- a/testing/platform_adapter/test_calls.py
+++ b/testing/platform_adapter/test_calls.py
@@ -133,6 +133,18 @@
         CASE.assertEqual(names, ['i-1'])
 
 
+def test_deregistration_under_a_name_that_no_target_has_is_refused() -> None:
+    """Guards against kept names of any size, which the last 10,000 were."""
+    with control_hosts.running() as platform:
+        ended = platform.daemon.cluster.state.ended_targets
+        for name, status in (('x' * 63, 200), ('x' * 8000, 400), ('%20', 400)):
+            path = f'/instances/{name}/deregister'
+            CASE.assertEqual(platform.call('POST', path)[0], status, name)
+        # No heartbeat passes either, so nobody needs such a deregistration.
+        CASE.assertEqual(platform.send_heartbeat('x' * 64), 400)
+        CASE.assertEqual(list(ended.snapshot()), ['x' * 63])
+
+
 def test_malformed_heartbeat_registers_no_target() -> None:
     """Guards against targets from heartbeats with missing or invalid fields."""
     invalid_changes: tuple[dict[str, typing.Any], ...] = (
