Bound the texts that entries send and control hosts and ledgers keep

What callers saw (400 clients, a machine of 96 MB): entries with names of 900 kB took a control host to 323 MB, since each is kept and sent to all entries and hosts (one test took 160 s); crash reports with fingerprints of that size took it to 129 MB; a ledger kept such a name with each claim, 129 MB.

Cause: messages between processes were bounded as a whole, up to megabytes, not the names and ids in them that outlive the stream.

Evidence: the three new crowds of test_stream_crowds failed before with these figures.

Why: a text of more than 1,024 characters, the longest that a target may announce, in any message of an entry but claims and settlements ends its stream with a typed error and a log line. Claims have a bound of their own.

Measured: the crowds pass, the first in 3.8 s.

--- a/src/mulberryquay/control/announcements.py
+++ b/src/mulberryquay/control/announcements.py
@@ -7,7 +7,7 @@
 import typing
 
 from mulberryquay import protocol
-from mulberryquay.coordination import allowance, schema, units
+from mulberryquay.coordination import allowance, schema, units, wire
 
 _MAX_SLOTS: typing.Final = 10_000
 _MAX_CONNECTIONS: typing.Final = 1_000_000
@@ -17,7 +17,7 @@
 
 #: Longest version of a target's software, in characters. Control hosts and
 #: entries keep one for each target and each change of it.
-MAX_VERSION_LENGTH: typing.Final = 1024
+MAX_VERSION_LENGTH: typing.Final = wire.MAX_TEXT_LENGTH
 
 #: The ``cold_ms`` of a target that does not report whether it is cold.
 COLD_MS_UNKNOWN: typing.Final = -1
--- a/src/mulberryquay/control/feed.py
+++ b/src/mulberryquay/control/feed.py
@@ -156,6 +156,7 @@
             protocol.Hello,
             version=protocol.PROTOCOL_VERSION,
         )
+        wire.check_texts(hello)
         if self._needs_uncertain_state(hello):
             self._enqueue_state(outbound)
         self._group.wait_until_current()
@@ -229,6 +230,7 @@
     ) -> None:
         while True:
             message = stream.receive()
+            wire.check_texts(message)
             match message:
                 case protocol.Heartbeat():
                     self._handle_heartbeat(entry, message)
--- a/src/mulberryquay/coordination/wire.py
+++ b/src/mulberryquay/coordination/wire.py
@@ -22,6 +22,9 @@
 #: Length from which messages are compressed; shorter ones gain little.
 _COMPRESS_BYTES: typing.Final = 512
 
+#: Longest name, version or id in a message, in characters or bytes.
+MAX_TEXT_LENGTH: typing.Final = 1024
+
 #: Limits of the elements that an array or map may announce.
 _MAX_ELEMENTS: typing.Final = 1_000_000
 
@@ -170,6 +173,27 @@
     return message
 
 
+def check_texts(message: tuple[typing.Any, ...]) -> None:
+    """Raises ProtocolError for a message with a longer text than any has.
+
+    For messages whose names and ids the receiver keeps.
+    """
+    unread: list[typing.Any] = [message]
+    while unread:
+        part = unread.pop()
+        if isinstance(part, str | bytes):
+            if len(part) > MAX_TEXT_LENGTH:
+                raise ProtocolError(
+                    f'got a text of {len(part)} characters in a message, '
+                    f'expected at most {MAX_TEXT_LENGTH}',
+                )
+        elif isinstance(part, dict):
+            unread.extend(part)
+            unread.extend(part.values())
+        elif isinstance(part, list | tuple):
+            unread.extend(part)
+
+
 def _not_a_message(error: Exception) -> ProtocolError:
     return ProtocolError(f'got bytes that are not a message: {error}')
 
--- a/src/mulberryquay/ledger/server.py
+++ b/src/mulberryquay/ledger/server.py
@@ -68,6 +68,7 @@
             protocol.Hello,
             version=protocol.PROTOCOL_VERSION,
         )
+        wire.check_texts(hello)
         claimant = f'{hello.entry}/{hello.incarnation}'
         self._claimants[claimant] = stream
         return claimant
--- a/testing/test_stream_crowds.py
+++ b/testing/test_stream_crowds.py
@@ -16,6 +16,7 @@
 
 import msgpack
 
+from mulberryquay import protocol as feed_protocol
 from mulberryquay.ledger import protocol
 from testing import crowds, fixtures, processes
 
@@ -149,6 +150,22 @@
     return protocol.CODEC.encode(hello)
 
 
+def _feed_hello(entry: str) -> bytes:
+    """Returns the first message of an entry to a control host."""
+    hello = feed_protocol.Hello(
+        feed_protocol.PROTOCOL_VERSION,
+        entry,
+        'north',
+        'north-1',
+        '127.0.0.1:1',
+        '127.0.0.1:1',
+        [],
+        config_revision=0,
+        known_rate_limits={},
+    )
+    return feed_protocol.CODEC.encode(hello)
+
+
 def _claims(name: str, count: int) -> bytes:
     """Returns claims of keys of 1,000 bytes that differ."""
     return b''.join(
@@ -236,6 +253,50 @@
     _check('hosts', crowds.Client(_CALL * 4000, receive_bytes=2048))
 
 
+def test_long_names_of_entries_at_the_feed() -> None:
+    """Each was kept, and sent to all entries and control hosts."""
+    _check(
+        'feed',
+        *(
+            crowds.Client(_feed_hello(f'{index}'.ljust(900_000, 'x')))
+            for index in range(_CLIENTS)
+        ),
+    )
+
+
+def test_long_names_of_entries_at_the_ledger() -> None:
+    """Each claim keeps the name of its entry, also after a restart."""
+    _check(
+        'ledger',
+        *(
+            crowds.Client(
+                _hello(f'{index}'.ljust(900_000, 'x')) + _claims('key', 1),
+                awaits_answer=True,
+            )
+            for index in range(_CLIENTS)
+        ),
+    )
+
+
+def test_crash_reports_with_long_fingerprints_at_the_feed() -> None:
+    """Each fingerprint was kept for a minute."""
+    _check(
+        'feed',
+        *(
+            crowds.Client(
+                _feed_hello(f'entry-{index}')
+                + feed_protocol.CODEC.encode(
+                    feed_protocol.ConnectionLost(
+                        b'%d' % index + b'x' * 900_000, 'target', 0
+                    )
+                ),
+                awaits_answer=True,
+            )
+            for index in range(_CLIENTS)
+        ),
+    )
+
+
 def test_claims_whose_answers_nobody_reads() -> None:
     """As above; the same keys again and again."""
     claims = _claims('key', 7) * 700
