Ports between processes: free the buffer of a large message once it is read

What callers saw: 400 connections at the port of control hosts that sent one message of 2.5 MB each and then nothing took the process to 112 MB (machine of 96 MB): the 32 that had a place kept a buffer each.

Cause: the scanner that finds the ends of messages never gives back its buffer, and a message that was read counted no longer.

Evidence: test_idle_streams_after_large_messages failed before with 112.2 MB.

Why: after a message of more than 64 KiB the scanner is replaced by a new one, which gets what is received already.

Measured: the test passes.

--- a/src/mulberryquay/coordination/wire.py
+++ b/src/mulberryquay/coordination/wire.py
@@ -17,6 +17,8 @@
 _READ_BYTES: typing.Final = 65536
 #: Buffer for finding the end of a message; it grows with long ones.
 _SCAN_BYTES: typing.Final = 16_384
+#: Length of messages whose buffer is kept for the next ones.
+_KEPT_SCAN_BYTES: typing.Final = 65_536
 _MAX_MESSAGE_BYTES: typing.Final = units.MAX_BODY_BYTES
 
 #: Length from which messages are compressed; shorter ones gain little.
@@ -198,6 +200,12 @@
     return ProtocolError(f'got bytes that are not a message: {error}')
 
 
+def _new_scanner() -> typing.Any:
+    return msgpack.Unpacker(
+        read_size=_SCAN_BYTES, max_buffer_size=_MAX_MESSAGE_BYTES
+    )
+
+
 @typing.final
 class Stream:
     """A message stream over one connected socket.
@@ -223,9 +231,7 @@
         self._turn = read_turn.ReadTurn()
         self._on_buffered = on_buffered
         #: Finds the ends of messages, without building what they announce.
-        self._scanner: typing.Any = msgpack.Unpacker(
-            read_size=_SCAN_BYTES, max_buffer_size=_MAX_MESSAGE_BYTES
-        )
+        self._scanner: typing.Any = _new_scanner()
         self._scanned = 0
         #: What was received and not decoded.
         self._buffer = bytearray()
@@ -284,6 +290,11 @@
         with memoryview(self._buffer) as received:
             body = bytes(received[:size])
         del self._buffer[:size]
+        if size > _KEPT_SCAN_BYTES:
+            # Its buffer never shrinks.
+            self._scanner = _new_scanner()
+            self._scanner.feed(self._buffer)
+            self._scanned = 0
         self._on_buffered(len(self._buffer))
         try:
             return msgpack.unpackb(
--- a/testing/test_stream_crowds.py
+++ b/testing/test_stream_crowds.py
@@ -297,6 +297,12 @@
     )
 
 
+def test_idle_streams_after_large_messages() -> None:
+    """Each kept a buffer of the size of its largest message."""
+    call = msgpack.packb([0, 1, [99, b'x' * 2_500_000]])
+    _check('hosts', crowds.Client(call, awaits_answer=True))
+
+
 def test_claims_whose_answers_nobody_reads() -> None:
     """As above; the same keys again and again."""
     claims = _claims('key', 7) * 700
