Control hosts: bound what hosts tell of themselves, and how many are remembered

What callers saw: 400 calls at the port of control hosts, each from a host with an address of 900 kB, took the process to 226 MB (machine of 96 MB), and it kept them until its end.

Cause: reports between hosts had no bound on their texts; hosts that are silent were left out of lists but never forgotten.

Evidence: test_long_addresses_of_control_hosts failed before with 226.1 MB.

Why: reports with a text of more than 1,024 characters are answered with a typed error. Orders and the replicated log, which may be large, are bounded by what they declare. Beyond 1,000 other hosts, the one silent longest is forgotten.

--- a/src/mulberryquay/control/cluster.py
+++ b/src/mulberryquay/control/cluster.py
@@ -41,6 +41,9 @@
 #: of hosts that entries get.
 HOST_LEASE_MS: typing.Final = 8000.0
 
+#: Most other hosts that are remembered; the one silent longest is forgotten.
+_MAX_HOSTS: typing.Final = 1000
+
 #: How often a host checks whether it has become or is no longer the leader.
 _LEADERSHIP_CHECK_INTERVAL_MS: typing.Final = 50.0
 
@@ -48,6 +51,14 @@
 
 Message = tuple[typing.Any, ...]
 
+#: What hosts tell each other, besides orders and the replicated log.
+_REPORTS: typing.Final = (
+    host_protocol.HostUpdate,
+    host_protocol.EntriesReported,
+    host_protocol.PermitsRequested,
+    host_protocol.VersionsReported,
+)
+
 
 class StreamLimits(typing.NamedTuple):
     """What the streams to a control host may hold, by port."""
@@ -299,16 +310,9 @@
             self._publish_lists()
 
     def _handle(self, request: typing.Any) -> Message:
-        match request:
-            case host_protocol.HostUpdate():
-                return self._handle_host_update(request)
-            case host_protocol.EntriesReported():
-                return self.reports.handle_report(request)
-            case host_protocol.PermitsRequested():
-                return self.permits.handle(request)
-            case host_protocol.VersionsReported(rows):
-                self.roll_outs.record(rows)
-                return host_protocol.VersionsReportAck(self.replica.is_leader)
+        if isinstance(request, _REPORTS):
+            wire.check_texts(request)
+            return self._handle_report(request)
         if isinstance(request, host_protocol.ORDERS):
             deadline = self._clock.now() + orders.ORDER_TIMEOUT_MS
             return host_protocol.OrderResult(
@@ -317,6 +321,17 @@
         answer: Message = self.replica.handle(request)
         return answer
 
+    def _handle_report(self, report: typing.Any) -> Message:
+        match report:
+            case host_protocol.EntriesReported():
+                return self.reports.handle_report(report)
+            case host_protocol.PermitsRequested():
+                return self.permits.handle(report)
+            case host_protocol.VersionsReported(rows):
+                self.roll_outs.record(rows)
+                return host_protocol.VersionsReportAck(self.replica.is_leader)
+        return self._handle_host_update(report)
+
     def _handle_host_update(
         self,
         host_update: host_protocol.HostUpdate,
@@ -325,6 +340,7 @@
         if host_update.sender:
             sender = host_protocol.HostInfo(*host_update.sender)
             self._hosts[address] = (sender, self._clock.now())
+            self._forget_silent_host()
         else:
             known = self._hosts.get(address)
             if known is not None:
@@ -339,6 +355,11 @@
                 )
         return host_protocol.HostUpdateAck(self._incarnation)
 
+    def _forget_silent_host(self) -> None:
+        if len(self._hosts) > _MAX_HOSTS:
+            silent = min(self._hosts, key=lambda known: self._hosts[known][1])
+            self._hosts.pop(silent)
+
     def _apply_update(self, update: typing.Any) -> None:
         match update:
             case host_protocol.TargetAnnounced(row):
--- a/testing/test_stream_crowds.py
+++ b/testing/test_stream_crowds.py
@@ -17,6 +17,7 @@
 import msgpack
 
 from mulberryquay import protocol as feed_protocol
+from mulberryquay.control import host_protocol
 from mulberryquay.ledger import protocol
 from testing import crowds, fixtures, processes
 
@@ -303,6 +304,29 @@
     _check('hosts', crowds.Client(call, awaits_answer=True))
 
 
+def _host_update(address: str) -> bytes:
+    """Returns the call of a control host that names itself."""
+    update = host_protocol.HostUpdate(
+        [address, '127.0.0.1:1', 'north', 'north-1'], address, True, []
+    )
+    call = [0, 1, host_protocol.CODEC.fields_of(update)]
+    return typing.cast(bytes, msgpack.packb(call))
+
+
+def test_long_addresses_of_control_hosts() -> None:
+    """Each was kept until the end of the process."""
+    _check(
+        'hosts',
+        *(
+            crowds.Client(
+                _host_update(f'{index}'.ljust(900_000, 'x')),
+                awaits_answer=True,
+            )
+            for index in range(_CLIENTS)
+        ),
+    )
+
+
 def test_claims_whose_answers_nobody_reads() -> None:
     """As above; the same keys again and again."""
     claims = _claims('key', 7) * 700
