web: give the input of a connection a module of its own; join two test fixtures

The empty protocol IdleConnection was an object. The fixture of a ledger process was there twice; testing/processes.py has it. The tests that shorten the timeout of a request name the new module; bounds and checks are the same.

--- a/src/mulberryquay/entry/caller_limits.py
+++ b/src/mulberryquay/entry/caller_limits.py
@@ -269,10 +269,6 @@
         return True
 
 
-class IdleConnection(typing.Protocol):
-    """A connection to a target that is not in use."""
-
-
 class Pool(typing.Protocol):
     """The connections to one target."""
 
@@ -304,13 +300,13 @@
         #: Connections to targets, in use or not.
         self.to_targets = 0
         #: Those not in use with their pools; the longest idle comes first.
-        self._idle: dict[IdleConnection, Pool] = {}
+        self._idle: dict[object, Pool] = {}
 
-    def add_idle(self, connection: IdleConnection, pool: Pool) -> None:
+    def add_idle(self, connection: object, pool: Pool) -> None:
         """Notes a connection to a target that is not in use any more."""
         self._idle[connection] = pool
 
-    def remove_idle(self, connection: IdleConnection) -> None:
+    def remove_idle(self, connection: object) -> None:
         """Notes that a connection is in use again, or closed."""
         self._idle.pop(connection, None)
 
--- a/testing/processes.py
+++ b/testing/processes.py
@@ -40,6 +40,18 @@
     )
 
 
+def ledger(
+    folder: pathlib.Path, port: int = 0, admin_port: int = 0
+) -> typing.Any:
+    """Returns a fixture of a ledger, as `fixtures.process` yields it."""
+    return fixtures.process(
+        'ledger',
+        f'--data_folder={folder}',
+        f'--listen=127.0.0.1:{port}',
+        f'--admin_listen=127.0.0.1:{admin_port}',
+    )
+
+
 def free_ports(count: int) -> list[int]:
     """Returns ports that no process listens on now."""
     with contextlib.ExitStack() as stack:
--- a/testing/test_crowds.py
+++ b/testing/test_crowds.py
@@ -113,12 +113,7 @@
     with (
         fixtures.folder() as folder,
         mock.patch.dict(os.environ, _ENVIRONMENT),
-        fixtures.process(
-            'ledger',
-            f'--data_folder={folder}',
-            '--listen=127.0.0.1:0',
-            '--admin_listen=127.0.0.1:0',
-        ) as (process, line),
+        processes.ledger(folder) as (process, line),
     ):
         yield process, fixtures.parse_ports(line)[-1]
 
--- a/testing/test_stream_crowds.py
+++ b/testing/test_stream_crowds.py
@@ -80,12 +80,10 @@
     with (
         fixtures.folder() as new_folder,
         mock.patch.dict(os.environ, _ENVIRONMENT),
-        fixtures.process(
-            'ledger',
-            f'--data_folder={folder or new_folder}',
-            f'--listen=127.0.0.1:{port}',
-            f'--admin_listen=127.0.0.1:{admin_port}',
-        ) as (process, _),
+        processes.ledger(folder or new_folder, port, admin_port) as (
+            process,
+            _,
+        ),
     ):
         yield _Daemon(process, port, admin_port, '/metrics')
 
--- a/testing/test_web.py
+++ b/testing/test_web.py
@@ -13,7 +13,7 @@
 
 from gevent import event, socket
 
-from mulberryquay import api_load, metrics, sockets, web
+from mulberryquay import api_load, metrics, sockets, web, web_input
 from mulberryquay.coordination import clock
 from testing import fixtures
 
@@ -30,7 +30,7 @@
 )
 
 
-@mock.patch.object(web, 'REQUEST_TIMEOUT_MS', _TIMEOUT_MS)
+@mock.patch.object(web_input, 'REQUEST_TIMEOUT_MS', _TIMEOUT_MS)
 def test_slow_request_to_the_api_is_closed_after_the_timeout() -> None:
     """A byte now and then must not keep a request open."""
     with fixtures.control() as control:
@@ -48,7 +48,7 @@
 def test_idle_connection_to_the_api_stays_open() -> None:
     """The timeout must not begin before the first byte of a request."""
     with (
-        mock.patch.object(web, 'REQUEST_TIMEOUT_MS', _TIMEOUT_MS),
+        mock.patch.object(web_input, 'REQUEST_TIMEOUT_MS', _TIMEOUT_MS),
         fixtures.control() as control,
     ):
         connection = client.HTTPConnection(control.api)
