Control hosts: forget entries whose leases have run out

What callers saw: a host remembered each name that an entry ever had, until its end; any client of the feed can choose new ones. Worse, a host that led told the next leader of each entry that had ever left through it. One that had come back at another host was taken off the list of entries by such a report, and its part of rates and places with it, until its next heartbeat.

Cause: both were removed only once reported, and a leader reports to nobody.

What the report does to an entry that came back is by reading of Membership.remove.

Why: after ENTRY_LEASE_MS nobody counts a silent entry, so nothing is left to report. An entry that just left is still reported to the next leader (third test). One that came back while a report failed is not named again.

--- a/src/mulberryquay/control/entry_reports.py
+++ b/src/mulberryquay/control/entry_reports.py
@@ -50,12 +50,18 @@
         self._network = network
         self._clock = time_source
         self._connected: dict[str, _ConnectedEntry] = {}
-        self._left: set[str] = set()
+        #: When entries left that are still to be reported.
+        self._left: dict[str, float] = {}
         self._changed: set[str] = set()
         self._reported_to = ''
         self._report_due = signals.Signal(time_source)
         self._task: gevent.Greenlet | None = None
 
+    @property
+    def known_count(self) -> int:
+        """How many entries this host remembers."""
+        return len(self._connected) + len(self._left)
+
     def start(self) -> None:
         """Starts the task that reports."""
         self._task = gevent.spawn(self._run)
@@ -69,7 +75,7 @@
         """Records the current row of a connected entry."""
         connected = self._connected.setdefault(row.name, _ConnectedEntry())
         connected.heartbeat_at = self._clock.now()
-        self._left.discard(row.name)
+        self._left.pop(row.name, None)
         if connected.row != row:
             connected.row = row
             self._changed.add(row.name)
@@ -80,7 +86,7 @@
         """Records that an entry has left."""
         self._connected.pop(name, None)
         self._changed.discard(name)
-        self._left.add(name)
+        self._left[name] = self._clock.now()
         self._report_due.notify()
         self._membership.remove(name)
 
@@ -98,6 +104,7 @@
 
     def _run(self) -> None:
         while True:
+            self._forget_silent()
             address = self._replica.leader_address
             is_leader_remote = bool(address) and not self._replica.is_leader
             if is_leader_remote and not self._report(address):
@@ -111,6 +118,27 @@
                     REPORT_INTERVAL_MS if is_leader_remote else _RETRY_DELAY_MS
                 )
 
+    def _forget_silent(self) -> None:
+        """Forgets entries whose leases have run out wherever they are known.
+
+        One that left may be back at another host, so later reports must not
+        name it.
+        """
+        oldest = self._clock.now() - membership.ENTRY_LEASE_MS
+        self._left = {
+            name: left_at
+            for name, left_at in self._left.items()
+            if left_at >= oldest
+        }
+        silent = [
+            name
+            for name, connected in self._connected.items()
+            if connected.heartbeat_at < oldest
+        ]
+        for name in silent:
+            self._connected.pop(name)
+            self._changed.discard(name)
+
     def _report(self, address: str) -> bool:
         """Sends a report; False if the host did not answer or is no leader."""
         oldest = self._clock.now() - _HEARTBEAT_TIMEOUT_MS
@@ -121,12 +149,12 @@
         }
         changed = self._changed if self._reported_to == address else set(alive)
         self._changed = set()
-        left = list(self._left)
-        self._left = set()
+        left = self._left
+        self._left = {}
         report = host_protocol.EntriesReported(
             [list(alive[name]) for name in changed if name in alive],
             list(alive),
-            left,
+            list(left),
         )
         try:
             answer = self._network.call(
@@ -134,7 +162,9 @@
             )
         except rpc.CallFailedError as error:
             _LOG.debug('report to leader failed', extra={'cause': str(error)})
-            self._left.update(left)
+            for name, left_at in left.items():
+                if name not in self._connected:
+                    self._left.setdefault(name, left_at)
             return False
         self._reported_to = address
         return bool(answer.is_leader)
