Entries: keep nothing for services and targets that only a datagram names

What callers saw: an entry that shares what it knows of targets (share_load) took 1,074 MB after 1,200 datagrams, each below 4 kB and compressed (machine of 96 MB), and kept it: anybody can send one to the port for other entries.

Cause: a queue, a picture and a keeper were remembered for each service that a datagram named, and a count for each target. The names were bounded by 1 MiB.

Why: a note counts only for a target that is known by that name and service; a service without targets is answered with nothing and not remembered. Notes about a target that a keeper has not learned yet are lost, as they are before it starts.

Measured: the test passes; a note costs one look-up more.

--- a/src/mulberryquay/entry/balancer.py
+++ b/src/mulberryquay/entry/balancer.py
@@ -107,8 +107,14 @@
             for rank in queue.waiting_ranks
         )
 
-    def queue_for(self, service: str) -> service_queue.ServiceQueue:
-        """Returns the queue of a service, empty if it has no targets."""
+    def queue_for(
+        self, service: str, *, is_kept: bool = True
+    ) -> service_queue.ServiceQueue:
+        """Returns the queue of a service, empty if it has no targets.
+
+        Unless ``is_kept``, one that is new is not remembered: the name may be
+        anybody's.
+        """
         queue = self._queues.get(service)
         if queue is None:
             queue = service_queue.ServiceQueue(
@@ -118,7 +124,8 @@
                 self.has_waiting.set,
                 self.new_rivalry(),
             )
-            self._queues[service] = queue
+            if is_kept:
+                self._queues[service] = queue
         return queue
 
     def apply(self, message: protocol.TargetsChanged) -> None:
--- a/src/mulberryquay/entry/domain_keeper.py
+++ b/src/mulberryquay/entry/domain_keeper.py
@@ -52,6 +52,11 @@
         self._probes: dict[str, gevent.Greenlet] = {}
         self._budgets: dict[str, token_bucket.TokenBucket] = {}
 
+    def has_targets(self, service: str) -> bool:
+        """Whether a service has targets, in whatever domain."""
+        queue = self._state.balancer.queue_for(service, is_kept=False)
+        return bool(queue.targets)
+
     def picture(self, service: str) -> sightings.DomainPicture:
         """Returns the picture of a service's targets in this domain."""
         picture = self._pictures.get(service)
@@ -77,12 +82,15 @@
     def apply(
         self, note: domain_messages.CallBegun | domain_messages.CallEnded
     ) -> None:
-        """Counts the begin or the end of an entry's call."""
+        """Counts the begin or the end of an entry's call of a known target."""
+        target = self._state.balancer.all_targets.get(note.target)
+        if target is None or target.row.service != note.service:
+            return
         now = self._state.clock.now()
         picture = self.picture(note.service)
         match note:
-            case domain_messages.CallBegun(_, target):
-                picture.begin_call(target, now)
+            case domain_messages.CallBegun():
+                picture.begin_call(note.target, now)
             case domain_messages.CallEnded():
                 picture.end_call(
                     note.target,
@@ -152,7 +160,7 @@
 
     def _own_targets(self, service: str) -> dict[str, targets.TargetState]:
         """Returns the targets of a service in this failure domain."""
-        queue = self._state.balancer.queue_for(service)
+        queue = self._state.balancer.queue_for(service, is_kept=False)
         return {
             name: target
             for name, target in queue.targets.items()
--- a/src/mulberryquay/entry/domain_messages.py
+++ b/src/mulberryquay/entry/domain_messages.py
@@ -81,6 +81,7 @@
     except (ValueError, msgpack.UnpackException) as error:
         raise wire.ProtocolError(f'got a damaged datagram: {error}') from error
     message = _CODEC.decode(fields, _check_unpacked)
+    wire.check_texts(message)
     if not _is_well_formed(message):
         raise wire.ProtocolError('got a datagram with fields of other types')
     return typing.cast(Message, message)
--- a/src/mulberryquay/entry/domain_watch.py
+++ b/src/mulberryquay/entry/domain_watch.py
@@ -260,10 +260,14 @@
     def _answer(
         self, asked: domain_messages.SightingsAsked, sender: typing.Any
     ) -> None:
-        keeper = self._state.share_view.keeper_of(self._domain, asked.service)
-        told = self._keeper.sightings(
-            asked.service, asks_targets=keeper == self._state.name
-        )
+        # Anybody may ask, so nothing is kept for the name of a service alone.
+        told: list[sightings.Sighting] = []
+        if self._keeper.has_targets(asked.service):
+            view = self._state.share_view
+            keeper = view.keeper_of(self._domain, asked.service)
+            told = self._keeper.sightings(
+                asked.service, asks_targets=keeper == self._state.name
+            )
         rows = list(map(domain_messages.row_of, told))
         self._send(domain_messages.SightingsTold(asked.number, rows), sender)
 
--- a/testing/test_entry_crowds.py
+++ b/testing/test_entry_crowds.py
@@ -14,7 +14,9 @@
 from unittest import mock
 
 import gevent
+from gevent import socket
 
+from mulberryquay.entry import domain_messages
 from mulberryquay.standin import target
 from testing import crowds, fixtures, processes
 
@@ -82,7 +84,9 @@
 
 
 @contextlib.contextmanager
-def _entry(ledger: str = '') -> typing.Iterator[_Entry]:
+def _entry(
+    ledger: str = '', arguments: typing.Sequence[str] = ()
+) -> typing.Iterator[_Entry]:
     """Yields an entry with `_SERVICES`; all but ``stock`` may run twice."""
     with contextlib.ExitStack() as stack:
         control = stack.enter_context(fixtures.control())
@@ -100,7 +104,9 @@
             )
         stack.enter_context(mock.patch.dict(os.environ, _ENVIRONMENT))
         started = stack.enter_context(
-            processes.entry(control.daemon.feed_port, ledger=ledger)
+            processes.entry(
+                control.daemon.feed_port, ledger=ledger, arguments=arguments
+            )
         )
         entry = _Entry(started.process, started.port, _peer_port(control))
         fixtures.wait_until(entry.is_answered)
@@ -263,6 +269,31 @@
         _check_port(entry, entry.port, [crowds.Client(requests)])
 
 
+def test_datagrams_about_services_and_targets_that_nobody_knows() -> None:
+    """An entry that shares what it knows kept each name for good."""
+    with (
+        _entry(arguments=('--ask_load', '--share_load')) as entry,
+        contextlib.closing(_datagram_socket()) as sender,
+    ):
+        for number in range(_CLIENTS):
+            name = f'{number}'.ljust(900_000, 'x')
+            for message in (
+                domain_messages.CallBegun(name, 'target'),
+                domain_messages.CallBegun('stock', name),
+                domain_messages.SightingsAsked(number, name),
+            ):
+                datagram = domain_messages.encode(message)
+                sender.sendto(datagram, ('127.0.0.1', entry.peer_port))
+            gevent.sleep(0.005)
+        fixtures.wait_until(entry.is_answered)
+        peak_mb = crowds.peak_memory_mb(entry.process.pid)
+        CASE.assertLess(peak_mb, _MACHINE_MB)
+
+
+def _datagram_socket() -> typing.Any:
+    return socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+
+
 def test_single_large_body_is_served_in_calm() -> None:
     """What bounds a crowd must not refuse one request within the limits."""
     chunk = b'%x\r\n%b\r\n' % (len(_BODY_PIECE), _BODY_PIECE)
