Control hosts know at most so many targets

What callers saw: a client that announced 1,250 new names a second to a control host took 3.3 kB each there; with the lease of 45 s these are 56,000 targets, 180 MB, on each control host, and as many objects in each entry. Clients of several hosts add up.

Cause: announcements were bounded by their lease only.

Why: above max_targets (one per 16 KiB of memory_mb: 19,200 at 300 MB, 6,144 at 96) a new name is refused with 503 too-many-targets, or not taken over from another host; targets that are known go on. A target that is refused announces itself again, as after any 503.

Ruled out: dropping the oldest for the newest, which lets a flood push out targets that serve.

--- a/src/mulberryquay/control/cluster.py
+++ b/src/mulberryquay/control/cluster.py
@@ -80,6 +80,8 @@
     stream_limits: StreamLimits = StreamLimits()
     #: What declared resources may hold in memory.
     max_store_bytes: int = units.MAX_INT64
+    #: How many targets may be known.
+    max_targets: int = units.MAX_INT64
 
 
 @typing.final
@@ -113,6 +115,7 @@
             time_source,
             ended=self.state.ended_targets,
             lease=lease,
+            max_targets=config.max_targets,
         )
         self.targets.publish = self.publish
         self.entries = membership.Membership(time_source)
--- a/src/mulberryquay/control/daemon.py
+++ b/src/mulberryquay/control/daemon.py
@@ -89,6 +89,13 @@
         minimum=1,
         maximum=_PERCENT,
     ),
+    settings.Setting(
+        'max_targets',
+        0,
+        'targets that may be known; above it, new ones are refused; 0 for one '
+        'per 16 KiB of memory_mb',
+        maximum=units.MAX_INT64,
+    ),
     settings.Setting(
         'region',
         'region',
@@ -168,6 +175,12 @@
         'Resources and configurations that this host refused at that limit.',
         is_gauge=True,
     ),
+    metrics.MetricDeclaration(
+        'mulberryquay_control_targets_refused_total',
+        'Announcements that this host refused, or did not take over from '
+        'another one, at max_targets.',
+        is_gauge=True,
+    ),
     metrics.MetricDeclaration(
         'mulberryquay_control_targets',
         'Targets that hold a lease.',
@@ -228,6 +241,9 @@
 #: Some resources of legal size fit on any machine.
 _MIN_STORE_BYTES: typing.Final = 2 * units.MIB
 
+#: Memory of the machine for each target; the directory takes a fourth of it.
+_TARGET_BYTES: typing.Final = 16_384
+
 #: Parts of the descriptors that streams may use; half are for the API.
 _FEED_DESCRIPTOR_SHARE: typing.Final = 4
 _HOST_DESCRIPTOR_SHARE: typing.Final = 8
@@ -279,6 +295,7 @@
                 ),
                 _stream_limits(values),
                 _store_bound(values),
+                _target_bound(values),
             ),
             time_source,
             lease=values['target_lease_ms'],
@@ -392,10 +409,20 @@
         set_gauge(
             'mulberryquay_control_store_full_total', self.store.limits_met
         )
+        set_gauge(
+            'mulberryquay_control_targets_refused_total',
+            self.targets.limit.times_met,
+        )
         for port, count in self._cluster.stream_limits_met.items():
             set_gauge('mulberryquay_stream_limits_met_total', count, port)
 
 
+def _target_bound(values: settings.Values) -> int:
+    """Returns how many targets may be known."""
+    memory = machine_memory.size_bytes(values['memory_mb'])
+    return int(values['max_targets'] or memory // _TARGET_BYTES)
+
+
 def _store_bound(values: settings.Values) -> int:
     """Returns what declared resources may hold, in bytes.
 
--- a/src/mulberryquay/control/directory.py
+++ b/src/mulberryquay/control/directory.py
@@ -6,13 +6,19 @@
 import typing
 
 from mulberryquay import protocol
-from mulberryquay.control import announcements, ended_targets, host_protocol
+from mulberryquay.control import (
+    announcements,
+    ended_targets,
+    host_protocol,
+    target_limit,
+)
 from mulberryquay.coordination import (
     allowance,
     clock,
     errors,
     history,
     schema,
+    units,
 )
 
 #: A target that has not renewed for this long is removed. Entries notice a
@@ -45,6 +51,14 @@
     code = 'stale-incarnation'
 
 
+@typing.final
+class TooManyTargetsError(errors.MulberryquayError):
+    """As many targets as may be have announced themselves; try again."""
+
+    code = 'too-many-targets'
+    http_status = 503
+
+
 class TargetChange(typing.NamedTuple):
     """One change of the directory, with its reason."""
 
@@ -96,10 +110,16 @@
         *,
         ended: ended_targets.EndedTargets,
         lease: float = TARGET_LEASE_MS,
+        max_targets: int = units.MAX_INT64,
     ) -> None:
-        """Starts empty; ``lease`` is in milliseconds."""
+        """Starts empty; ``lease`` is in milliseconds.
+
+        With ``max_targets``, only those that are known may announce
+        themselves, here and at other control hosts.
+        """
         self._clock = time_source
         self._lease = lease
+        self.limit = target_limit.TargetLimit(max_targets, time_source)
         self._started_at = time_source.now()
         self._targets: dict[str, _TargetState] = {}
         self._ended_targets = ended
@@ -149,7 +169,8 @@
         """Applies a new or repeated announcement.
 
         A higher incarnation than before means that the target restarted and
-        is cold. Raises InvalidResourceError and StaleIncarnationError.
+        is cold. Raises InvalidResourceError, StaleIncarnationError and
+        TooManyTargetsError.
         """
         row = announcements.parse(announcement)
         row = row._replace(roll_out=self.find_roll_out(row))
@@ -161,6 +182,11 @@
                 raise _stale_error(
                     row.name, row.incarnation, row.incarnation + 1
                 )
+        if state is None and not self.limit.has_place(len(self._targets)):
+            raise TooManyTargetsError(
+                f'{self.limit.max_targets} targets are known; a new one is '
+                'refused until one of them leaves',
+            )
         if self._apply_announcement(row):
             self.publish(host_protocol.TargetAnnounced(list(row)))
         else:
@@ -173,6 +199,8 @@
         if state is None:
             if self._ended_targets.is_ended(row.name, row.incarnation):
                 return
+            if not self.limit.has_place(len(self._targets)):
+                return
         elif row.incarnation < state.row.incarnation:
             return
         self._apply_announcement(row)
