Roll-outs go on and end though the store is full

What callers saw: nothing yet; found by reading the limit of declared resources anew. At the limit, the order that ends a roll-out of a bad version takes more than the record before it, so it would have been refused with 507, and the version would have kept its share.

Evidence: test_roll_out_can_be_ended_though_the_store_is_full fails with the limit in force for moves (StoreFullError).

Why: the start of a roll-out counts as before, its moves have no part in the limit: there is one record for each that was started, with at most 64 versions.

--- a/src/mulberryquay/control/directory.py
+++ b/src/mulberryquay/control/directory.py
@@ -119,6 +119,7 @@
         """
         self._clock = time_source
         self._lease = lease
+        #: Refuses targets that are new.
         self.limit = target_limit.TargetLimit(max_targets, time_source)
         self._started_at = time_source.now()
         self._targets: dict[str, _TargetState] = {}
--- a/src/mulberryquay/control/roll_out_records.py
+++ b/src/mulberryquay/control/roll_out_records.py
@@ -86,7 +86,7 @@
         0,
         order.started_at,
     )
-    return _put(resources, order.service, started, number + 1)
+    return _put(resources, order.service, started, number + 1, is_limited=True)
 
 
 def move(
@@ -122,7 +122,8 @@
         elapsed_ms=max(order.elapsed_ms, current.elapsed_ms),
         reason=order.reason,
     )
-    return _put(resources, order.service, changed, number + 1)
+    # A bad version must be stopped whatever others declared.
+    return _put(resources, order.service, changed, number + 1, is_limited=False)
 
 
 def _without(versions: typing.Iterable[str], excluded: str) -> list[str]:
@@ -134,7 +135,13 @@
     service: str,
     changed: roll_outs.RollOut,
     number: int,
+    *,
+    is_limited: bool,
 ) -> store.Resource:
     return resources.put(
-        kinds.ROLL_OUT, service, version=number, spec=changed._asdict()
+        kinds.ROLL_OUT,
+        service,
+        version=number,
+        spec=changed._asdict(),
+        is_limited=is_limited,
     )
--- a/src/mulberryquay/coordination/history.py
+++ b/src/mulberryquay/coordination/history.py
@@ -43,6 +43,13 @@
         """The revision of the newest change."""
         return self._revision
 
+    @property
+    def _is_long(self) -> bool:
+        if len(self._changes) == 1:
+            return False
+        is_many = len(self._changes) > self._max_size
+        return is_many or self._held_bytes > self._max_bytes
+
     def restart(self, revision: int) -> None:
         """Continues from a snapshot taken at ``revision``."""
         self._changes.clear()
@@ -83,13 +90,6 @@
             return []
         return list(self._changes)[-missing:]
 
-    @property
-    def _is_long(self) -> bool:
-        if len(self._changes) == 1:
-            return False
-        is_many = len(self._changes) > self._max_size
-        return is_many or self._held_bytes > self._max_bytes
-
     def wait(self, revision: int, *, timeout: float) -> bool:
         """Waits for a change after ``revision``; False on timeout (ms)."""
         if self._revision > revision:
