Ledger: count the name of a claimant with each of its claims

What callers saw: nothing yet; a restarted ledger has a copy of the name with each claim, up to twice what was counted for one.

Cause: while the ledger runs, claims of a stream share the name.

Evidence: test_name_of_the_claimant_counts failed before.

Why: the name counts toward claim_memory_percent like the key.

--- a/src/mulberryquay/ledger/claims.py
+++ b/src/mulberryquay/ledger/claims.py
@@ -34,7 +34,7 @@
 #: Part of the machine's memory that claims may hold, in percent.
 MEMORY_PERCENT: typing.Final = 25
 
-#: Memory of a record beside its key, its digest and its answer.
+#: Memory of a record beside its key, its digest, its claimant and its answer.
 _RECORD_BYTES: typing.Final = 1024
 
 #: Time between two searches for claims that have expired.
@@ -74,6 +74,7 @@
             _RECORD_BYTES
             + len(self.key)
             + len(self.digest)
+            + len(self.claimant)
             + _answer_bytes(self.answer)
         )
 
--- a/testing/ledger/test_claims.py
+++ b/testing/ledger/test_claims.py
@@ -188,6 +188,24 @@
     ]
 
 
+def test_name_of_the_claimant_counts() -> None:
+    """After a restart each claim has a copy of it."""
+    with fixtures.folder() as folder:
+        ledger = claims.Claims(journal.Journal(folder), clock.ManualClock())
+        for number, claimant in enumerate(('e', 'e' * 1000)):
+            before = ledger.held_bytes
+            ledger.claim(
+                f'key-{number}',
+                b'd',
+                claimant=claimant,
+                claim_number=1,
+                timeout=100,
+            )
+            grown = ledger.held_bytes - before
+            CASE.assertGreater(grown, 1000 + len(claimant))
+        ledger.close()
+
+
 def test_full_ledger_refuses_new_keys_and_keeps_the_old_ones() -> None:
     """A client that never repeats a key ended the ledger (issue 53)."""
     with fixtures.folder() as folder:
