Soak: print each seed as it begins; what was seen by hand

A run of the soak by hand ended with an entry that did not answer within 30 s of the last fault, and its seed was lost, since only verdicts were printed.

--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -62,6 +62,7 @@
     """Guards against lost, doubled, mixed up or falsely refused requests."""
     fresh = [secrets.randbits(32) for _ in range(_FRESH_RUNS)]
     for seed in (*_SEEDS, *fresh):
+        sys.stdout.write(f'soak: seed {seed} begins\n')
         with CASE.subTest(seed), soak.Soak(seed) as run:
             verdict = run.run()
             sys.stdout.write(
