Keep keys needed once the last client account is gone

Cause: the routing table concluded from the accounts that are there whether callers need a key, and `any` of nothing is false; the adapter dropped the fact that a list was given. An empty list was taken for an absent one.

Why this works: the limits on callers declare whether keys are needed. An order to the API that would open all routes is refused unless the limits declare so; a relayed request without an account is served on public routes only.

test_relayed_request_of_a_vanished_account_is_refused deleted the only account before it declared another one, a state in which all routes were open. It declares the other one first now; its checks are unchanged.

--- a/src/mulberryquay/control/kinds.py
+++ b/src/mulberryquay/control/kinds.py
@@ -4,7 +4,7 @@
 
 import typing
 
-from mulberryquay.accounts import keys
+from mulberryquay.accounts import key_requirement, keys
 from mulberryquay.coordination import schema, units
 from mulberryquay.kernel import plugins
 
@@ -115,6 +115,12 @@
         _MAX_TIMEOUT_MS,
         default=DEFAULT_IDLE_TIMEOUT_MS,
     ),
+    'authentication': schema.Text(
+        default=key_requirement.Authentication.BY_ACCOUNT.value,
+        choices=tuple(
+            choice.value for choice in key_requirement.Authentication
+        ),
+    ),
 }
 
 
--- a/src/mulberryquay/control/orders.py
+++ b/src/mulberryquay/control/orders.py
@@ -7,6 +7,7 @@
 
 from gevent import lock
 
+from mulberryquay.accounts import key_requirement
 from mulberryquay.control import (
     configuration,
     directory,
@@ -45,6 +46,13 @@
     http_status = 503
 
 
+@typing.final
+class OpensRoutesError(errors.ConflictError):
+    """The order would end the need for keys without declaring so."""
+
+    code = 'opens-routes'
+
+
 @typing.final
 class Orders:
     """Runs orders one at a time, here or at the leading host."""
@@ -172,6 +180,7 @@
         match order:
             case host_protocol.PutResource(kind, name, version, spec):
                 self._check_keys(kind, name, spec)
+                self._check_stays_closed(kind, name, spec)
                 resource = self._store.put(
                     kind,
                     name,
@@ -213,6 +222,33 @@
         ]
         configuration.check_keys([*others, (kind, name, spec)])
 
+    def _check_stays_closed(
+        self, kind: str, name: str, spec: schema.Spec | None
+    ) -> None:
+        """Raises OpensRoutesError if callers would need no key any more.
+
+        The last authenticated account is often deleted because its key was
+        stolen, so to serve callers without keys has to be declared.
+        """
+        if kind not in {kinds.CLIENT_ACCOUNT, kinds.LIMITS}:
+            return
+        specs = {
+            (each, resource.name): resource.spec
+            for each in (kinds.CLIENT_ACCOUNT, kinds.LIMITS)
+            for resource in self._store.list_kind(each)
+        }
+        was_closed = _needs_key(specs)
+        specs[kind, name] = spec
+        if not was_closed or _needs_key(specs):
+            return
+        if _authentication(specs) is key_requirement.Authentication.BY_ACCOUNT:
+            raise OpensRoutesError(
+                f'{kind} {name!r}: no account would be authenticated any more, '
+                f'so callers would need no key; declare {kinds.LIMITS} '
+                f'{kinds.CALLER_LIMITS!r} with authentication "required" or '
+                '"none" first',
+            )
+
     def _set_domain(
         self,
         order: host_protocol.SetDomainState,
@@ -243,6 +279,26 @@
         return self._store.find(kinds.FAILURE_DOMAIN, domain)
 
 
+def _needs_key(
+    specs: dict[tuple[str, str], schema.Spec | None],
+) -> bool:
+    return key_requirement.needs_key(
+        _authentication(specs),
+        has_authenticated_accounts=any(
+            spec is not None and spec.get('authenticated')
+            for (kind, _), spec in specs.items()
+            if kind == kinds.CLIENT_ACCOUNT
+        ),
+    )
+
+
+def _authentication(
+    specs: dict[tuple[str, str], schema.Spec | None],
+) -> key_requirement.Authentication:
+    limits = specs.get((kinds.LIMITS, kinds.CALLER_LIMITS)) or {}
+    return key_requirement.read(limits.get('authentication'))
+
+
 def _log_order(order: Order, decision: str, term: int) -> None:
     """Logs the decision on an order, without documents and specs."""
     logged_fields = {
--- a/src/mulberryquay/entry/authentication.py
+++ b/src/mulberryquay/entry/authentication.py
@@ -46,13 +46,9 @@
     """
     table = entry_state.routing_table
     if not table.authenticates_callers or is_relayed:
-        named = head.find(entry_state.dialect.account)
-        if not named:
-            return ANONYMOUS
-        name = named.decode(errors='replace')
-        if table.authenticates_callers and not table.has_account(name):
-            raise _refusal(table, '')
-        return Identity(table.find_account(name), '', table.revision)
+        return _identify_by_name(
+            table, head.find(entry_state.dialect.account), route
+        )
     if route.is_public:
         return ANONYMOUS
     key = keys.read_bearer(head.find(header_names.AUTHORIZATION))
@@ -63,6 +59,25 @@
     return Identity(table.find_account(holder), digest, table.revision)
 
 
+def _identify_by_name(
+    table: routing.RoutingTable, named: bytes | None, route: routing.Route
+) -> Identity:
+    """Returns the account that a caller or another entry names.
+
+    Where keys are needed, another entry with an older configuration may name
+    an account that is gone, or none.
+    """
+    needs_account = table.authenticates_callers and not route.is_public
+    if not named:
+        if needs_account:
+            raise _refusal(table, '')
+        return ANONYMOUS
+    name = named.decode(errors='replace')
+    if table.authenticates_callers and not table.has_account(name):
+        raise _refusal(table, '')
+    return Identity(table.find_account(name), '', table.revision)
+
+
 def check_still_allowed(
     entry_state: state.EntryState, identity: Identity
 ) -> None:
--- a/src/mulberryquay/entry/routing.py
+++ b/src/mulberryquay/entry/routing.py
@@ -4,7 +4,7 @@
 
 import typing
 
-from mulberryquay.accounts import keys
+from mulberryquay.accounts import key_requirement, keys
 from mulberryquay.control import kinds
 from mulberryquay.coordination import schema, store, units
 from mulberryquay.decisions import callers, permits, roll_outs
@@ -154,16 +154,22 @@
         #: Those that were asked for; of many accounts few come to an entry.
         self._accounts: dict[str, ClientAccount] = {}
         if earlier is not None and earlier._packed_accounts is accounts:
-            self._authenticates_callers = earlier.authenticates_callers
+            self._has_authenticated_accounts: bool = (
+                earlier._has_authenticated_accounts
+            )
             self._key_ring = earlier.key_ring
         else:
             specs_by_account = account_specs.unpack_all(accounts)
-            self._authenticates_callers = any(
+            self._has_authenticated_accounts = any(
                 spec.get('authenticated') for spec in specs_by_account.values()
             )
             self._key_ring = account_specs.make_key_ring(specs_by_account)
             if earlier is not None:
                 self._key_ring.follow(earlier.key_ring, revision)
+        self._authenticates_callers = key_requirement.needs_key(
+            _read_authentication(specs[kinds.LIMITS]),
+            has_authenticated_accounts=self._has_authenticated_accounts,
+        )
         self._routes = {
             (route.host, route.path_prefix): route
             for route in self._make_routes(specs[kinds.ROUTE])
@@ -374,6 +380,13 @@
     )
 
 
+def _read_authentication(
+    declared: dict[str, schema.Spec],
+) -> key_requirement.Authentication:
+    spec = declared.get(kinds.CALLER_LIMITS, {})
+    return key_requirement.read(spec.get('authentication'))
+
+
 def _make_service(
     name: str,
     spec: schema.Spec,
--- a/testing/accounts/test_revocation.py
+++ b/testing/accounts/test_revocation.py
@@ -167,8 +167,8 @@
                 entry_state, relayed['gone'], route, is_relayed=True
             )
         CASE.assertEqual(caught.exception.status, 401)
-        control.client.call('DELETE', '/v1/client-accounts/yard?version=2')
         _declare(control, 1, _OTHER_KEY, name='counter')
+        control.client.call('DELETE', '/v1/client-accounts/yard?version=2')
         control.wait_in_force()
         with CASE.assertRaises(outcomes.RefusedError) as caught:
             authentication.check_still_allowed(entry_state, identity)
--- a/testing/platform_adapter/test_configuration.py
+++ b/testing/platform_adapter/test_configuration.py
@@ -113,3 +113,23 @@
         CASE.assertEqual(
             classes[f'{kind}-1']['idempotent'], is_idempotent, kind
         )
+
+
+def test_empty_list_of_tenants_requires_keys() -> None:
+    """It was taken for no list, which lets everybody call (review/6)."""
+    limits = (kinds.LIMITS, kinds.CALLER_LIMITS)
+    for has_limits in (True, False):
+        document = samples.configuration()
+        if not has_limits:
+            document.pop('limits', None)
+        without = _specs(document).get(limits, {})
+        CASE.assertNotEqual(without.get('authentication'), 'required')
+        document['tenants'] = []
+        CASE.assertEqual(_specs(document)[limits]['authentication'], 'required')
+
+
+def _specs(document: typing.Any) -> dict[tuple[str, str], typing.Any]:
+    return {
+        (kind, name): spec
+        for kind, name, spec in _check(samples.encoded(document))
+    }
