Tell entries the end of a target that no control host lists

For 20 s an entry went on sending it a third of all unsafe requests; those it ran when it exited were lost (502).

Cause: entries learned of an end as a change of a host's list of targets. The list is soft state; after the kill no host listed the target, so the end, in the replicated log, changed no list, and the entry kept the target until a host called its list complete, 45 s after its start.

Why this works: what a host knows of a target's beginning no longer decides whether its end is told. Each end goes to all connected entries, all ends to one that connects, before the list; an entry keeps them, so a row of an ended incarnation is leaving whichever host sends it and whenever it comes. Control hosts accept entries of the protocol version before and send them no such message.

The messages on crashing requests moved to a module of their own, unchanged; an ended incarnation is absent or a number, not 0.

--- a/src/mulberryquay/control/cluster.py
+++ b/src/mulberryquay/control/cluster.py
@@ -10,7 +10,7 @@
 
 import gevent
 
-from mulberryquay import protocol
+from mulberryquay import crash_messages, protocol
 from mulberryquay.control import (
     directory,
     entry_reports,
@@ -373,7 +373,10 @@
                 self.feed.target_reports.apply(update)
             case host_protocol.EntryLists():
                 self._apply_entry_lists(update)
-            case protocol.ConnectionLost() | protocol.RequestCleared():
+            case (
+                crash_messages.ConnectionLost()
+                | crash_messages.RequestCleared()
+            ):
                 self.feed.target_reports.apply_crash(update)
 
     def _apply_entry_lists(self, lists: host_protocol.EntryLists) -> None:
--- a/src/mulberryquay/control/directory.py
+++ b/src/mulberryquay/control/directory.py
@@ -123,10 +123,13 @@
         self.limit = target_limit.TargetLimit(max_targets, time_source)
         self._started_at = time_source.now()
         self._targets: dict[str, _TargetState] = {}
-        self._ended_targets = ended
-        ended.on_ended = self._mark_leaving
+        #: The last ended incarnation of each target, listed or not.
+        self.ended_targets = ended
+        ended.on_ended = self._apply_ends
         #: Called with each update for the other control hosts.
         self.publish: typing.Callable[[tuple[typing.Any, ...]], None] = _discard
+        #: Called with the ended incarnations, by name, that entries must learn.
+        self.publish_ends: typing.Callable[[dict[str, int]], None] = _discard
         #: Returns the number of the roll-out that a target belongs to, or 0.
         self.find_roll_out: typing.Callable[[protocol.TargetRow], int] = (
             _find_no_roll_out
@@ -178,7 +181,7 @@
         state = self._targets.get(row.name)
         if state is not None and row.incarnation < state.row.incarnation:
             raise _stale_error(row.name, row.incarnation, state.row.incarnation)
-        if self._ended_targets.is_ended(row.name, row.incarnation):
+        if self.ended_targets.is_ended(row.name, row.incarnation):
             if state is None or state.row.incarnation != row.incarnation:
                 raise _stale_error(
                     row.name, row.incarnation, row.incarnation + 1
@@ -198,7 +201,7 @@
         """Applies an announcement that another control host received."""
         state = self._targets.get(row.name)
         if state is None:
-            if self._ended_targets.is_ended(row.name, row.incarnation):
+            if self.ended_targets.is_ended(row.name, row.incarnation):
                 return
             if not self.limit.has_place(len(self._targets)):
                 return
@@ -274,7 +277,7 @@
             incarnation = int(self._clock.wall())
             if state is not None:
                 incarnation = state.row.incarnation
-        self._ended_targets.end(name, incarnation)
+        self.ended_targets.end(name, incarnation)
         return incarnation
 
     def expire(self) -> None:
@@ -422,7 +425,7 @@
             row._replace(
                 allowance=slow_start.current,
                 is_warm=slow_start.is_warm,
-                is_leaving=self._ended_targets.is_ended(
+                is_leaving=self.ended_targets.is_ended(
                     row.name, row.incarnation
                 ),
             ),
@@ -448,13 +451,20 @@
         )
         self._changes.append(change)
 
-    def _mark_leaving(self, name: str, incarnation: int) -> None:
-        state = self._targets.get(name)
-        if state is None or state.row.is_leaving:
-            return
-        if state.row.incarnation <= incarnation:
-            state.renewed_at = self._clock.now()
-            self._update(state, 'leaving', is_leaving=True)
+    def _apply_ends(self, ends: dict[str, int]) -> None:
+        """Marks listed targets as leaving and tells entries of all ends.
+
+        An entry may know a target that this host does not list, such as one
+        that announced itself just before this host was killed.
+        """
+        for name, incarnation in ends.items():
+            state = self._targets.get(name)
+            if state is None or state.row.is_leaving:
+                continue
+            if state.row.incarnation <= incarnation:
+                state.renewed_at = self._clock.now()
+                self._update(state, 'leaving', is_leaving=True)
+        self.publish_ends(ends)
 
     def _update_allowance(self, state: _TargetState) -> None:
         self._update(
@@ -486,5 +496,5 @@
     return 0
 
 
-def _discard(_update: tuple[typing.Any, ...]) -> None:
-    """Drops an update; the default of `Directory.publish`."""
+def _discard(_update: typing.Any) -> None:
+    """Drops an update until `Directory` is told whom to send it to."""
--- a/src/mulberryquay/control/ended_targets.py
+++ b/src/mulberryquay/control/ended_targets.py
@@ -4,11 +4,7 @@
 
 import typing
 
-from mulberryquay.coordination import store
-
-#: Targets whose last ended incarnation is remembered, so that late messages
-#: of it are still refused.
-_MAX_ENDED: typing.Final = 10_000
+from mulberryquay.coordination import ended_incarnations, store
 
 
 @typing.final
@@ -18,13 +14,13 @@
     def __init__(self, log: store.ChangeLog) -> None:
         """Starts empty; ``log`` makes ended incarnations durable."""
         self._log = log
-        self._ended: dict[str, int] = {}
-        #: Called on every control host with each ended incarnation, in order.
-        self.on_ended: typing.Callable[[str, int], None] = _ignore
+        self._ended = ended_incarnations.EndedIncarnations()
+        #: Called on every control host with ended incarnations, by name.
+        self.on_ended: typing.Callable[[dict[str, int]], None] = _ignore
 
     def is_ended(self, name: str, incarnation: int) -> bool:
         """Whether an incarnation of a target has ended."""
-        return incarnation <= self._ended.get(name, 0)
+        return self._ended.has_ended(name, incarnation)
 
     def end(self, name: str, incarnation: int) -> None:
         """Durably ends an incarnation and all earlier ones."""
@@ -35,24 +31,20 @@
     def apply(self, record: typing.Any) -> None:
         """Applies a record; has no effect if the incarnation has ended."""
         name, incarnation = record
-        if self.is_ended(name, incarnation):
-            return
-        self._ended.pop(name, None)
-        self._ended[name] = incarnation
-        if len(self._ended) > _MAX_ENDED:
-            self._ended.pop(next(iter(self._ended)))
-        self.on_ended(name, incarnation)
+        if self._ended.add(name, incarnation):
+            self.on_ended({name: incarnation})
 
     def snapshot(self) -> dict[str, int]:
         """Returns all ended incarnations as msgpack types."""
-        return dict(self._ended)
+        return self._ended.to_dict()
 
     def restore(self, snapshot: dict[str, int]) -> None:
         """Replaces the ended incarnations with those of a `snapshot`."""
-        self._ended = dict(snapshot)
-        for name, incarnation in self._ended.items():
-            self.on_ended(name, incarnation)
+        self._ended = ended_incarnations.EndedIncarnations()
+        for name, incarnation in snapshot.items():
+            self._ended.add(name, incarnation)
+        self.on_ended(self._ended.to_dict())
 
 
-def _ignore(_name: str, _incarnation: int) -> None:
+def _ignore(_ends: dict[str, int]) -> None:
     """Does nothing; the default of `EndedTargets.on_ended`."""
--- a/src/mulberryquay/control/feed.py
+++ b/src/mulberryquay/control/feed.py
@@ -9,7 +9,7 @@
 import gevent
 from gevent import queue, server
 
-from mulberryquay import protocol
+from mulberryquay import crash_messages, protocol
 from mulberryquay.control import (
     directory,
     feed_messages,
@@ -34,9 +34,6 @@
 #: heartbeat that was answered.
 FRESHNESS_LEASE_MS: typing.Final = 3000
 
-#: Resources per message, so that a large state does not block an entry.
-SLICE_SIZE: typing.Final = 200
-
 #: Messages queued for an entry; beyond this it has to reconnect.
 _MAX_QUEUED: typing.Final = 10_000
 
@@ -76,6 +73,9 @@
             targets, time_source, self._send_block
         )
         self._outbound_queues: dict[str, queue.Queue] = {}
+        #: Names of connected entries that read `protocol.TargetsEnded`.
+        self._reads_ends: set[str] = set()
+        targets.publish_ends = self._send_ends
         self._rows: dict[str, membership.EntryRow] = {}
         self._sent_committed = shares.EntryList(0, ())
         self._sent_pending: shares.EntryList | None = None
@@ -145,6 +145,7 @@
     ) -> None:
         if self._outbound_queues.get(entry) is outbound:
             self._outbound_queues.pop(entry)
+            self._reads_ends.discard(entry)
             self._rows.pop(entry, None)
         stream.close()
         self.bytes_received += stream.bytes_received
@@ -155,14 +156,18 @@
             message,
             protocol.Hello,
             version=protocol.PROTOCOL_VERSION,
+            oldest_version=protocol.OLDEST_ENTRY_VERSION,
         )
         wire.check_texts(hello)
+        reads_ends = hello.protocol_version >= protocol.TARGETS_ENDED_VERSION
         if self._needs_uncertain_state(hello):
-            self._enqueue_state(outbound)
+            self._enqueue_state(outbound, reads_ends=reads_ends)
         self._group.wait_until_current()
         self.target_reports.restore(hello)
-        self._enqueue_state(outbound)
+        self._enqueue_state(outbound, reads_ends=reads_ends)
         self._outbound_queues[hello.entry] = outbound
+        if reads_ends:
+            self._reads_ends.add(hello.entry)
         self._rows[hello.entry] = membership.EntryRow(
             hello.entry,
             hello.region,
@@ -189,18 +194,17 @@
         is_empty = not hello.config_revision and self._store.revision > 0
         return is_empty and not self._group.is_in_touch
 
-    def _enqueue_state(self, outbound: queue.Queue) -> None:
+    def _enqueue_state(
+        self, outbound: queue.Queue, *, reads_ends: bool
+    ) -> None:
         outbound.put_nowait(
             protocol.ControlHosts(self._group.list_hosts()),
         )
         self._enqueue_config(outbound)
-        outbound.put_nowait(
-            protocol.TargetsChanged(
-                [list(row) for row in self._directory.list_targets()],
-                [],
-                is_complete=not self._directory.is_relearning,
-            ),
-        )
+        for message in feed_messages.target_state(
+            self._directory, reads_ends=reads_ends
+        ):
+            outbound.put_nowait(message)
         outbound.put_nowait(
             feed_messages.entries_committed(self._membership.committed)
         )
@@ -212,8 +216,8 @@
     def _enqueue_config(self, outbound: queue.Queue) -> None:
         revision = self._store.revision
         resources = [list(row) for row in self._store.list_all()]
-        for start in range(0, max(1, len(resources)), SLICE_SIZE):
-            end = start + SLICE_SIZE
+        for start in range(0, max(1, len(resources)), feed_messages.SLICE_SIZE):
+            end = start + feed_messages.SLICE_SIZE
             outbound.put_nowait(
                 protocol.ConfigSlice(
                     revision,
@@ -241,7 +245,10 @@
                             FRESHNESS_LEASE_MS if is_in_touch else 0,
                         ),
                     )
-                case protocol.ConnectionLost() | protocol.RequestCleared():
+                case (
+                    crash_messages.ConnectionLost()
+                    | crash_messages.RequestCleared()
+                ):
                     self.target_reports.apply_crash(message)
                     self._group.publish(message)
                 case protocol.PermitsAsked(number, account, count):
@@ -289,7 +296,7 @@
 
     def _send_block(self, fingerprint: bytes) -> None:
         self._broadcast(
-            protocol.RequestBlocked(fingerprint, crash_guard.BLOCK_MS)
+            crash_messages.RequestBlocked(fingerprint, crash_guard.BLOCK_MS)
         )
 
     def _write(self, stream: wire.Stream, outbound: queue.Queue) -> None:
@@ -302,10 +309,21 @@
                 stream.stop_waiting()
                 return
 
+    def _send_ends(self, ends: dict[str, int]) -> None:
+        for message in feed_messages.targets_ended(ends):
+            self._send_to(
+                self._reads_ends & set(self._outbound_queues), message
+            )
+
     def _broadcast(self, message: tuple[typing.Any, ...]) -> None:
-        for entry, outbound in list(self._outbound_queues.items()):
+        self._send_to(list(self._outbound_queues), message)
+
+    def _send_to(
+        self, entries: typing.Iterable[str], message: tuple[typing.Any, ...]
+    ) -> None:
+        for entry in entries:
             try:
-                outbound.put_nowait(message)
+                self._outbound_queues[entry].put_nowait(message)
             except queue.Full:
                 # The entry does not read. Without answers to its heartbeats
                 # it reconnects and gets the whole state.
--- a/src/mulberryquay/control/feed_messages.py
+++ b/src/mulberryquay/control/feed_messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import typing
 
 from mulberryquay import protocol
@@ -10,6 +11,10 @@
 from mulberryquay.coordination import shares
 
 
+#: Rows per message, so that a large state does not block an entry.
+SLICE_SIZE: typing.Final = 200
+
+
 class HostGroup(typing.Protocol):
     """The group of control hosts, as far as the feed uses it."""
 
@@ -56,6 +61,32 @@
     return protocol.TargetsChanged(changed, removed, is_complete=False)
 
 
+def target_state(
+    targets: directory.Directory, *, reads_ends: bool
+) -> typing.Iterator[tuple[typing.Any, ...]]:
+    """Yields what an entry has to know of targets when it connects.
+
+    The ends come first, so that no ended target is used in between. Entries
+    of older releases cannot read them.
+    """
+    if reads_ends:
+        yield from targets_ended(targets.ended_targets.snapshot())
+    yield protocol.TargetsChanged(
+        [list(row) for row in targets.list_targets()],
+        [],
+        is_complete=not targets.is_relearning,
+    )
+
+
+def targets_ended(
+    ends: dict[str, int],
+) -> typing.Iterator[protocol.TargetsEnded]:
+    """Yields the messages that report ended incarnations to entries."""
+    names = iter(ends)
+    while part := list(itertools.islice(names, SLICE_SIZE)):
+        yield protocol.TargetsEnded({name: ends[name] for name in part})
+
+
 def entries_proposed(entries: shares.EntryList) -> protocol.EntriesProposed:
     """Returns the message for a list that awaits confirmations."""
     return protocol.EntriesProposed(entries.epoch, list(entries.members))
--- a/src/mulberryquay/control/host_protocol.py
+++ b/src/mulberryquay/control/host_protocol.py
@@ -4,7 +4,7 @@
 
 import typing
 
-from mulberryquay import protocol
+from mulberryquay import crash_messages
 from mulberryquay.coordination import wire
 from mulberryquay.coordination.replication import messages
 
@@ -208,8 +208,8 @@
         TargetLeasesRenewed,
         TargetsReported,
         EntryLists,
-        protocol.ConnectionLost,
-        protocol.RequestCleared,
+        crash_messages.ConnectionLost,
+        crash_messages.RequestCleared,
     ),
 )
 
--- a/src/mulberryquay/control/target_reports.py
+++ b/src/mulberryquay/control/target_reports.py
@@ -4,7 +4,7 @@
 
 import typing
 
-from mulberryquay import protocol
+from mulberryquay import crash_messages, protocol
 from mulberryquay.control import directory, host_protocol
 from mulberryquay.coordination import clock, crash_guard
 
@@ -20,7 +20,8 @@
         on_blocked: typing.Callable[[bytes], None],
     ) -> None:
         """Calls ``on_blocked`` with each request that is blocked from now."""
-        self._directory = targets
+        #: The targets that are reported on.
+        self.directory = targets
         self._on_blocked = on_blocked
         self._guard = crash_guard.CrashGuard(time_source)
 
@@ -33,35 +34,37 @@
         """Restores what an entry knows of targets from before a start."""
         for name, incarnation, granted, is_warm in hello.known_targets:
             hint = directory.AllowanceHint(incarnation, granted, is_warm)
-            self._directory.add_hint(name, hint)
+            self.directory.add_hint(name, hint)
         for limited_name, fields in hello.known_rate_limits.items():
-            self._directory.restore_rate_limit(
+            self.directory.restore_rate_limit(
                 limited_name, protocol.RateLimitReport(*fields)
             )
 
     def apply(self, report: host_protocol.TargetsReported) -> None:
         """Applies a report on targets, received by this or another host."""
         for served_name, answers in report.served.items():
-            self._directory.record_served(served_name, answers)
+            self.directory.record_served(served_name, answers)
         for shed_name, incarnation in report.shed.items():
-            self._directory.record_shed(shed_name, incarnation=incarnation)
+            self.directory.record_shed(shed_name, incarnation=incarnation)
         for limited_name, fields in report.rate_limits.items():
-            self._directory.record_rate_limit(
+            self.directory.record_rate_limit(
                 limited_name, protocol.RateLimitReport(*fields)
             )
 
     def apply_crash(
         self,
-        report: protocol.ConnectionLost | protocol.RequestCleared,
+        report: crash_messages.ConnectionLost | crash_messages.RequestCleared,
     ) -> None:
         """Applies a report on a request, received by this or another host."""
         match report:
-            case protocol.ConnectionLost():
+            case crash_messages.ConnectionLost():
                 self._record_connection_loss(report)
-            case protocol.RequestCleared(fingerprint):
+            case crash_messages.RequestCleared(fingerprint):
                 self._guard.clear(fingerprint)
 
-    def _record_connection_loss(self, loss: protocol.ConnectionLost) -> None:
+    def _record_connection_loss(
+        self, loss: crash_messages.ConnectionLost
+    ) -> None:
         is_blocked = self._guard.record(
             loss.fingerprint,
             loss.target,
--- a/src/mulberryquay/coordination/wire.py
+++ b/src/mulberryquay/coordination/wire.py
@@ -156,18 +156,23 @@
     expected: type[Greeting],
     *,
     version: int,
+    oldest_version: int | None = None,
 ) -> Greeting:
     """Returns the first message of a peer if it has the expected type.
 
     ``expected`` must have a field ``protocol_version``. Raises ProtocolError
-    for another message type or protocol version.
+    for another message type or protocol version; versions from
+    ``oldest_version`` on are accepted if it is given.
     """
     if not isinstance(message, expected):
         raise ProtocolError(
             'expected Hello as the first message, got another message',
         )
     got = getattr(message, 'protocol_version', None)
-    if got != version:
+    accepted = range(
+        version if oldest_version is None else oldest_version, version + 1
+    )
+    if got not in accepted:
         raise ProtocolError(
             f'got protocol version {got}, expected {version}; use matching '
             'releases',
--- a/src/mulberryquay/entry/control_link.py
+++ b/src/mulberryquay/entry/control_link.py
@@ -6,7 +6,7 @@
 import random
 import typing
 
-from mulberryquay import protocol
+from mulberryquay import crash_messages, protocol
 from mulberryquay.entry import (
     control_hosts,
     control_stream,
@@ -91,11 +91,13 @@
 
         The request ran for ``ran_for`` ms and may have crashed the target.
         """
-        self._send_to_one(protocol.ConnectionLost(fingerprint, target, ran_for))
+        self._send_to_one(
+            crash_messages.ConnectionLost(fingerprint, target, ran_for)
+        )
 
     def report_request_cleared(self, fingerprint: bytes) -> None:
         """Reports that a target answered a request reported earlier."""
-        self._send_to_one(protocol.RequestCleared(fingerprint))
+        self._send_to_one(crash_messages.RequestCleared(fingerprint))
 
     def ask_permits(
         self, question: protocol.PermitsAsked, *, is_repeated: bool
--- a/src/mulberryquay/entry/control_stream.py
+++ b/src/mulberryquay/entry/control_stream.py
@@ -7,7 +7,7 @@
 
 import gevent
 
-from mulberryquay import protocol, settings
+from mulberryquay import crash_messages, protocol, settings
 from mulberryquay.coordination import errors, shares, store, wire
 from mulberryquay.entry import control_view
 
@@ -147,8 +147,8 @@
                 view.replica.apply_delta(
                     [store.Resource(*row) for row in resources],
                 )
-            case protocol.TargetsChanged():
-                view.targets.update(self.address, message)
+            case protocol.TargetsChanged() | protocol.TargetsEnded():
+                view.targets.receive(self.address, message)
             case protocol.EntriesProposed(epoch, members):
                 view.propose_entries(shares.EntryList(epoch, tuple(members)))
             case protocol.EntriesCommitted(epoch, members):
@@ -157,7 +157,7 @@
                 view.update_peers(peers)
             case protocol.ControlHosts(hosts):
                 view.hosts.update_announced(hosts)
-            case protocol.RequestBlocked(fingerprint, duration):
+            case crash_messages.RequestBlocked(fingerprint, duration):
                 view.block_request(fingerprint, duration)
             case _:
                 raise wire.ProtocolError(
--- a/src/mulberryquay/protocol.py
+++ b/src/mulberryquay/protocol.py
@@ -4,10 +4,18 @@
 
 import typing
 
+from mulberryquay import crash_messages
 from mulberryquay.coordination import wire
 
 #: Increased with each incompatible change to a message.
-PROTOCOL_VERSION: typing.Final = 7
+PROTOCOL_VERSION: typing.Final = 8
+
+#: The oldest version of an entry that control hosts accept, so that they can
+#: be replaced before the entries.
+OLDEST_ENTRY_VERSION: typing.Final = 7
+
+#: The first version whose entries read `TargetsEnded`.
+TARGETS_ENDED_VERSION: typing.Final = 8
 
 
 class Hello(typing.NamedTuple):
@@ -95,6 +103,13 @@
     is_complete: bool
 
 
+class TargetsEnded(typing.NamedTuple):
+    """Incarnations of targets that get no new requests, listed or not."""
+
+    #: The last ended incarnation of each target, by name.
+    incarnations: dict[str, int]
+
+
 class EntriesProposed(typing.NamedTuple):
     """An entry list that every live entry has yet to confirm."""
 
@@ -170,28 +185,6 @@
     lease_ms: int
 
 
-class ConnectionLost(typing.NamedTuple):
-    """The connection to a target was lost while it ran a request."""
-
-    fingerprint: bytes
-    target: str
-    #: How long the request had run when the connection was lost.
-    ran_for_ms: float
-
-
-class RequestCleared(typing.NamedTuple):
-    """A target answered a request that `ConnectionLost` had reported."""
-
-    fingerprint: bytes
-
-
-class RequestBlocked(typing.NamedTuple):
-    """Several targets failed on a request; refuse it for ``duration_ms``."""
-
-    fingerprint: bytes
-    duration_ms: int
-
-
 class PermitsAsked(typing.NamedTuple):
     """An entry needs permits of a client account; see `PermitsDecided`."""
 
@@ -232,12 +225,13 @@
         ControlHosts,
         Heartbeat,
         HeartbeatAnswer,
-        ConnectionLost,
-        RequestCleared,
-        RequestBlocked,
+        crash_messages.ConnectionLost,
+        crash_messages.RequestCleared,
+        crash_messages.RequestBlocked,
         EntryLeaving,
         EntryLeft,
         PermitsAsked,
         PermitsDecided,
+        TargetsEnded,
     ),
 )
--- a/testing/control/test_feed.py
+++ b/testing/control/test_feed.py
@@ -10,7 +10,7 @@
 import gevent
 from gevent import monkey, socket
 
-from mulberryquay import protocol
+from mulberryquay import crash_messages, protocol
 from mulberryquay.control import (
     directory,
     feed,
@@ -18,7 +18,7 @@
     membership,
     replicated_state,
 )
-from mulberryquay.coordination import clock, crash_guard
+from mulberryquay.coordination import clock, crash_guard, wire
 from testing import fixtures
 
 CASE: typing.Final = unittest.TestCase()
@@ -56,11 +56,11 @@
         tested.stop()
 
 
-def _connect(port: int, entry: str) -> typing.Any:
-    connection = _BLOCKING_SOCKET()
-    connection.connect(('127.0.0.1', port))
-    hello = protocol.Hello(
-        protocol.PROTOCOL_VERSION,
+def _hello(
+    entry: str, version: int = protocol.PROTOCOL_VERSION
+) -> protocol.Hello:
+    return protocol.Hello(
+        version,
         entry,
         'north',
         'north-1',
@@ -70,7 +70,12 @@
         config_revision=0,
         known_rate_limits={},
     )
-    connection.sendall(protocol.CODEC.encode(hello))
+
+
+def _connect(port: int, entry: str) -> typing.Any:
+    connection = _BLOCKING_SOCKET()
+    connection.connect(('127.0.0.1', port))
+    connection.sendall(protocol.CODEC.encode(_hello(entry)))
     return connection
 
 
@@ -78,7 +83,7 @@
     """Makes the feed send a message to all entries."""
     for number in range(crash_guard.MAX_FAILED_TARGETS):
         tested.target_reports.apply_crash(
-            protocol.ConnectionLost(b'breaks', f't{number}', 0)
+            crash_messages.ConnectionLost(b'breaks', f't{number}', 0)
         )
 
 
@@ -95,3 +100,38 @@
         _broadcast(scene.feed)
         gevent.sleep(0.1)
         scene.group.reports.record_left.assert_called_once_with('e0')
+
+
+def _received_ends(scene: Scene, version: int) -> dict[str, int]:
+    """Returns the ends that an entry of a release gets, from its start on."""
+    stream = wire.connect(('127.0.0.1', scene.port), protocol.CODEC)
+    stream.set_timeout(300)
+    stream.send(_hello('e0', version))
+    fixtures.wait_until(lambda: scene.group.reports.record.called)
+    scene.feed.target_reports.directory.end('later', incarnation=8)
+    ends: dict[str, int] = {}
+    with (
+        contextlib.closing(stream),
+        contextlib.suppress(wire.StreamClosedError),
+    ):
+        while True:
+            message = stream.receive()
+            if isinstance(message, protocol.TargetsEnded):
+                ends.update(message.incarnations)
+    return ends
+
+
+def test_entries_learn_ends_of_targets_that_the_host_does_not_list() -> None:
+    """Only listed targets were told to be leaving (review/7, issue 58).
+
+    Entries of the release before can't read these messages and still connect.
+    """
+    with _scene() as scene:
+        scene.feed.target_reports.directory.end('before', incarnation=7)
+        ends = _received_ends(scene, protocol.PROTOCOL_VERSION)
+        CASE.assertEqual(ends, {'before': 7, 'later': 8})
+    with _scene() as scene:
+        scene.feed.target_reports.directory.end('before', incarnation=7)
+        CASE.assertEqual(
+            _received_ends(scene, protocol.OLDEST_ENTRY_VERSION), {}
+        )
--- a/testing/entry/test_targets_view.py
+++ b/testing/entry/test_targets_view.py
@@ -97,3 +97,19 @@
     CASE.assertEqual(set(merged.rows), {'t', 'u'})
     merged.receive('c', _row('u'), is_complete=True)
     CASE.assertEqual(set(merged.rows), {'u'})
+
+
+def test_end_holds_whichever_hosts_list_the_target() -> None:
+    """A host that listed a target before its end kept it in use (review/7)."""
+    merged = _MergedTargets()
+    merged.receive('a', _row('t', incarnation=5))
+    merged.merged_view.receive('b', protocol.TargetsEnded({'t': 5, 'u': 3}))
+    CASE.assertTrue(merged.rows['t'].is_leaving)
+    merged.receive('a', _row('t', incarnation=5, sequence=9))
+    merged.receive('a', _row('u', incarnation=3))
+    CASE.assertTrue(merged.rows['t'].is_leaving)
+    CASE.assertTrue(merged.rows['u'].is_leaving)
+    merged.receive('a', _row('t', incarnation=6))
+    CASE.assertFalse(merged.rows['t'].is_leaving)
+    merged.merged_view.receive('b', protocol.TargetsEnded({'t': 5}))
+    CASE.assertFalse(merged.rows['t'].is_leaving)
--- a/testing/test_stream_crowds.py
+++ b/testing/test_stream_crowds.py
@@ -16,6 +16,7 @@
 
 import msgpack
 
+from mulberryquay import crash_messages
 from mulberryquay import protocol as feed_protocol
 from mulberryquay.control import host_protocol
 from mulberryquay.ledger import protocol
@@ -285,7 +286,7 @@
             crowds.Client(
                 _feed_hello(f'entry-{index}')
                 + feed_protocol.CODEC.encode(
-                    feed_protocol.ConnectionLost(
+                    crash_messages.ConnectionLost(
                         b'%d' % index + b'x' * 900_000, 'target', 0
                     )
                 ),
