Hold no configuration until one is put, whatever its version

Cause: the store held version 0 for "none put", and takes a version that is not higher than the one held for a resend. Presence was tested by truth.

Why this works: none is None, which the type checker asks about wherever the configuration is read. The incarnation of a call that names none is None, too; an older host's 0 is read as none.

--- a/src/mulberryquay/control/api.py
+++ b/src/mulberryquay/control/api.py
@@ -177,7 +177,7 @@
     def _get_configuration(self) -> str:
         self._cluster.wait_until_current()
         current = self._store.configuration
-        if not current.version:
+        if current is None:
             raise errors.NotFoundError(
                 'no whole configuration has been put yet'
             )
--- a/src/mulberryquay/control/directory.py
+++ b/src/mulberryquay/control/directory.py
@@ -264,15 +264,15 @@
         if incarnation != state.row.incarnation:
             raise _stale_error(name, incarnation, state.row.incarnation)
 
-    def end(self, name: str, *, incarnation: int) -> int:
+    def end(self, name: str, *, incarnation: int | None) -> int:
         """Stops new requests to an incarnation on all hosts and returns it.
 
-        An ``incarnation`` of 0 stands for the one known here or, if there is
-        none, for any that started before now. Raises InvalidResourceError
+        An ``incarnation`` of None stands for the one known here or, if there
+        is none, for any that started before now. Raises InvalidResourceError
         for a name that no target can have.
         """
         schema.check_name(name, label='name of the target')
-        if not incarnation:
+        if incarnation is None:
             state = self._targets.get(name)
             incarnation = int(self._clock.wall())
             if state is not None:
--- a/src/mulberryquay/control/host_protocol.py
+++ b/src/mulberryquay/control/host_protocol.py
@@ -52,8 +52,8 @@
     """Stops new requests to one incarnation of a target."""
 
     name: str
-    #: 0 for the incarnation that the leader knows.
-    incarnation: int
+    #: None, from older hosts 0, for the incarnation that the leader knows.
+    incarnation: int | None
 
 
 class StartRollOut(typing.NamedTuple):
--- a/src/mulberryquay/control/orders.py
+++ b/src/mulberryquay/control/orders.py
@@ -193,7 +193,8 @@
             case host_protocol.SetDomainState():
                 return list(self._set_domain(order))
             case host_protocol.EndTarget(name, incarnation):
-                return [self._directory.end(name, incarnation=incarnation)]
+                ended = incarnation or None
+                return [self._directory.end(name, incarnation=ended)]
             case host_protocol.StartRollOut():
                 return list(roll_out_records.start(self._store, order))
             case host_protocol.MoveRollOut():
--- a/src/mulberryquay/coordination/store.py
+++ b/src/mulberryquay/coordination/store.py
@@ -97,7 +97,7 @@
 class Configuration(typing.NamedTuple):
     """A whole configuration as an operator sent it."""
 
-    #: 0 if no configuration was sent.
+    #: Any whole number; the operator chooses it.
     version: int
     #: The text as it was sent, for display.
     document: bytes
@@ -112,6 +112,11 @@
     configuration: typing.Sequence[typing.Any] = ()
 
 
+#: Stands for no configuration in snapshots, also those of older releases. One
+#: that was put under version 0 has a document.
+_NOT_PUT: typing.Final = Configuration(0, zlib.compress(b''))
+
+
 @typing.final
 class Store:
     """Resources of all kinds; one counter numbers all changes."""
@@ -140,7 +145,8 @@
         self.held_bytes = 0
         #: How often the limit was met.
         self.limits_met = 0
-        self._configuration = Configuration(0, zlib.compress(b''))
+        #: The document is compressed; None until one is put.
+        self._configuration: Configuration | None = None
         self._changes: history.History[Resource] = history.History(
             size=history_size, max_bytes=_WATCH_HISTORY_BYTES
         )
@@ -161,9 +167,11 @@
         return self._changes
 
     @property
-    def configuration(self) -> Configuration:
-        """The newest whole configuration; version 0 if there is none."""
+    def configuration(self) -> Configuration | None:
+        """The newest whole configuration; None if none was put."""
         held = self._configuration
+        if held is None:
+            return None
         return held._replace(document=zlib.decompress(held.document))
 
     def get(self, kind: str, name: str) -> Resource:
@@ -234,8 +242,9 @@
         JournalFailedError.
         """
         with self._write_lock:
-            if configuration.version <= self._configuration.version:
-                return self._configuration.version
+            held = self._configuration
+            if held is not None and configuration.version <= held.version:
+                return held.version
             changed = self._diff(
                 configuration.version,
                 {(kind, name): spec for kind, name, spec in resources},
@@ -263,7 +272,8 @@
                 self._changes.append(resource)
         if change.configuration:
             configuration = Configuration(*change.configuration)
-            if configuration.version > self._configuration.version:
+            held = self._configuration
+            if held is None or configuration.version > held.version:
                 self._configuration = configuration
 
     def snapshot(self) -> tuple[typing.Any, ...]:
@@ -271,14 +281,14 @@
         return (
             self.revision,
             [tuple(resource) for resource in self._resources.values()],
-            tuple(self._configuration),
+            tuple(self._configuration or _NOT_PUT),
         )
 
     def restore(self, snapshot: typing.Sequence[typing.Any]) -> None:
         """Replaces the state with one that `snapshot` returned."""
         revision, rows, configuration = snapshot
         self._changes.restart(revision)
-        self._configuration = Configuration(*configuration)
+        self._configuration = _read_packed(configuration)
         self._resources = {}
         self._sizes = {}
         self.held_bytes = 0
@@ -343,6 +353,14 @@
         ]
 
 
+def _read_packed(
+    packed: typing.Sequence[typing.Any],
+) -> Configuration | None:
+    configuration = Configuration(*packed)
+    is_put = configuration.version or zlib.decompress(configuration.document)
+    return configuration if is_put else None
+
+
 def _check_resend(
     current: Resource,
     version: int,
--- a/testing/control/target_end_world.py
+++ b/testing/control/target_end_world.py
@@ -288,10 +288,11 @@
             return
         called, leader = self.rng.choice(running), self.rng.choice(running)
         leader.catch_up()
+        incarnation: int | None
         try:
             incarnation = called.targets.get(name).incarnation
         except directory.UnknownTargetError:
-            incarnation = 0
+            incarnation = None
         ended = leader.targets.end(name, incarnation=incarnation)
         self.acknowledged[name] = max(ended, self.acknowledged.get(name, 0))
 
--- a/testing/coordination/test_store.py
+++ b/testing/coordination/test_store.py
@@ -76,6 +76,7 @@
             resources.put_configuration(
                 store.Configuration(version, b''), smaller, kinds={KIND}
             )
+        assert resources.configuration is not None
         CASE.assertEqual(resources.configuration.version, 2)
 
 
@@ -201,3 +202,44 @@
         resources = _open(folder)
         CASE.assertEqual((resources.revision, resources.list_all()), before)
         resources.close()
+
+
+def test_first_configuration_may_have_any_version() -> None:
+    """Version 0 was taken for none held, and dropped (review/8, issue 58).
+
+    What was put is kept by a restart and by a snapshot.
+    """
+    document = b'{"version": "r0"}'
+    rows = [(KIND, 's', {'path': '/'})]
+    with fixtures.folder() as folder:
+        resources = _open(folder)
+        CASE.assertIsNone(resources.configuration)
+        resources.put_configuration(
+            store.Configuration(0, document), rows, kinds={KIND}
+        )
+        resources.close()
+        reopened = _open(folder)
+        restored = _open(folder / 'other')
+        restored.restore(reopened.snapshot())
+        for each in (reopened, restored):
+            CASE.assertEqual(
+                each.configuration, store.Configuration(0, document)
+            )
+            CASE.assertEqual(each.get(KIND, 's').spec, {'path': '/'})
+            each.put_configuration(
+                store.Configuration(0, b'other'), [], kinds={KIND}
+            )
+            CASE.assertEqual(len(each.list_all()), 1)
+            each.close()
+
+
+def test_snapshot_without_a_configuration_is_none() -> None:
+    """Snapshots of older releases have version 0 if none was put."""
+    with fixtures.folder() as folder:
+        empty = _open(folder)
+        empty.put(KIND, 's', version=1, spec={})
+        restored = _open(folder / 'other')
+        restored.restore(empty.snapshot())
+        CASE.assertIsNone(restored.configuration)
+        for each in (empty, restored):
+            each.close()
--- a/testing/platform_adapter/test_bad_configurations.py
+++ b/testing/platform_adapter/test_bad_configurations.py
@@ -605,8 +605,10 @@
             status, answer = platform.call('POST', '/configuration/put', body)
             CASE.assertIn(status, {200, 400}, answer)
             if status == 200:
-                versions.append(platform.daemon.store.configuration.version)
-                in_store.append(platform.daemon.store.configuration.document)
+                held = platform.daemon.store.configuration
+                assert held is not None
+                versions.append(held.version)
+                in_store.append(held.document)
                 CASE.assertIn(in_store[-1], {body, in_store[-2]})
             else:
                 CASE.assertEqual(
--- a/testing/platform_adapter/test_calls.py
+++ b/testing/platform_adapter/test_calls.py
@@ -44,6 +44,16 @@
         CASE.assertEqual(platform.daemon.store.revision, revision)
 
 
+def test_first_configuration_may_be_r0() -> None:
+    """It was acknowledged and dropped: no read returned it (review/8)."""
+    with control_hosts.running() as platform:
+        document = samples.configuration(0)
+        CASE.assertEqual(platform.put(document), 200)
+        CASE.assertEqual(platform.read_configuration(), document)
+        CASE.assertEqual(platform.put(samples.configuration(0)), 200)
+        CASE.assertGreater(platform.daemon.store.revision, 0)
+
+
 def test_configuration_with_a_version_of_any_size_is_put_and_read_back() -> (
     None
 ):
