Tests: a name of its own for the answer that is read back

What readers saw: one name for the stored configuration and for an answer, which the type checker refuses since a store may hold none. The checks are unchanged; 16 tests of bad configurations passed, and mypy finds nothing.

--- a/testing/platform_adapter/test_bad_configurations.py
+++ b/testing/platform_adapter/test_bad_configurations.py
@@ -616,8 +616,8 @@
                 )
                 CASE.assertLess(len(answer), 1000)
                 CASE.assertEqual(platform.daemon.store.revision, revision)
-            held = platform.call('GET', '/configuration/get')
-            CASE.assertEqual(held, (200, in_store[-1]))
+            held_answer = platform.call('GET', '/configuration/get')
+            CASE.assertEqual(held_answer, (200, in_store[-1]))
 
         check()
         CASE.assertEqual(platform.call('GET', '/healthz')[0], 200)
