Hold what is known of requests that crash targets by account, as state

Cause: a request was known by method, path and body, so answers to others cleared its count. And a block was told as an event to the entries connected at that moment, and dropped the count.

Why this works: the digest has the account. As fewer answers clear a popular request's count then, a request that lost two targets is suspected: all entries know, its next answer at any of them clears it, and it is not retried once it may have run. Verdicts are state: entries that connect and control hosts that start are told, the latter by entries too. After a block one more loss blocks the request again.

--- a/src/mulberryquay/control/cluster.py
+++ b/src/mulberryquay/control/cluster.py
@@ -274,6 +274,7 @@
             host_protocol.TargetAnnounced(list(row))
             for row in self.targets.list_targets()
         ]
+        updates += self.feed.target_reports.verdicts()
         if self.entries.is_leading:
             updates.append(self._lists_message())
         return updates
@@ -378,6 +379,11 @@
                 | crash_messages.RequestCleared()
             ):
                 self.feed.target_reports.apply_crash(update)
+            case (
+                crash_messages.RequestBlocked()
+                | crash_messages.RequestSuspected()
+            ):
+                self.feed.target_reports.apply_verdict(update)
 
     def _apply_entry_lists(self, lists: host_protocol.EntryLists) -> None:
         pending = None
--- a/src/mulberryquay/control/feed.py
+++ b/src/mulberryquay/control/feed.py
@@ -20,7 +20,6 @@
 )
 from mulberryquay.coordination import (
     clock,
-    crash_guard,
     errors,
     history,
     shares,
@@ -70,11 +69,11 @@
         self._group = group
         #: Applies what entries report of targets.
         self.target_reports = target_reports.TargetReports(
-            targets, time_source, self._send_block
+            targets, time_source, self._send_verdict, group.publish
         )
         self._outbound_queues: dict[str, queue.Queue] = {}
         #: Names of connected entries that read `protocol.TargetsEnded`.
-        self._reads_ends: set[str] = set()
+        self._newer_entries: set[str] = set()
         targets.publish_ends = self._send_ends
         self._rows: dict[str, membership.EntryRow] = {}
         self._sent_committed = shares.EntryList(0, ())
@@ -145,7 +144,7 @@
     ) -> None:
         if self._outbound_queues.get(entry) is outbound:
             self._outbound_queues.pop(entry)
-            self._reads_ends.discard(entry)
+            self._newer_entries.discard(entry)
             self._rows.pop(entry, None)
         stream.close()
         self.bytes_received += stream.bytes_received
@@ -159,15 +158,15 @@
             oldest_version=protocol.OLDEST_ENTRY_VERSION,
         )
         wire.check_texts(hello)
-        reads_ends = hello.protocol_version >= protocol.TARGETS_ENDED_VERSION
+        is_newer = hello.protocol_version >= protocol.TARGETS_ENDED_VERSION
         if self._needs_uncertain_state(hello):
-            self._enqueue_state(outbound, reads_ends=reads_ends)
+            self._enqueue_state(outbound, is_newer=is_newer)
         self._group.wait_until_current()
         self.target_reports.restore(hello)
-        self._enqueue_state(outbound, reads_ends=reads_ends)
+        self._enqueue_state(outbound, is_newer=is_newer)
         self._outbound_queues[hello.entry] = outbound
-        if reads_ends:
-            self._reads_ends.add(hello.entry)
+        if is_newer:
+            self._newer_entries.add(hello.entry)
         self._rows[hello.entry] = membership.EntryRow(
             hello.entry,
             hello.region,
@@ -194,15 +193,15 @@
         is_empty = not hello.config_revision and self._store.revision > 0
         return is_empty and not self._group.is_in_touch
 
-    def _enqueue_state(
-        self, outbound: queue.Queue, *, reads_ends: bool
-    ) -> None:
+    def _enqueue_state(self, outbound: queue.Queue, *, is_newer: bool) -> None:
         outbound.put_nowait(
             protocol.ControlHosts(self._group.list_hosts()),
         )
+        for verdict in self.target_reports.verdicts(is_newer=is_newer):
+            outbound.put_nowait(verdict)
         self._enqueue_config(outbound)
         for message in feed_messages.target_state(
-            self._directory, reads_ends=reads_ends
+            self._directory, is_newer=is_newer
         ):
             outbound.put_nowait(message)
         outbound.put_nowait(
@@ -248,9 +247,10 @@
                 case (
                     crash_messages.ConnectionLost()
                     | crash_messages.RequestCleared()
+                    | crash_messages.RequestBlocked()
+                    | crash_messages.RequestSuspected()
                 ):
-                    self.target_reports.apply_crash(message)
-                    self._group.publish(message)
+                    self.target_reports.receive(message)
                 case protocol.PermitsAsked(number, account, count):
                     self._group.permits.ask(
                         account,
@@ -294,10 +294,11 @@
         self._group.reports.record(self._rows[entry])
         self.send_entry_list()
 
-    def _send_block(self, fingerprint: bytes) -> None:
-        self._broadcast(
-            crash_messages.RequestBlocked(fingerprint, crash_guard.BLOCK_MS)
-        )
+    def _send_verdict(self, verdict: target_reports.Verdict) -> None:
+        if isinstance(verdict, crash_messages.RequestSuspected):
+            self._send_to(self._newer_entries, verdict)
+        else:
+            self._broadcast(verdict)
 
     def _write(self, stream: wire.Stream, outbound: queue.Queue) -> None:
         while True:
@@ -311,23 +312,22 @@
 
     def _send_ends(self, ends: dict[str, int]) -> None:
         for message in feed_messages.targets_ended(ends):
-            self._send_to(
-                self._reads_ends & set(self._outbound_queues), message
-            )
+            self._send_to(self._newer_entries, message)
 
     def _broadcast(self, message: tuple[typing.Any, ...]) -> None:
-        self._send_to(list(self._outbound_queues), message)
+        self._send_to(self._outbound_queues, message)
 
     def _send_to(
         self, entries: typing.Iterable[str], message: tuple[typing.Any, ...]
     ) -> None:
-        for entry in entries:
+        for entry in list(entries):
             try:
                 self._outbound_queues[entry].put_nowait(message)
             except queue.Full:
                 # The entry does not read. Without answers to its heartbeats
                 # it reconnects and gets the whole state.
                 self._outbound_queues.pop(entry, None)
+                self._newer_entries.discard(entry)
 
     def send_entry_list(self) -> None:
         """Sends each entry list that has changed to all connected entries."""
--- a/src/mulberryquay/control/feed_messages.py
+++ b/src/mulberryquay/control/feed_messages.py
@@ -62,14 +62,14 @@
 
 
 def target_state(
-    targets: directory.Directory, *, reads_ends: bool
+    targets: directory.Directory, *, is_newer: bool
 ) -> typing.Iterator[tuple[typing.Any, ...]]:
     """Yields what an entry has to know of targets when it connects.
 
     The ends come first, so that no ended target is used in between. Entries
     of older releases cannot read them.
     """
-    if reads_ends:
+    if is_newer:
         yield from targets_ended(targets.ended_targets.snapshot())
     yield protocol.TargetsChanged(
         [list(row) for row in targets.list_targets()],
--- a/src/mulberryquay/control/host_protocol.py
+++ b/src/mulberryquay/control/host_protocol.py
@@ -210,6 +210,8 @@
         EntryLists,
         crash_messages.ConnectionLost,
         crash_messages.RequestCleared,
+        crash_messages.RequestBlocked,
+        crash_messages.RequestSuspected,
     ),
 )
 
--- a/src/mulberryquay/control/target_reports.py
+++ b/src/mulberryquay/control/target_reports.py
@@ -8,6 +8,9 @@
 from mulberryquay.control import directory, host_protocol
 from mulberryquay.coordination import clock, crash_guard
 
+CrashReport = crash_messages.ConnectionLost | crash_messages.RequestCleared
+Verdict = crash_messages.RequestBlocked | crash_messages.RequestSuspected
+
 
 @typing.final
 class TargetReports:
@@ -17,12 +20,14 @@
         self,
         targets: directory.Directory,
         time_source: clock.Clock,
-        on_blocked: typing.Callable[[bytes], None],
+        tell_entries: typing.Callable[[Verdict], None],
+        tell_hosts: typing.Callable[[CrashReport | Verdict], None],
     ) -> None:
-        """Calls ``on_blocked`` with each request that is blocked from now."""
+        """Tells others of each request that is suspected or blocked."""
         #: The targets that are reported on.
         self.directory = targets
-        self._on_blocked = on_blocked
+        self._tell_entries = tell_entries
+        self._tell_hosts = tell_hosts
         self._guard = crash_guard.CrashGuard(time_source)
 
     @property
@@ -51,24 +56,79 @@
                 limited_name, protocol.RateLimitReport(*fields)
             )
 
+    def verdicts(self, *, is_newer: bool = True) -> list[Verdict]:
+        """Returns what others have to know when they connect.
+
+        Entries of older releases read only which requests are blocked.
+        """
+        return [
+            crash_messages.of_standing(standing)
+            for standing in self._guard.standings
+            if is_newer or standing.verdict is crash_guard.Verdict.BLOCKED
+        ]
+
+    def receive(self, message: CrashReport | Verdict) -> None:
+        """Applies what an entry sent, and passes reports on to other hosts.
+
+        A verdict that an entry kept counts for a while after a start. Later,
+        it may have been cleared here.
+        """
+        match message:
+            case (
+                crash_messages.ConnectionLost()
+                | crash_messages.RequestCleared()
+            ):
+                self.apply_crash(message)
+                self._tell_hosts(message)
+            case (
+                crash_messages.RequestBlocked()
+                | crash_messages.RequestSuspected()
+            ):
+                if self.directory.is_relearning:
+                    self.apply_verdict(message)
+
     def apply_crash(
         self,
-        report: crash_messages.ConnectionLost | crash_messages.RequestCleared,
+        report: CrashReport,
     ) -> None:
         """Applies a report on a request, received by this or another host."""
         match report:
             case crash_messages.ConnectionLost():
                 self._record_connection_loss(report)
             case crash_messages.RequestCleared(fingerprint):
+                was_blocked = self._guard.is_blocked(fingerprint)
                 self._guard.clear(fingerprint)
+                if was_blocked:
+                    self._tell_entries(
+                        crash_messages.RequestBlocked(fingerprint, 0)
+                    )
+
+    def apply_verdict(self, verdict: Verdict) -> None:
+        """Applies what another host, or an entry after a start, knows."""
+        fingerprint, duration = verdict
+        match verdict:
+            case crash_messages.RequestBlocked():
+                if self._guard.is_blocked(fingerprint):
+                    return
+                self._guard.block(fingerprint, duration=duration)
+                self._tell_entries(verdict)
+            case crash_messages.RequestSuspected():
+                if self._guard.suspect(fingerprint, duration=duration):
+                    self._tell_entries(verdict)
 
     def _record_connection_loss(
         self, loss: crash_messages.ConnectionLost
     ) -> None:
+        fingerprint = loss.fingerprint
+        before = self._guard.verdict_of(fingerprint)
         is_blocked = self._guard.record(
-            loss.fingerprint,
-            loss.target,
-            ran_for=loss.ran_for_ms,
+            fingerprint, loss.target, ran_for=loss.ran_for_ms
         )
-        if is_blocked:
-            self._on_blocked(loss.fingerprint)
+        verdict = self._guard.verdict_of(fingerprint)
+        if verdict is before and not is_blocked:
+            return
+        for standing in self._guard.standings_of(fingerprint):
+            message = crash_messages.of_standing(standing)
+            self._tell_entries(message)
+            if is_blocked:
+                self._tell_hosts(message)
--- a/src/mulberryquay/crash_messages.py
+++ b/src/mulberryquay/crash_messages.py
@@ -4,6 +4,8 @@
 
 import typing
 
+from mulberryquay.coordination import crash_guard
+
 
 class ConnectionLost(typing.NamedTuple):
     """The connection to a target was lost while it ran a request."""
@@ -20,8 +22,30 @@
     fingerprint: bytes
 
 
+class RequestSuspected(typing.NamedTuple):
+    """Two targets failed on a request; don't retry it for ``duration_ms``.
+
+    Its next answer is reported with `RequestCleared`.
+    """
+
+    fingerprint: bytes
+    duration_ms: int
+
+
 class RequestBlocked(typing.NamedTuple):
-    """Several targets failed on a request; refuse it for ``duration_ms``."""
+    """Several targets failed on a request; refuse it for ``duration_ms``.
+
+    With a duration of 0 it is cleared.
+    """
 
     fingerprint: bytes
     duration_ms: int
+
+
+def of_standing(
+    standing: crash_guard.Standing,
+) -> RequestBlocked | RequestSuspected:
+    """Returns the message that tells others of a verdict."""
+    if standing.verdict is crash_guard.Verdict.BLOCKED:
+        return RequestBlocked(standing.fingerprint, int(standing.duration))
+    return RequestSuspected(standing.fingerprint, int(standing.duration))
--- a/src/mulberryquay/entry/control_link.py
+++ b/src/mulberryquay/entry/control_link.py
@@ -86,12 +86,13 @@
         target: str,
         *,
         ran_for: float,
-    ) -> None:
+    ) -> bool:
         """Reports that a target's connection was lost during a request.
 
         The request ran for ``ran_for`` ms and may have crashed the target.
+        Returns False if no control host could be told.
         """
-        self._send_to_one(
+        return self._send_to_one(
             crash_messages.ConnectionLost(fingerprint, target, ran_for)
         )
 
@@ -113,12 +114,12 @@
             for stream in self._asked_streams
         )
 
-    def _send_to_one(self, message: tuple[typing.Any, ...]) -> None:
+    def _send_to_one(self, message: tuple[typing.Any, ...]) -> bool:
         """Sends to one control host, which forwards to the others."""
-        for stream in self._streams:
-            if stream.is_connected:
-                stream.send(message)
-                return
+        return any(
+            stream.is_connected and stream.send(message)
+            for stream in self._streams
+        )
 
     def _send_to_all(self, message: tuple[typing.Any, ...]) -> None:
         for stream in self._streams:
--- a/src/mulberryquay/entry/control_stream.py
+++ b/src/mulberryquay/entry/control_stream.py
@@ -129,6 +129,8 @@
         self._lease_renewed_at = self._clock.now()
         self._snapshot_rows = []
         stream.send(self._make_hello())
+        for verdict in self._view.known_verdicts():
+            stream.send(verdict)
         self._stream = stream
         _LOG.info('following control host', extra={'host': address})
         self._view.changed.notify()
@@ -157,8 +159,11 @@
                 view.update_peers(peers)
             case protocol.ControlHosts(hosts):
                 view.hosts.update_announced(hosts)
-            case crash_messages.RequestBlocked(fingerprint, duration):
-                view.block_request(fingerprint, duration)
+            case (
+                crash_messages.RequestBlocked()
+                | crash_messages.RequestSuspected()
+            ):
+                view.apply_verdict(message)
             case _:
                 raise wire.ProtocolError(
                     f'unexpected message {type(message).__name__} from a '
--- a/src/mulberryquay/entry/control_view.py
+++ b/src/mulberryquay/entry/control_view.py
@@ -6,7 +6,7 @@
 import math
 import typing
 
-from mulberryquay import protocol
+from mulberryquay import crash_messages, protocol
 from mulberryquay.coordination import clock, shares, signals
 from mulberryquay.entry import (
     config_replica,
@@ -145,13 +145,34 @@
         """Applies a decision on permits of a client account."""
         self._state.leased_rates.receive(answer)
 
-    def block_request(self, fingerprint: bytes, duration: float) -> None:
-        """Refuses, for ``duration`` ms, a request that crashes targets."""
+    def apply_verdict(
+        self,
+        verdict: crash_messages.RequestBlocked
+        | crash_messages.RequestSuspected,
+    ) -> None:
+        """Applies what control hosts decided of a request."""
+        fingerprint, duration = verdict
+        guard = self._state.crashes.guard
+        match verdict:
+            case crash_messages.RequestSuspected():
+                guard.suspect(fingerprint, duration=duration)
+            case crash_messages.RequestBlocked(duration_ms=0):
+                guard.clear(fingerprint)
+            case crash_messages.RequestBlocked():
+                guard.block(fingerprint, duration=duration)
         _LOG.warning(
-            'request blocked',
+            f'request {guard.verdict_of(fingerprint).value}',
             extra={'fingerprint': fingerprint.hex(), 'for_ms': duration},
         )
-        self._state.crashes.guard.block(fingerprint, duration=duration)
+
+    def known_verdicts(
+        self,
+    ) -> list[crash_messages.RequestBlocked | crash_messages.RequestSuspected]:
+        """Returns what a control host that has started does not know."""
+        return [
+            crash_messages.of_standing(standing)
+            for standing in self._state.crashes.guard.standings
+        ]
 
     def confirmable_versions(self) -> tuple[int, int]:
         """Returns the revision and the entry list epoch to confirm now.
--- a/src/mulberryquay/entry/forwarder.py
+++ b/src/mulberryquay/entry/forwarder.py
@@ -6,6 +6,7 @@
 
 import xxhash
 
+from mulberryquay.coordination import crash_guard
 from mulberryquay.entry import (
     attempt,
     attempt_results,
@@ -23,6 +24,8 @@
 )
 
 
+_HARMLESS: typing.Final = crash_guard.Verdict.HARMLESS
+
 #: Least remaining time for another attempt; no target answers faster.
 MIN_ATTEMPT_MS: typing.Final = 20.0
 
@@ -80,6 +83,12 @@
         """Whether an attempt was begun, so that the request may have run."""
         return self._attempt is not None
 
+    @property
+    def _crash_guard(self) -> crash_guard.CrashGuard:
+        return self._state.crashes.guard_for(
+            is_reported=self._is_crash_reported()
+        )
+
     def stop_retrying(self) -> None:
         """Prevents further attempts, because the caller is gone."""
         self._is_caller_gone = True
@@ -118,6 +127,8 @@
             authentication.check_still_allowed(
                 self._state, self._request.identity
             )
+            # It may have waited meanwhile.
+            self._check_not_blocked()
         except outcomes.RefusedError:
             self._queue.release(target)
             raise
@@ -283,6 +294,11 @@
         if not self._is_retryable(result) or not self._has_attempts_left():
             return False
         reason = attempt_results.name_and_reason(result)[1].value
+        if self.may_have_run and self._verdict() is not _HARMLESS:
+            self._state.metrics.count(
+                'mulberryquay_retries_suspected_total', reason
+            )
+            return False
         is_free = self._was_relayed and attempt_results.reached_no_target(
             result
         )
@@ -341,7 +357,7 @@
     ) -> outcomes.Received:
         match result:
             case outcomes.Received():
-                if not self._state.crashes.guard.is_idle:
+                if not self._crash_guard.is_idle:
                     self._clear_crashes()
                 return result
             case outcomes.Lost(reason):
@@ -375,8 +391,7 @@
             self._queue.release(target)
 
     def _check_not_blocked(self) -> None:
-        guard = self._state.crashes.guard
-        if not guard.is_idle and guard.is_blocked(self._fingerprint()):
+        if self._verdict() is crash_guard.Verdict.BLOCKED:
             raise outcomes.not_run(
                 outcomes.Reason.BREAKS_TARGETS,
                 'targets repeatedly failed while they ran this request; it '
@@ -384,8 +399,22 @@
                 retry_after_s=60,
             )
 
+    def _verdict(self) -> crash_guard.Verdict:
+        guard = self._crash_guard
+        if guard.is_idle:
+            return _HARMLESS
+        return guard.verdict_of(self._fingerprint())
+
     def _fingerprint(self) -> bytes:
-        return fingerprint_of(self._request.outgoing)
+        """Returns a digest of the request and of the account that sent it.
+
+        An answer to another account must not refute that it crashes targets.
+        """
+        digest = fingerprint_of(self._request.outgoing)
+        account = self._request.identity.account
+        if account is None:
+            return digest
+        return xxhash.xxh3_128_digest(digest + account.name.encode())
 
     def _is_crash_reported(self) -> bool:
         """Whether control hosts may learn that the request crashes targets.
--- a/src/mulberryquay/entry/state.py
+++ b/src/mulberryquay/entry/state.py
@@ -60,6 +60,11 @@
         'Retries that the retry budget denied, by reason.',
         labels=_REASON,
     ),
+    metrics.MetricDeclaration(
+        'mulberryquay_retries_suspected_total',
+        'Retries not made because the request may crash targets, by reason.',
+        labels=_REASON,
+    ),
     metrics.MetricDeclaration(
         'mulberryquay_tries_total',
         'Attempts on targets by result and reason.',
--- a/src/mulberryquay/protocol.py
+++ b/src/mulberryquay/protocol.py
@@ -14,7 +14,8 @@
 #: be replaced before the entries.
 OLDEST_ENTRY_VERSION: typing.Final = 7
 
-#: The first version whose entries read `TargetsEnded`.
+#: The first version whose entries read `TargetsEnded` and
+#: `crash_messages.RequestSuspected`.
 TARGETS_ENDED_VERSION: typing.Final = 8
 
 
@@ -233,5 +234,6 @@
         PermitsAsked,
         PermitsDecided,
         TargetsEnded,
+        crash_messages.RequestSuspected,
     ),
 )
--- a/testing/control/target_end_world.py
+++ b/testing/control/target_end_world.py
@@ -94,9 +94,7 @@
         """Sends an entry the whole state, and what changes from now on."""
         self.catch_up()
         self.followers[entry.name] = self.targets.changes.revision
-        for message in feed_messages.target_state(
-            self.targets, reads_ends=True
-        ):
+        for message in feed_messages.target_state(self.targets, is_newer=True):
             entry.receive(self.name, message)
 
     def write_cache(self) -> None:
--- a/testing/entry/test_forwarder.py
+++ b/testing/entry/test_forwarder.py
@@ -6,7 +6,7 @@
 import unittest
 from unittest import mock
 
-from mulberryquay.coordination import clock, retry_budget
+from mulberryquay.coordination import clock, crash_guard, retry_budget
 from mulberryquay.entry import (
     attempt,
     dialect,
@@ -29,13 +29,16 @@
     is_peer: bool,
     tokens: float = 0,
     time_left: float = 1000,
+    verdict: crash_guard.Verdict = crash_guard.Verdict.HARMLESS,
 ) -> list[outcomes.AttemptResult]:
     """Forwards a request with these results; returns those consumed."""
     entry_state = mock.MagicMock()
     entry_state.clock = clock.ManualClock()
     entry_state.planned_stop = planned_stop.PlannedStop(entry_state.clock)
     entry_state.load_prober = None
-    entry_state.crashes.guard.is_idle = True
+    guard = entry_state.crashes.guard_for.return_value
+    guard.is_idle = verdict is crash_guard.Verdict.HARMLESS
+    guard.verdict_of.return_value = verdict
     entry_state.crashes.reporter = None
     entry_state.dialect.sends_depth = False
     entry_state.retry_budget_for.return_value = retry_budget.RetryBudget(
@@ -168,3 +171,21 @@
         [(header_names.OUTCOME, b'answered'), (header_names.REASON, b'none')]
     )
     CASE.assertIsInstance(relayed, outcomes.Received)
+
+
+def test_suspected_request_is_not_retried_once_it_may_have_run() -> None:
+    """Each retry of a request that crashes targets costs one more."""
+    lost = outcomes.Lost(outcomes.Reason.CONNECTION_LOST)
+    not_sent = outcomes.NotSent(outcomes.Reason.CONNECT_FAILED)
+    rows: list[tuple[list[outcomes.AttemptResult], int]] = [
+        ([lost, lost], 1),
+        ([not_sent, lost, lost], 2),
+    ]
+    for results, expected in rows:
+        consumed = _forward(
+            results,
+            is_peer=False,
+            tokens=9,
+            verdict=crash_guard.Verdict.SUSPECTED,
+        )
+        CASE.assertEqual(len(consumed), expected)
--- a/testing/entry/test_outcomes.py
+++ b/testing/entry/test_outcomes.py
@@ -426,6 +426,68 @@
             CASE.assertEqual(other.outcome, _LOST)
 
 
+def _lose_bad_account(request: target.ReceivedRequest) -> target.Answer:
+    """Loses the answers to one account."""
+    if request.head.find(b'mulberryquay-account') == b'bad':
+        return target.Answer(raw=b'')
+    return target.Answer()
+
+
+def test_answers_to_one_account_do_not_clear_crashes_of_another() -> None:
+    """A request was never stopped while others had its path (review/9)."""
+    names = [f't{number}' for number in range(6)]
+    with (
+        fixtures.control() as control,
+        fixtures.entry(control) as entry,
+        _order_targets(control, names, _lose_bad_account),
+    ):
+        _declare(control)
+        for account in ('bad', 'good'):
+            control.put('client-accounts', account)
+        control.wait_in_force()
+        fixtures.wait_for_targets(entry, *names)
+        outcomes_of_bad = []
+        for _ in range(len(names) * 4):
+            outcomes_of_bad.append(_order_as(entry, 'bad'))
+            CASE.assertEqual(_order_as(entry, 'good'), 'answered/none')
+        CASE.assertEqual(outcomes_of_bad[0], _LOST)
+        CASE.assertEqual(outcomes_of_bad[-1], 'not-run/breaks-targets')
+
+
+def _order_as(entry: daemon.EntryDaemon, account: str) -> str:
+    return fixtures.ask(
+        entry,
+        '/order/popular',
+        method='POST',
+        body=b'b',
+        headers={'Mulberryquay-Account': account},
+    ).outcome
+
+
+def test_entry_that_starts_refuses_what_is_blocked() -> None:
+    """After a rolling restart, it crashed targets again (review/10)."""
+    names = [f't{number}' for number in range(6)]
+    with (
+        fixtures.control() as control,
+        _order_targets(control, names, _raw_handler(b'')) as order_targets,
+    ):
+        _declare(control)
+        with fixtures.entry(control, 'entry-1') as first:
+            fixtures.wait_for_targets(first, *names)
+            fixtures.wait_until(
+                lambda: _send_crashing_request(first).outcome != _LOST
+            )
+        crashed = sum(each.runs['POST /order/poison'] for each in order_targets)
+        with fixtures.entry(control, 'entry-2') as second:
+            fixtures.wait_for_targets(second, *names)
+            refused = _send_crashing_request(second)
+        CASE.assertEqual(refused.outcome, 'not-run/breaks-targets')
+        CASE.assertEqual(
+            crashed,
+            sum(each.runs['POST /order/poison'] for each in order_targets),
+        )
+
+
 def test_requests_that_overloaded_targets_reset_are_not_blocked() -> None:
     """An overloaded target resets connections of requests that are harmless."""
     names = [f't{number}' for number in range(5)]
