An upload that meets the reset of its target completes no answer

What callers saw: a target answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being sent. The caller got that part as a complete answer.

Cause: the kernel reports a reset once. If the task that sends the upload is told, the task that reads the answer sees an end like that of a closed connection, which completes an answer without a length. The entry's own interruption of the connection, for an upload that can't be read, looks the same to a task that was not waiting for the target.

Why this works: a failed send, or an interruption, marks the connection; its end then completes no answer. EPIPE marks nothing: the kernel reports so a reset that came after an orderly end, which stays a whole answer (a test guards it).

--- a/src/mulberryquay/entry/attempt.py
+++ b/src/mulberryquay/entry/attempt.py
@@ -370,7 +370,7 @@
             for part in self._outgoing.remaining_body or ():
                 self._send_part(connection, part)
             if self._outgoing.framing is http_heads.Framing.CHUNKED:
-                connection.socket.sendall(http_heads.LAST_CHUNK)
+                connection.send_body(http_heads.LAST_CHUNK)
         except OSError:
             # The target may have answered early; the reading task finds out.
             return False
@@ -385,7 +385,7 @@
     ) -> None:
         if self._outgoing.framing is http_heads.Framing.CHUNKED:
             part = http_heads.encode_chunk(part)
-        connection.socket.sendall(part)
+        connection.send_body(part)
 
     def _stop_body_sender(self) -> None:
         if self._body_sender is not None:
--- a/src/mulberryquay/entry/connections.py
+++ b/src/mulberryquay/entry/connections.py
@@ -90,8 +90,23 @@
         """Whether it carried no probe and at most one request so far."""
         return len(self.sent_ids) <= 1 and not self.has_carried_probe
 
+    def send_body(self, part: bytes) -> None:
+        """Sends a part of a body while another task may read the answer.
+
+        Raises OSError.
+        """
+        try:
+            self.socket.sendall(part)
+        except BrokenPipeError:
+            # The target ended its side in order before it reset the other one.
+            raise
+        except OSError:
+            self.reader.is_broken = True
+            raise
+
     def interrupt(self) -> None:
         """Shuts the socket down, which wakes a task that waits on it."""
+        self.reader.is_broken = True
         try:
             self.socket.shutdown(socket.SHUT_RDWR)
         except OSError:
--- a/src/mulberryquay/entry/messages.py
+++ b/src/mulberryquay/entry/messages.py
@@ -392,6 +392,10 @@
         super().__init__(connection, header_filter)
         self._parser = httptools.HttpResponseParser(self)
         self._status_line = status_lines.StatusLineCheck()
+        #: Whether the end of the connection is no end of an answer. The kernel
+        #: reports a reset once, be it to a task that sends; a task that reads
+        #: then sees an end like that of a closed connection.
+        self.is_broken = False
 
     def on_message_begin(self) -> None:
         """Called by the parser."""
@@ -446,11 +450,15 @@
     def read_until_close(self) -> bytes | None:
         """Returns the next part of a body that ends with the connection.
 
-        Raises http_heads.MessageError, and OSError if the peer reset the
-        connection.
+        Raises http_heads.MessageError, and OSError or http_heads.CutShortError
+        if the connection was reset or interrupted.
         """
         while not self._events:
             if not self.receive():
+                if self.is_broken:
+                    raise http_heads.CutShortError(
+                        'the connection was reset before the end of the answer'
+                    )
                 return None
         return self.read_part()
 
--- a/testing/entry/test_cut_answers.py
+++ b/testing/entry/test_cut_answers.py
@@ -7,6 +7,10 @@
 import typing
 import unittest
 
+import gevent
+from gevent import event, server, socket
+
+from mulberryquay import sockets
 from mulberryquay.coordination import errors
 from mulberryquay.entry import daemon
 from mulberryquay.standin import target
@@ -108,3 +112,121 @@
         answer = fixtures.ask(entry, '/stock/x', method='HEAD')
         CASE.assertEqual(answer.body, b'')
         CASE.assertNotIn('connection', answer.headers)
+
+
+#: More than the socket buffers between the target and the caller hold.
+_LONG_PART: typing.Final = bytes(12 << 20)
+
+
+class _EarlyTarget:
+    """Answers an upload at once, without a length, and reads none of it."""
+
+    def __init__(self, control: fixtures.Control) -> None:
+        """Announces itself to ``control``."""
+        self.has_ended = event.Event()
+        self.may_end = event.Event()
+        self.resets = True
+        self.part = _LONG_PART
+        self._server = server.StreamServer(('127.0.0.1', 0), self._serve)
+        self._server.start()
+        control.daemon.targets.merge_announced(
+            fixtures.warm_row('early', f'127.0.0.1:{self._server.server_port}')
+        )
+
+    def stop(self) -> None:
+        """Closes the port."""
+        self._server.stop(timeout=0)
+
+    def _serve(self, connection: typing.Any, _address: typing.Any) -> None:
+        with connection, contextlib.suppress(OSError):
+            if not connection.recv(1):
+                return
+            connection.sendall(_UNSIZED)
+            connection.settimeout(0.5)
+            with contextlib.suppress(TimeoutError):
+                connection.sendall(self.part)
+            self.may_end.wait(5)
+            if self.resets:
+                sockets.set_reset_on_close(connection, is_reset=True)
+            else:
+                connection.shutdown(socket.SHUT_WR)
+                gevent.sleep(0.5)
+        self.has_ended.set()
+
+
+@contextlib.contextmanager
+def _early_scene() -> typing.Iterator[tuple[_EarlyTarget, typing.Any]]:
+    """Yields an early target and a caller that begins a chunked upload."""
+    with fixtures.control() as control, fixtures.entry(control) as entry:
+        early = _EarlyTarget(control)
+        control.declare(service_class={'idempotent': False})
+        fixtures.wait_for_targets(entry, 'early')
+        control.wait_in_force()
+        with socket.create_connection(('127.0.0.1', entry.port)) as caller:
+            caller.settimeout(5)
+            caller.sendall(
+                b'POST /stock/x HTTP/1.1\r\nHost: t\r\n'
+                b'Transfer-Encoding: chunked\r\n\r\n' + _UPLOADED
+            )
+            yield early, caller
+        early.stop()
+
+
+#: More than entries keep to send it again, so that the rest is streamed.
+_UPLOADED: typing.Final = b'10000\r\n' + bytes(65536) + b'\r\n'
+
+
+def _read_to_end(caller: typing.Any) -> bytes:
+    """Returns what a caller gets, with the end of a connection or a reset."""
+    received = bytearray()
+    with contextlib.suppress(OSError):
+        while part := caller.recv(1 << 20):
+            received += part
+    return bytes(received)
+
+
+def test_reset_that_the_upload_meets_does_not_complete_the_answer() -> None:
+    """A part of an answer without length was passed on as whole (issue 58).
+
+    The kernel tells a reset once: here to the task that sends the upload,
+    while the one that passes the answer on waits for the caller.
+    """
+    with _early_scene() as (early, caller):
+        gevent.sleep(0.8)
+        early.may_end.set()
+        early.has_ended.wait(5)
+        with contextlib.suppress(OSError):
+            for _ in range(4):
+                caller.sendall(_UPLOADED)
+                gevent.sleep(0.05)
+        received = _read_to_end(caller)
+    CASE.assertIn(b'200 OK', received[:100])
+    CASE.assertFalse(received.endswith(b'0\r\n\r\n'))
+
+
+def test_upload_that_cannot_be_read_does_not_complete_the_answer() -> None:
+    """The entry interrupts the connection, which looks like its end.
+
+    A task that waits for the target is told; here it waits for the caller.
+    """
+    with _early_scene() as (early, caller):
+        gevent.sleep(0.8)
+        caller.sendall(b'this is no chunk\r\n')
+        gevent.sleep(0.1)
+        received = _read_to_end(caller)
+        early.may_end.set()
+    CASE.assertIn(b'200 OK', received[:100])
+    CASE.assertFalse(received.endswith(b'0\r\n\r\n'))
+
+
+def test_orderly_end_completes_the_answer_though_the_upload_is_unread() -> None:
+    """An answer that ends with its connection must not be taken for broken."""
+    with _early_scene() as (early, caller):
+        early.part = b'hello'
+        early.resets = False
+        early.may_end.set()
+        gevent.sleep(0.2)
+        with contextlib.suppress(OSError):
+            caller.sendall(_UPLOADED)
+        received = _read_to_end(caller)
+    CASE.assertTrue(received.endswith(b'5\r\nhello\r\n0\r\n\r\n'), received)
