Feed: a class for the queues of entries; log verdicts where they are decided

What readers saw: the feed kept two collections of entries in step by hand. An entry of the release before that took the name of a newer one's stream would have been sent messages that it can't read (found by reading, not run); a block with less than 1 ms left was told as 0, which clears the request; and each entry logged each suspicion.

Change: `EntryQueues` holds the queues and which entries are of this release. Durations of verdicts are rounded up. Control hosts log verdicts, once; entries log blocks and their end. An account that stays authenticated is not checked against all others again. No message and no bound has changed.

--- a/src/mulberryquay/control/feed.py
+++ b/src/mulberryquay/control/feed.py
@@ -12,6 +12,7 @@
 from mulberryquay import crash_messages, protocol
 from mulberryquay.control import (
     directory,
+    entry_queues,
     feed_messages,
     host_protocol,
     kinds,
@@ -33,9 +34,6 @@
 #: heartbeat that was answered.
 FRESHNESS_LEASE_MS: typing.Final = 3000
 
-#: Messages queued for an entry; beyond this it has to reconnect.
-_MAX_QUEUED: typing.Final = 10_000
-
 #: How often renewed leases are reported to the other control hosts. Leases
 #: run much longer (`directory.TARGET_LEASE_MS`).
 _RENEWALS_INTERVAL_MS: typing.Final = 8000
@@ -71,9 +69,7 @@
         self.target_reports = target_reports.TargetReports(
             targets, time_source, self._send_verdict, group.publish
         )
-        self._outbound_queues: dict[str, queue.Queue] = {}
-        #: Names of connected entries that read `protocol.TargetsEnded`.
-        self._newer_entries: set[str] = set()
+        self._queues = entry_queues.EntryQueues()
         targets.publish_ends = self._send_ends
         self._rows: dict[str, membership.EntryRow] = {}
         self._sent_committed = shares.EntryList(0, ())
@@ -121,7 +117,7 @@
 
     def _serve_stream(self, stream: wire.Stream) -> None:
         stream.set_timeout(_STREAM_TIMEOUT_MS)
-        outbound: queue.Queue = queue.Queue(maxsize=_MAX_QUEUED)
+        outbound: queue.Queue = entry_queues.new_queue()
         entry = ''
         writer = gevent.spawn(self._write, stream, outbound)
         try:
@@ -142,9 +138,7 @@
         stream: wire.Stream,
         outbound: queue.Queue,
     ) -> None:
-        if self._outbound_queues.get(entry) is outbound:
-            self._outbound_queues.pop(entry)
-            self._newer_entries.discard(entry)
+        if self._queues.disconnect(entry, outbound):
             self._rows.pop(entry, None)
         stream.close()
         self.bytes_received += stream.bytes_received
@@ -158,15 +152,13 @@
             oldest_version=protocol.OLDEST_ENTRY_VERSION,
         )
         wire.check_texts(hello)
-        is_newer = hello.protocol_version >= protocol.TARGETS_ENDED_VERSION
+        is_current = hello.protocol_version == protocol.PROTOCOL_VERSION
         if self._needs_uncertain_state(hello):
-            self._enqueue_state(outbound, is_newer=is_newer)
+            self._enqueue_state(outbound, is_current=is_current)
         self._group.wait_until_current()
         self.target_reports.restore(hello)
-        self._enqueue_state(outbound, is_newer=is_newer)
-        self._outbound_queues[hello.entry] = outbound
-        if is_newer:
-            self._newer_entries.add(hello.entry)
+        self._enqueue_state(outbound, is_current=is_current)
+        self._queues.connect(hello.entry, outbound, is_current=is_current)
         self._rows[hello.entry] = membership.EntryRow(
             hello.entry,
             hello.region,
@@ -193,15 +185,17 @@
         is_empty = not hello.config_revision and self._store.revision > 0
         return is_empty and not self._group.is_in_touch
 
-    def _enqueue_state(self, outbound: queue.Queue, *, is_newer: bool) -> None:
+    def _enqueue_state(
+        self, outbound: queue.Queue, *, is_current: bool
+    ) -> None:
         outbound.put_nowait(
             protocol.ControlHosts(self._group.list_hosts()),
         )
-        for verdict in self.target_reports.verdicts(is_newer=is_newer):
+        for verdict in self.target_reports.verdicts(is_current=is_current):
             outbound.put_nowait(verdict)
         self._enqueue_config(outbound)
         for message in feed_messages.target_state(
-            self._directory, is_newer=is_newer
+            self._directory, is_current=is_current
         ):
             outbound.put_nowait(message)
         outbound.put_nowait(
@@ -296,9 +290,9 @@
 
     def _send_verdict(self, verdict: target_reports.Verdict) -> None:
         if isinstance(verdict, crash_messages.RequestSuspected):
-            self._send_to(self._newer_entries, verdict)
+            self._queues.send_to_current(verdict)
         else:
-            self._broadcast(verdict)
+            self._queues.send_to_all(verdict)
 
     def _write(self, stream: wire.Stream, outbound: queue.Queue) -> None:
         while True:
@@ -312,36 +306,21 @@
 
     def _send_ends(self, ends: dict[str, int]) -> None:
         for message in feed_messages.targets_ended(ends):
-            self._send_to(self._newer_entries, message)
-
-    def _broadcast(self, message: tuple[typing.Any, ...]) -> None:
-        self._send_to(self._outbound_queues, message)
-
-    def _send_to(
-        self, entries: typing.Iterable[str], message: tuple[typing.Any, ...]
-    ) -> None:
-        for entry in list(entries):
-            try:
-                self._outbound_queues[entry].put_nowait(message)
-            except queue.Full:
-                # The entry does not read. Without answers to its heartbeats
-                # it reconnects and gets the whole state.
-                self._outbound_queues.pop(entry, None)
-                self._newer_entries.discard(entry)
+            self._queues.send_to_current(message)
 
     def send_entry_list(self) -> None:
         """Sends each entry list that has changed to all connected entries."""
         pending = self._membership.pending
         if pending is not None and pending != self._sent_pending:
             self._sent_pending = pending
-            self._broadcast(
+            self._queues.send_to_all(
                 feed_messages.entries_proposed(pending),
             )
-            self._broadcast(self._peers_message())
+            self._queues.send_to_all(self._peers_message())
         committed = self._membership.committed
         if committed != self._sent_committed:
             self._sent_committed = committed
-            self._broadcast(
+            self._queues.send_to_all(
                 feed_messages.entries_committed(committed),
             )
 
@@ -356,13 +335,13 @@
                 changes = self._store.changes.since(sent)
             except history.RevisionCompactedError:
                 # A snapshot from the leader replaced the whole state.
-                for outbound in list(self._outbound_queues.values()):
+                for outbound in self._queues.all_queues():
                     self._enqueue_config(outbound)
                 sent = self._store.revision
                 continue
             if changes:
                 rows = [list(change) for change in changes]
-                self._broadcast(protocol.ConfigDelta(rows))
+                self._queues.send_to_all(protocol.ConfigDelta(rows))
                 sent = changes[-1].revision
             for change in changes:
                 self._reset_domain_if_out(change)
@@ -382,7 +361,9 @@
             sent += len(changes)
             newest = {change.target.name: change for change in changes}
             if newest:
-                self._broadcast(feed_messages.targets_changed(newest.values()))
+                self._queues.send_to_all(
+                    feed_messages.targets_changed(newest.values())
+                )
 
     def _expire(self) -> None:
         was_relearning = self._directory.is_relearning
@@ -408,11 +389,11 @@
         hosts = self._group.list_hosts()
         if hosts != self._sent_hosts:
             self._sent_hosts = hosts
-            self._broadcast(protocol.ControlHosts(hosts))
+            self._queues.send_to_all(protocol.ControlHosts(hosts))
 
     def _broadcast_all_targets(self) -> None:
         rows = [list(row) for row in self._directory.list_targets()]
-        self._broadcast(
+        self._queues.send_to_all(
             protocol.TargetsChanged(rows, [], is_complete=True),
         )
 
--- a/src/mulberryquay/control/feed_messages.py
+++ b/src/mulberryquay/control/feed_messages.py
@@ -62,14 +62,14 @@
 
 
 def target_state(
-    targets: directory.Directory, *, is_newer: bool
+    targets: directory.Directory, *, is_current: bool
 ) -> typing.Iterator[tuple[typing.Any, ...]]:
     """Yields what an entry has to know of targets when it connects.
 
     The ends come first, so that no ended target is used in between. Entries
     of older releases cannot read them.
     """
-    if is_newer:
+    if is_current:
         yield from targets_ended(targets.ended_targets.snapshot())
     yield protocol.TargetsChanged(
         [list(row) for row in targets.list_targets()],
--- a/src/mulberryquay/control/orders.py
+++ b/src/mulberryquay/control/orders.py
@@ -233,6 +233,8 @@
         """
         if kind not in {kinds.CLIENT_ACCOUNT, kinds.LIMITS}:
             return
+        if spec is not None and spec.get('authenticated'):
+            return
         specs = {
             (each, resource.name): resource.spec
             for each in (kinds.CLIENT_ACCOUNT, kinds.LIMITS)
--- a/src/mulberryquay/control/target_reports.py
+++ b/src/mulberryquay/control/target_reports.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import logging
 import typing
 
 from mulberryquay import crash_messages, protocol
 from mulberryquay.control import directory, host_protocol
 from mulberryquay.coordination import clock, crash_guard
 
+_LOG: typing.Final = logging.getLogger(__name__)
+
 CrashReport = crash_messages.ConnectionLost | crash_messages.RequestCleared
 Verdict = crash_messages.RequestBlocked | crash_messages.RequestSuspected
 
@@ -56,7 +59,7 @@
                 limited_name, protocol.RateLimitReport(*fields)
             )
 
-    def verdicts(self, *, is_newer: bool = True) -> list[Verdict]:
+    def verdicts(self, *, is_current: bool = True) -> list[Verdict]:
         """Returns what others have to know when they connect.
 
         Entries of older releases read only which requests are blocked.
@@ -64,7 +67,7 @@
         return [
             crash_messages.of_standing(standing)
             for standing in self._guard.standings
-            if is_newer or standing.verdict is crash_guard.Verdict.BLOCKED
+            if is_current or standing.verdict is crash_guard.Verdict.BLOCKED
         ]
 
     def receive(self, message: CrashReport | Verdict) -> None:
@@ -99,6 +102,10 @@
                 was_blocked = self._guard.is_blocked(fingerprint)
                 self._guard.clear(fingerprint)
                 if was_blocked:
+                    _LOG.info(
+                        'request harmless',
+                        extra={'fingerprint': fingerprint.hex()},
+                    )
                     self._tell_entries(
                         crash_messages.RequestBlocked(fingerprint, 0)
                     )
@@ -127,6 +134,10 @@
         verdict = self._guard.verdict_of(fingerprint)
         if verdict is before and not is_blocked:
             return
+        _LOG.info(
+            f'request {verdict.value}',
+            extra={'fingerprint': fingerprint.hex(), 'target': loss.target},
+        )
         for standing in self._guard.standings_of(fingerprint):
             message = crash_messages.of_standing(standing)
             self._tell_entries(message)
--- a/src/mulberryquay/crash_messages.py
+++ b/src/mulberryquay/crash_messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import typing
 
 from mulberryquay.coordination import crash_guard
@@ -46,6 +47,8 @@
     standing: crash_guard.Standing,
 ) -> RequestBlocked | RequestSuspected:
     """Returns the message that tells others of a verdict."""
+    # A block of 0 ms would clear the request.
+    duration = math.ceil(standing.duration)
     if standing.verdict is crash_guard.Verdict.BLOCKED:
-        return RequestBlocked(standing.fingerprint, int(standing.duration))
-    return RequestSuspected(standing.fingerprint, int(standing.duration))
+        return RequestBlocked(standing.fingerprint, duration)
+    return RequestSuspected(standing.fingerprint, duration)
--- a/src/mulberryquay/entry/control_view.py
+++ b/src/mulberryquay/entry/control_view.py
@@ -160,7 +160,12 @@
                 guard.clear(fingerprint)
             case crash_messages.RequestBlocked():
                 guard.block(fingerprint, duration=duration)
-        _LOG.warning(
+        # Control hosts log suspicions, once for all entries.
+        level = logging.WARNING
+        if isinstance(verdict, crash_messages.RequestSuspected):
+            level = logging.DEBUG
+        _LOG.log(
+            level,
             f'request {guard.verdict_of(fingerprint).value}',
             extra={'fingerprint': fingerprint.hex(), 'for_ms': duration},
         )
--- a/src/mulberryquay/protocol.py
+++ b/src/mulberryquay/protocol.py
@@ -11,12 +11,9 @@
 PROTOCOL_VERSION: typing.Final = 8
 
 #: The oldest version of an entry that control hosts accept, so that they can
-#: be replaced before the entries.
-OLDEST_ENTRY_VERSION: typing.Final = 7
-
-#: The first version whose entries read `TargetsEnded` and
+#: be replaced before the entries. It reads neither `TargetsEnded` nor
 #: `crash_messages.RequestSuspected`.
-TARGETS_ENDED_VERSION: typing.Final = 8
+OLDEST_ENTRY_VERSION: typing.Final = 7
 
 
 class Hello(typing.NamedTuple):
--- a/testing/control/target_end_world.py
+++ b/testing/control/target_end_world.py
@@ -94,7 +94,9 @@
         """Sends an entry the whole state, and what changes from now on."""
         self.catch_up()
         self.followers[entry.name] = self.targets.changes.revision
-        for message in feed_messages.target_state(self.targets, is_newer=True):
+        for message in feed_messages.target_state(
+            self.targets, is_current=True
+        ):
             entry.receive(self.name, message)
 
     def write_cache(self) -> None:
