Only a reset, not a slow send, makes the end of a connection no end

What callers would see: a target that answers without a length for longer than the upload may wait, and then ends its side in order, had its whole answer cut short.

Cause: any failed send of an upload but EPIPE marked the connection, also one that took longer than the socket's limit, which says nothing of the target.

Change: a send that fails without an error number, as a limit of ours does, marks nothing; a reset and a missing acknowledgement do. The test test_only_a_reset_makes_the_end_of_a_connection_no_end fails before on the slow send. `make soak` searches orders of ends of targets, too.

--- a/Makefile
+++ b/Makefile
@@ -45,7 +45,7 @@
 soak: $(STAMP)
 	MULBERRYQUAY_SOAK=1 MULBERRYQUAY_SOAK_RUNS=50 $(BIN)/python -m testing.run \
 		test_claims test_shares test_store test_search test_wire test_fuzz \
-		test_messages test_any_row test_soak
+		test_messages test_any_row test_target_ends test_soak
 
 clean:
 	rm -rf .venv build dist .mypy_cache .ruff_cache
--- a/src/mulberryquay/entry/connections.py
+++ b/src/mulberryquay/entry/connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import errno
 import re
 import select
 import typing
@@ -33,6 +34,11 @@
 #: Requests of a connection whose late answers are recognized.
 _KEPT_IDS: typing.Final = 8
 
+#: Errors of a send after which the end of the connection still ends an answer:
+#: the target ended its side in order before it reset the other one, or the
+#: send took too long, which has no number.
+_UNBROKEN_ERRORS: typing.Final = frozenset((errno.EPIPE, None))
+
 #: Longest wait for a new connection, including the turn to open it.
 CONNECT_TIMEOUT_MS: typing.Final = 1000.0
 
@@ -97,11 +103,9 @@
         """
         try:
             self.socket.sendall(part)
-        except BrokenPipeError:
-            # The target ended its side in order before it reset the other one.
-            raise
-        except OSError:
-            self.reader.is_broken = True
+        except OSError as error:
+            if error.errno not in _UNBROKEN_ERRORS:
+                self.reader.is_broken = True
             raise
 
     def interrupt(self) -> None:
--- a/testing/entry/test_cut_answers.py
+++ b/testing/entry/test_cut_answers.py
@@ -3,16 +3,18 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import itertools
 import typing
 import unittest
+from unittest import mock
 
 import gevent
 from gevent import event, server, socket
 
 from mulberryquay import sockets
 from mulberryquay.coordination import errors
-from mulberryquay.entry import daemon
+from mulberryquay.entry import connections, daemon
 from mulberryquay.standin import target
 from testing import fixtures
 
@@ -230,3 +232,21 @@
             caller.sendall(_UPLOADED)
         received = _read_to_end(caller)
     CASE.assertTrue(received.endswith(b'5\r\nhello\r\n0\r\n\r\n'), received)
+
+
+def test_only_a_reset_makes_the_end_of_a_connection_no_end() -> None:
+    """A target may send its answer for longer than an upload may wait."""
+    errors_and_effects = (
+        (ConnectionResetError(errno.ECONNRESET, 'reset'), True),
+        (TimeoutError(errno.ETIMEDOUT, 'no acknowledgement'), True),
+        (BrokenPipeError(errno.EPIPE, 'ended before'), False),
+        (TimeoutError('timed out'), False),
+    )
+    for error, is_broken in errors_and_effects:
+        with socket.socket() as connected:
+            connection = connections.TargetConnection(connected)
+            connection.socket = mock.MagicMock()
+            connection.socket.sendall.side_effect = error
+            with CASE.assertRaises(OSError):
+                connection.send_body(b'part')
+            CASE.assertEqual(connection.reader.is_broken, is_broken, error)
