Tell other control hosts of renewals several times a lease

One host listed all targets, the two that entries followed listed none.

Cause: a host told the others of renewals every 8 s, whatever the lease. With a lease below 12 s they removed each target once the lease had run out, and a renewal of a target that a host does not list changes nothing.

Evidence: test_target_with_a_short_lease_stays_listed_at_all_hosts failed on the code before, [True, False, False] for the three hosts.

Why this works: the interval follows from the lease, a sixth of it, so that a renewal reaches all hosts after half a lease at the latest; 7.5 s by default.

--- a/src/mulberryquay/control/daemon.py
+++ b/src/mulberryquay/control/daemon.py
@@ -113,7 +113,8 @@
     settings.Setting(
         'target_lease_ms',
         directory.TARGET_LEASE_MS,
-        'milliseconds without a renewal after which a target is removed',
+        'milliseconds without a renewal after which a target is removed; '
+        'the same at all control hosts of a group',
         minimum=units.SECOND_MS,
         maximum=units.MINUTE_MS,
     ),
--- a/src/mulberryquay/control/directory.py
+++ b/src/mulberryquay/control/directory.py
@@ -27,6 +27,9 @@
 #: docs/CAPACITY.md has the cost.
 TARGET_LEASE_MS: typing.Final = 45_000
 
+#: How often during a lease the other control hosts are told of renewals.
+_RENEWAL_REPORTS_PER_LEASE: typing.Final = 6
+
 #: Changes kept, from which a watch of targets can resume.
 _WATCH_HISTORY: typing.Final = 4096
 
@@ -136,6 +139,7 @@
         )
         #: Incarnations that renewed here, not yet sent to other hosts.
         self._renewed: dict[str, int] = {}
+        self._renewals_published_at = time_source.now()
         self._hints: dict[str, AllowanceHint] = {}
         #: Rate limits, by name, of targets that are not known here yet.
         self._known_rate_limits: dict[str, protocol.RateLimitReport] = {}
@@ -228,8 +232,13 @@
             if state is not None and state.row.incarnation == incarnation:
                 state.renewed_at = self._clock.now()
 
-    def publish_renewals(self) -> None:
+    def publish_renewals_if_due(self) -> None:
         """Sends the leases renewed here to the other control hosts."""
+        now = self._clock.now()
+        interval = self._lease / _RENEWAL_REPORTS_PER_LEASE
+        if now < self._renewals_published_at + interval:
+            return
+        self._renewals_published_at = now
         if self._renewed:
             self.publish(host_protocol.TargetLeasesRenewed(self._renewed))
             self._renewed = {}
--- a/src/mulberryquay/control/feed.py
+++ b/src/mulberryquay/control/feed.py
@@ -34,10 +34,6 @@
 #: heartbeat that was answered.
 FRESHNESS_LEASE_MS: typing.Final = 3000
 
-#: How often renewed leases are reported to the other control hosts. Leases
-#: run much longer (`directory.TARGET_LEASE_MS`).
-_RENEWALS_INTERVAL_MS: typing.Final = 8000
-
 _EXPIRY_INTERVAL_MS: typing.Final = 250
 _WATCH_TIMEOUT_MS: typing.Final = 10_000
 #: A stream without a message for this long is closed; heartbeats are much
@@ -63,7 +59,6 @@
         self._store = resources
         self._directory = targets
         self._membership = entries
-        self._clock = time_source
         self._group = group
         #: Applies what entries report of targets.
         self.target_reports = target_reports.TargetReports(
@@ -77,7 +72,6 @@
         self._sent_hosts: list[list[str]] = []
         self._tasks: list[gevent.Greenlet] = []
         self._load = stream_load.StreamLoad('feed', stream_load.UNLIMITED)
-        self._next_renewals_at = time_source.now() + _RENEWALS_INTERVAL_MS
         self.bytes_sent = 0
         self.bytes_received = 0
 
@@ -370,7 +364,7 @@
         while True:
             gevent.sleep(_EXPIRY_INTERVAL_MS / clock.MS_PER_SECOND)
             self._directory.expire()
-            self._publish_renewals_if_due()
+            self._directory.publish_renewals_if_due()
             self._send_host_changes()
             for entry in self._membership.expire():
                 _LOG.warning('entry lease ran out', extra={'entry': entry})
@@ -379,12 +373,6 @@
                 was_relearning = False
                 self._broadcast_all_targets()
 
-    def _publish_renewals_if_due(self) -> None:
-        now = self._clock.now()
-        if now >= self._next_renewals_at:
-            self._next_renewals_at = now + _RENEWALS_INTERVAL_MS
-            self._directory.publish_renewals()
-
     def _send_host_changes(self) -> None:
         hosts = self._group.list_hosts()
         if hosts != self._sent_hosts:
--- a/testing/control/test_group.py
+++ b/testing/control/test_group.py
@@ -13,10 +13,10 @@
 import gevent
 from gevent import socket
 
-from mulberryquay import protocol, settings
+from mulberryquay import announcer, protocol, settings
 from mulberryquay.control import daemon as control_daemon
 from mulberryquay.control import host_protocol
-from mulberryquay.coordination import errors
+from mulberryquay.coordination import clock, errors
 from mulberryquay.decisions import permits
 from testing import fixtures
 
@@ -33,6 +33,7 @@
     'incarnation': 5,
 }
 
+_SHORT_LEASE_MS: typing.Final = 2000
 
 #: Below the kernel's ephemeral ports, which outgoing connections use.
 _PORTS: typing.Final = itertools.count(20_000 + os.getpid() % 1000 * 10)
@@ -55,7 +56,7 @@
     hosts: typing.Sequence[int],
     *,
     found: bool = True,
-    memory_mb: int = 0,
+    **values_set: typing.Any,
 ) -> fixtures.Control:
     values = settings.with_defaults(
         control_daemon.SETTINGS,
@@ -66,7 +67,7 @@
             'host_listen': f'127.0.0.1:{port}',
             'hosts': ','.join(f'127.0.0.1:{host}' for host in hosts),
             'found': found,
-            'memory_mb': memory_mb,
+            **values_set,
         },
     )
     daemon = control_daemon.ControlDaemon(values, fixtures.KERNEL)
@@ -76,14 +77,13 @@
 
 @contextlib.contextmanager
 def _group(
-    folder: pathlib.Path | None = None, *, memory_mb: int = 0
+    folder: pathlib.Path | None = None, **values_set: typing.Any
 ) -> typing.Iterator[list[fixtures.Control]]:
     with contextlib.ExitStack() as stack:
         folder = folder or stack.enter_context(fixtures.folder())
         ports = [_free_port() for _ in range(3)]
         hosts = [
-            _start_host(folder, port, ports, memory_mb=memory_mb)
-            for port in ports
+            _start_host(folder, port, ports, **values_set) for port in ports
         ]
         try:
             fixtures.wait_until(lambda: _leader_of(hosts))
@@ -100,6 +100,10 @@
     return None
 
 
+def _lists_target(host: fixtures.Control) -> bool:
+    return any(row.name == 't' for row in host.daemon.targets.list_targets())
+
+
 def _is_leaving(host: fixtures.Control) -> bool:
     return host.daemon.targets.get('t').is_leaving
 
@@ -199,6 +203,24 @@
             fixtures.wait_until(functools.partial(_is_leaving, host))
 
 
+def test_target_with_a_short_lease_stays_listed_at_all_hosts() -> None:
+    """Guards against renewals told to other hosts after the lease ran out."""
+    with _group(target_lease_ms=_SHORT_LEASE_MS) as hosts:
+        renewing = announcer.Announcer(
+            _ANNOUNCEMENT, [hosts[0].api], time_source=clock.Clock()
+        )
+        renewing.start()
+        try:
+            fixtures.wait_until(lambda: all(map(_lists_target, hosts)))
+            end = clock.Clock().now() + 2 * _SHORT_LEASE_MS
+            while clock.Clock().now() < end:
+                listed = [_lists_target(host) for host in hosts]
+                CASE.assertEqual(listed, [True] * len(hosts))
+                gevent.sleep(0.02)
+        finally:
+            renewing.stop()
+
+
 def test_entry_keeps_serving_while_the_leader_stops() -> None:
     """Guards against an entry that loses its state with its control host.
 
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -12,7 +12,9 @@
 
 CASE: typing.Final = unittest.TestCase()
 
-_SEEDS: typing.Final = (1, 4)
+#: The last one guards against control hosts that drop targets whose renewals
+#: another host gets: its faults last longer than a lease.
+_SEEDS: typing.Final = (1, 4, 42527167)
 
 #: Number of runs with fresh seeds; set by hand for `make soak`.
 _FRESH_RUNS: typing.Final = int(os.environ.get('MULBERRYQUAY_SOAK_RUNS', '0'))
