--- a/testing/control/test_group.py
+++ b/testing/control/test_group.py
@@ -33,7 +33,7 @@
     'incarnation': 5,
 }
 
-_SHORT_LEASE_MS: typing.Final = 2000
+_SHORT_LEASE_MS: typing.Final = 3000
 
 #: Below the kernel's ephemeral ports, which outgoing connections use.
 _PORTS: typing.Final = itertools.count(20_000 + os.getpid() % 1000 * 10)
