Restart the soak's control hosts at ports that stay free

Cause: the soak restarts a control host at its ports, which came from the range of the kernel for outgoing connections. While the host is down, a connection may get one of them. `mulberryquay control` on such a port ends with exit code 2 and "Address already in use", as a trial showed.

A process that ends by itself is now a broken promise of its own, whether or not it is stopped later.

--- a/testing/control/test_group.py
+++ b/testing/control/test_group.py
@@ -4,21 +4,18 @@
 
 import contextlib
 import functools
-import itertools
-import os
 import pathlib
 import typing
 import unittest
 
 import gevent
-from gevent import socket
 
 from mulberryquay import announcer, protocol, settings
 from mulberryquay.control import daemon as control_daemon
 from mulberryquay.control import host_protocol
 from mulberryquay.coordination import clock, errors
 from mulberryquay.decisions import permits
-from testing import fixtures
+from testing import fixtures, processes
 
 CASE: typing.Final = unittest.TestCase()
 
@@ -35,20 +32,6 @@
 
 _SHORT_LEASE_MS: typing.Final = 3000
 
-#: Below the kernel's ephemeral ports, which outgoing connections use.
-_PORTS: typing.Final = itertools.count(20_000 + os.getpid() % 1000 * 10)
-
-
-def _free_port() -> int:
-    for port in _PORTS:
-        with contextlib.closing(socket.socket()) as probe:
-            try:
-                probe.bind(('127.0.0.1', port))
-            except OSError:
-                continue
-            return port
-    raise AssertionError('no port is free')
-
 
 def _start_host(
     folder: pathlib.Path,
@@ -81,7 +64,7 @@
 ) -> typing.Iterator[list[fixtures.Control]]:
     with contextlib.ExitStack() as stack:
         folder = folder or stack.enter_context(fixtures.folder())
-        ports = [_free_port() for _ in range(3)]
+        ports = processes.free_ports(3)
         hosts = [
             _start_host(folder, port, ports, **values_set) for port in ports
         ]
@@ -246,7 +229,9 @@
     """Guards against a new host that never joins the hosts in its settings."""
     with _group() as hosts, fixtures.folder() as folder:
         ports = _ports_of(hosts[0])
-        hosts.append(_start_host(folder, _free_port(), ports, found=False))
+        hosts.append(
+            _start_host(folder, processes.free_ports(1)[0], ports, found=False)
+        )
         replica = hosts[-1].daemon.cluster.replica
         fixtures.wait_until(lambda: replica.identity in replica.members)
         CASE.assertEqual(len(replica.members), 4)
@@ -289,7 +274,7 @@
     One host of three has restarted, and the entry may serve stale state.
     """
     with fixtures.folder() as folder, contextlib.ExitStack() as stack:
-        ports = [_free_port() for _ in range(3)]
+        ports = processes.free_ports(3)
         hosts = [_start_host(folder, port, ports) for port in ports]
         _put(hosts[0], 'known')
         for host in hosts:
--- a/testing/processes.py
+++ b/testing/processes.py
@@ -3,15 +3,20 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
+import os
 import pathlib
 import typing
 
-from mulberryquay import sockets
+from mulberryquay import settings, sockets
 from mulberryquay.commands import api_client
 from testing import fixtures
 
 _NS_PER_MS: typing.Final = 1e6
 
+#: Below the kernel's ephemeral ports, which outgoing connections use.
+_PORTS: typing.Final = itertools.count(20_000 + os.getpid() % 100 * 100)
+
 
 class EntryProcess(typing.NamedTuple):
     """An entry in a process of its own."""
@@ -53,13 +58,18 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Returns ports that no process listens on now."""
-    with contextlib.ExitStack() as stack:
-        listeners = [
-            stack.enter_context(sockets.listen('127.0.0.1:0'))
-            for _ in range(count)
-        ]
-        return [sockets.port_of(listener) for listener in listeners]
+    """Returns ports that no process listens on now.
+
+    They are below those that the kernel gives to outgoing connections, so that
+    a process which restarts finds its port free.
+    """
+    free: list[int] = []
+    while len(free) < count:
+        port = next(_PORTS)
+        with contextlib.suppress(settings.InvalidSettingError):
+            sockets.listen(f'127.0.0.1:{port}').close()
+            free.append(port)
+    return free
 
 
 def client(port: int) -> api_client.ApiClient:
--- a/testing/soak.py
+++ b/testing/soak.py
@@ -185,6 +185,8 @@
         self._incarnation = 1
         self._route_version = 1
         self._exit_codes: list[int] = []
+        #: Exit codes of processes that ended by themselves.
+        self._unplanned_exits: list[int] = []
 
     def __enter__(self) -> typing.Self:
         """Starts all processes and waits until each entry serves."""
@@ -232,6 +234,12 @@
             for code in self._exit_codes
             if code
         ]
+        for process in self._running_processes():
+            self._note_if_ended(process)
+        broken += [
+            f'a process ended by itself with exit code {code}'
+            for code in self._unplanned_exits
+        ]
         return Verdict(self._calls, broken)
 
     def _start_control_host(self, number: int) -> None:
@@ -422,11 +430,21 @@
         self._start_control_host(planned.number)
 
     def _end(self, process: typing.Any, *, is_planned: bool) -> None:
+        self._note_if_ended(process)
         process.send_signal(signal.SIGTERM if is_planned else signal.SIGKILL)
         exit_code = process.wait()
         if is_planned:
             self._exit_codes.append(exit_code)
 
+    def _running_processes(self) -> list[typing.Any]:
+        entries = [life.entry.process for life in self._entries.values()]
+        return [*self._control_processes.values(), *entries]
+
+    def _note_if_ended(self, process: typing.Any) -> None:
+        exit_code = process.poll()
+        if exit_code is not None:
+            self._unplanned_exits.append(exit_code)
+
     def _freeze(self, process: typing.Any) -> None:
         process.send_signal(signal.SIGSTOP)
         gevent.sleep(self._rng.uniform(0, _LONGEST_FREEZE_S))
