Ports between processes: count the calls of closed streams until they end

What callers saw: a ledger or control host could pass its memory limit while many peers sent messages and read no answer.

Cause: each message is handled in a task of its own, which counts in the account of the port's streams. A stream that was closed at the limit gave back all it had counted, also for calls that had been started and had not run yet. The next stream filled the account again and was closed too, and so on, within one turn of the event loop: the account showed at most 12 MB while 10,800 calls of closed streams waited, each with its message.

Why this works: a closed stream gives back what it held itself, and each of its calls counts until it has ended, so the next stream finds no room meanwhile.

The crowd test is unchanged.

--- a/src/mulberryquay/coordination/stream_load.py
+++ b/src/mulberryquay/coordination/stream_load.py
@@ -201,17 +201,25 @@
         gevent.spawn(call, *arguments).rawlink(self._end_call)
 
     def close(self) -> None:
-        """Closes the stream; may be called again."""
+        """Closes the stream; may be called again.
+
+        Its calls go on, and count until they end.
+        """
         self._is_closed = True
         self.messages.close()
-        self._account.close(self._part)
+        self._part.add(self._calls * _TASK_BYTES - self._part.held_bytes)
+        self._close_part_if_unused()
 
     def _end_call(self, _task: gevent.Greenlet) -> None:
         self._calls -= 1
-        if not self._is_closed:
-            self._part.add(-_TASK_BYTES)
+        self._part.add(-_TASK_BYTES)
+        self._close_part_if_unused()
         self._call_ended.set()
 
+    def _close_part_if_unused(self) -> None:
+        if self._is_closed and not self._calls:
+            self._account.close(self._part)
+
     def _greet(self) -> None:
         """Lets more arrive at once from a peer that sent a whole message."""
         if self._is_greeted:
--- a/testing/coordination/test_stream_load.py
+++ b/testing/coordination/test_stream_load.py
@@ -81,6 +81,21 @@
     CASE.assertEqual(load.held_bytes, 0)
 
 
+def test_call_counts_until_it_ends_although_its_stream_is_closed() -> None:
+    """Peers that were closed at the limit left thousands of calls behind."""
+    load = stream_load.StreamLoad('test', stream_load.UNLIMITED)
+    ends = event.Event()
+    with _pair(load) as (_, served):
+        assert served is not None
+        stream_bytes = load.held_bytes
+        served.spawn(ends.wait)
+        call_bytes = load.held_bytes - stream_bytes
+        served.spawn(ends.wait)
+    CASE.assertEqual(load.held_bytes, 2 * call_bytes)
+    ends.set()
+    fixtures.wait_until(lambda: load.held_bytes == 0)
+
+
 @contextlib.contextmanager
 def _greeted(
     load: stream_load.StreamLoad,
