Ports between processes: count messages until their calls end

What callers saw: 400 claims with keys of 2 MB, a few kB each on the wire, took 288 MB in a ledger whose machine has 96 MB. On a real machine the ledger could be ended for its memory, and every keyed request of the region refused.

Cause: a message counted while it was received and unpacked. Its call, which holds it until its record is on the disk, counted 16 kB whatever the size.

Evidence: test_claims_of_long_keys_that_compress_well failed before with 288 MB, test_call_counts_with_its_message with 114688 bytes counted for a message of 1 MiB.

Why this works: a call counts with its message as decoded and as encoded for the disk, from the message's receipt to the call's end, so while many wait for the disk no room is left for more.

--- a/src/mulberryquay/coordination/stream_load.py
+++ b/src/mulberryquay/coordination/stream_load.py
@@ -29,6 +29,9 @@
 #: Size of the buffers of an unfinished message relative to its own.
 _COPIES: typing.Final = 4
 
+#: Copies of a message that its call holds: decoded, and encoded for the disk.
+_CALL_COPIES: typing.Final = 2
+
 #: A stream with a message in this time never ends for another one.
 _MIN_SILENCE_MS: typing.Final = units.SECOND_MS
 
@@ -168,6 +171,7 @@
         self._is_greeted = False
         self._is_closed = False
         self._calls = 0
+        self._call_bytes = 0
         self._call_ended = event.Event()
         #: Sends and receives.
         self.messages = wire.Stream(connection, codec, self._count)
@@ -192,13 +196,19 @@
     def spawn(
         self, call: typing.Callable[..., None], *arguments: typing.Any
     ) -> None:
-        """Runs a call in a task; waits while calls hold too much memory."""
-        while self._calls and not self._account.make_room(_TASK_BYTES):
+        """Runs a call for the last message in a task.
+
+        Waits while calls hold too much memory.
+        """
+        size = _TASK_BYTES + _CALL_COPIES * self.messages.message_bytes
+        self._call_bytes += size
+        self._part.add(size)
+        while self._calls and not self._account.make_room(0):
             self._call_ended.clear()
             self._call_ended.wait()
         self._calls += 1
-        self._part.add(_TASK_BYTES)
-        gevent.spawn(call, *arguments).rawlink(self._end_call)
+        task = gevent.spawn(call, *arguments)
+        task.rawlink(lambda _task: self._end_call(size))
 
     def close(self) -> None:
         """Closes the stream; may be called again.
@@ -207,12 +217,13 @@
         """
         self._is_closed = True
         self.messages.close()
-        self._part.add(self._calls * _TASK_BYTES - self._part.held_bytes)
+        self._part.add(self._call_bytes - self._part.held_bytes)
         self._close_part_if_unused()
 
-    def _end_call(self, _task: gevent.Greenlet) -> None:
+    def _end_call(self, size: int) -> None:
         self._calls -= 1
-        self._part.add(-_TASK_BYTES)
+        self._call_bytes -= size
+        self._part.add(-size)
         self._close_part_if_unused()
         self._call_ended.set()
 
--- a/src/mulberryquay/coordination/wire.py
+++ b/src/mulberryquay/coordination/wire.py
@@ -240,6 +240,8 @@
         self._scanned = 0
         #: What was received and not decoded.
         self._buffer = bytearray()
+        #: Size of the last message that was received, uncompressed.
+        self.message_bytes = 0
         self.bytes_sent = 0
         self.bytes_received = 0
 
@@ -279,19 +281,21 @@
         """Returns the typed message; counts what a compressed one takes."""
         if not isinstance(fields, msgpack.ExtType):
             return self._codec.from_fields(fields)
-        buffered = len(self._buffer)
         try:
-            return self._codec.decode(
-                fields, lambda size: self._on_buffered(buffered + size)
-            )
+            return self._codec.decode(fields, self._count_unpacked)
         finally:
-            self._on_buffered(buffered)
+            self._on_buffered(len(self._buffer))
+
+    def _count_unpacked(self, size: int) -> None:
+        self.message_bytes = size
+        self._on_buffered(len(self._buffer) + size)
 
     def _take_fields(self) -> typing.Any:
         """Decodes the message that the scanner has passed."""
         end = self._scanner.tell()
         size = end - self._scanned
         self._scanned = end
+        self.message_bytes = size
         with memoryview(self._buffer) as received:
             body = bytes(received[:size])
         del self._buffer[:size]
--- a/testing/coordination/test_stream_load.py
+++ b/testing/coordination/test_stream_load.py
@@ -16,7 +16,7 @@
 
 
 class _Ping(typing.NamedTuple):
-    number: int
+    content: typing.Any
 
 
 _CODEC: typing.Final = wire.MessageCodec((_Ping,))
@@ -96,6 +96,21 @@
     fixtures.wait_until(lambda: load.held_bytes == 0)
 
 
+def test_call_counts_with_its_message() -> None:
+    """Large messages whose calls waited for the disk counted as nothing."""
+    load = stream_load.StreamLoad('test', stream_load.UNLIMITED)
+    ends = event.Event()
+    compressed = _Ping(units.MIB * ' ')
+    with _pair(load) as (peer, served):
+        assert served is not None
+        peer.send(compressed)
+        served.spawn(ends.wait, served.messages.receive())
+        CASE.assertGreater(load.held_bytes, units.MIB)
+    CASE.assertGreater(load.held_bytes, units.MIB)
+    ends.set()
+    fixtures.wait_until(lambda: load.held_bytes == 0)
+
+
 @contextlib.contextmanager
 def _greeted(
     load: stream_load.StreamLoad,
--- a/testing/test_stream_crowds.py
+++ b/testing/test_stream_crowds.py
@@ -335,6 +335,23 @@
     )
 
 
+def test_claims_of_long_keys_that_compress_well() -> None:
+    """Claims that waited for the disk counted without their messages."""
+    _check(
+        'ledger',
+        *(
+            crowds.Client(_hello(f'entry-{index}') + _long_claim(index))
+            for index in range(_CLIENTS)
+        ),
+    )
+
+
+def _long_claim(number: int) -> bytes:
+    """Returns a claim of 2 MB that has a few kB on the wire."""
+    key = f'{number}'.ljust(2_000_000)
+    return protocol.CODEC.encode(protocol.Claim(number, key, b'd', 600_000))
+
+
 def test_claims_of_keys_that_are_never_repeated() -> None:
     """Each key is kept for a day, whatever there was."""
     clients = [
