Wait for the commit on all control hosts before the first one stops

Cause: the test, not the product. It waited at each host in turn, and stopped the host before it waited at the next. When the first two had stopped, the third could have been elected by them meanwhile: the trace shows it with the votes of both, term 2, durable commit index 2 (the service that the test had put) and its own first log entry of the term at index 3. Without a majority this entry can't be committed, and the test waited for just that.

What the test needs is a host that has restarted and knows that the service is committed. It waits now until all three know so on disk while all are up, and then stops them; the checks after it are the same.

--- a/testing/control/test_group.py
+++ b/testing/control/test_group.py
@@ -289,9 +289,8 @@
         ports = processes.free_ports(3)
         hosts = [_start_host(folder, port, ports) for port in ports]
         _put(hosts[0], 'known')
+        _wait_until_commit_is_durable(hosts)
         for host in hosts:
-            replica = host.daemon.cluster.replica
-            fixtures.wait_until(functools.partial(_is_commit_durable, replica))
             host.daemon.stop()
         alone = _start_host(folder, ports[-1], ports)
         stack.callback(alone.daemon.stop)
@@ -305,12 +304,24 @@
         CASE.assertFalse(alone.daemon.cluster.is_in_touch)
 
 
-def _is_commit_durable(replica: typing.Any) -> bool:
-    """Whether a restart would know that the whole log is committed."""
-    return (
-        bool(replica.durable_commit_index)
-        and replica.durable_commit_index == replica.last_index
-    )
+def _wait_until_commit_is_durable(
+    hosts: typing.Sequence[fixtures.Control],
+) -> None:
+    """Waits until a restart of each host would know that the log is committed.
+
+    A majority has to be up: without one, the next leader's first log entry
+    stays uncommitted.
+    """
+    replicas = [host.daemon.cluster.replica for host in hosts]
+    last = max(replica.last_index for replica in replicas)
+    for replica in replicas:
+        fixtures.wait_until(
+            functools.partial(_is_committed_on_disk, replica, last)
+        )
+
+
+def _is_committed_on_disk(replica: typing.Any, index: int) -> bool:
+    return bool(replica.durable_commit_index >= index)
 
 
 def _ask_permits(host: fixtures.Control, amount: int) -> permits.Decision:
