Entry: a place that was given away serves no request unless another one ends

What callers saw: with a crowd of 400 unfinished requests at an entry that may open 256 files, an ordinary caller waited 30 s and was not accepted.

Cause: at the limit of connections the one that waits longest for a request is asked to end, and a new one takes its place at once. If bytes of a request had arrived before its task ran, it served that request and stayed. In the same way a connection that was asked to end for memory, and got a request meanwhile, counted as one that ends soon, and was never asked again.

Why the fix works: a connection that is asked to end is remembered as leaving. A request on it needs another connection to end, one that waits or a slow one; without any it is refused (503 memory-limit, not run) and its connection closes without waiting for more input. Leaving connections are not chosen twice.

Evidence: the three new tests in test_caller_limits failed before (one with a 408 after 30 s in place of the 503).

--- a/src/mulberryquay/entry/caller.py
+++ b/src/mulberryquay/entry/caller.py
@@ -280,10 +280,14 @@
             self._state.limit_notes.note(caller_limits.Limit.MEMORY)
             self._refuse(request_body.memory_refusal())
             return False
+        if not self._connections.begin_request(self):
+            self._refuse(request_body.memory_refusal())
+            return False
         self._has_served = True
         self._makes_place = False
         self.deadline = math.inf
-        self._connections.begin_request(self)
+        # It may have been asked to end before its request was read.
+        self._memory.part.gives_way = False
         self._memory.part.add(held_bytes)
         # Slow ones may hold what this request needs, also at its target.
         self._state.memory.make_room(0)
@@ -396,7 +400,8 @@
         """Reads input until the caller closes, up to a limit.
 
         Closing with unread input would send a reset, which may destroy the
-        answer before the caller has read it (RFC 9112, section 9.6).
+        answer before the caller has read it (RFC 9112, section 9.6). What
+        has not arrived is not awaited if another caller needs the place.
         """
         self._socket.shutdown(socket.SHUT_WR)
         if self._reader.is_between_messages and not self._poll.poll(0):
@@ -406,6 +411,8 @@
         )
         remaining = _MAX_DISCARDED_BYTES
         while remaining > 0:
+            if self._makes_place and not self._poll.poll(0):
+                return
             limit.apply(self._socket)
             chunk = self._socket.recv(messages.READ_BYTES)
             if not chunk:
@@ -417,9 +424,9 @@
         self._input_watcher.close()
         self._memory.close()
         try:
-            if is_graceful and not self._makes_place:
+            if is_graceful:
                 self._discard_unread_input()
-            elif not is_graceful:
+            else:
                 sockets.set_reset_on_close(self._socket, is_reset=True)
         except OSError as error:
             _LOG.debug(
--- a/src/mulberryquay/entry/caller_limits.py
+++ b/src/mulberryquay/entry/caller_limits.py
@@ -209,6 +209,9 @@
         self._by_address: collections.Counter[str] = collections.Counter()
         #: Those without a complete request; the longest wait comes first.
         self._waiting: dict[Connection, None] = {}
+        #: Those whose place was given to another one, with the address whose
+        #: bound was met, if it was that. They end, unless a request arrives.
+        self._leaving: dict[Connection, str] = {}
 
     def __len__(self) -> int:
         """Returns the number of open connections."""
@@ -219,21 +222,15 @@
         bound = self._bounds.address_connections
         if bound and self._by_address[address] >= bound:
             self._notes.note(Limit.ADDRESS_CONNECTIONS)
-            return self._close_first(
-                waiting
-                for waiting in self._waiting
-                if self._addresses[waiting] == address
-            )
+            return self._close_one(address)
         if len(self._addresses) < self._bounds.connections:
             return True
         self._notes.note(Limit.CONNECTIONS)
-        if self.make_place():
-            return True
-        return self._end_slowest(served.part for served in self._addresses)
+        return self._close_one()
 
     def make_place(self) -> bool:
         """Closes the one that waits longest; returns whether one did."""
-        return self._close_first(iter(self._waiting))
+        return self._close_longest_wait()
 
     def add(self, connection: Connection, address: str) -> None:
         """Adds an admitted connection, which waits for its first request."""
@@ -247,24 +244,59 @@
         if address is None:
             return
         self._waiting.pop(connection, None)
+        self._leaving.pop(connection, None)
         self._by_address[address] -= 1
         if not self._by_address[address]:
             self._by_address.pop(address)
 
-    def begin_request(self, connection: Connection) -> None:
-        """Keeps a connection from being closed for another one."""
+    def begin_request(self, connection: Connection) -> bool:
+        """Keeps a connection from being closed for another one.
+
+        Returns whether the request may run. Where it arrived after the place
+        was given away, another connection has to close instead.
+        """
         self._waiting.pop(connection, None)
+        address = self._leaving.pop(connection, None)
+        if address is None or self._close_one(address):
+            return True
+        self._leaving[connection] = address
+        self._notes.note(
+            Limit.ADDRESS_CONNECTIONS if address else Limit.CONNECTIONS
+        )
+        return False
 
     def end_requests(self, connection: Connection) -> None:
         """Notes that a connection waits for its next request."""
         if connection in self._addresses:
             self._waiting[connection] = None
 
-    def _close_first(self, candidates: typing.Iterator[Connection]) -> bool:
-        chosen = next(candidates, None)
+    def _close_one(self, address: str = '') -> bool:
+        """Closes one that waits for a request, else a slow one, if any.
+
+        Among those of an ``address``, a slow one stays.
+        """
+        if self._close_longest_wait(address):
+            return True
+        return not address and self._end_slowest(
+            connection.part
+            for connection in self._addresses
+            if connection not in self._leaving
+        )
+
+    def _close_longest_wait(self, address: str = '') -> bool:
+        """Closes the one that waits longest, at ``address`` if it is given."""
+        chosen = next(
+            (
+                waiting
+                for waiting in self._waiting
+                if not address or self._addresses[waiting] == address
+            ),
+            None,
+        )
         if chosen is None:
             return False
         self._waiting.pop(chosen)
+        self._leaving[chosen] = address
         chosen.make_place()
         return True
 
--- a/testing/entry/test_caller_limits.py
+++ b/testing/entry/test_caller_limits.py
@@ -13,6 +13,7 @@
 from mulberryquay import metrics
 from mulberryquay.coordination import clock, memory_account, units
 from mulberryquay.entry import caller_limits
+from mulberryquay.entry import daemon as entry_daemon
 from mulberryquay.standin import target
 from testing import fixtures
 
@@ -27,6 +28,10 @@
 
 _STALL_S: typing.Final = 0.5
 
+_UNFINISHED: typing.Final = (
+    b'POST /stock/x HTTP/1.1\r\nHost: t\r\nContent-Length: 10\r\n\r\n'
+)
+
 #: What each request or connection has.
 _REQUEST_TYPES: typing.Final = frozenset(
     ('RequestHead', 'Waiter', 'RefusedError', 'Exchange', 'CallerConnection')
@@ -98,6 +103,59 @@
     CASE.assertTrue(served.is_closed)
 
 
+def test_request_whose_place_was_given_away_needs_another_one() -> None:
+    """It ran in the same place, and connections had no bound."""
+    connections = _connections(connections=1)
+    first = _opened(connections, 'a')[0]
+    second = _opened(connections, 'b')[0]
+    CASE.assertTrue(first.is_closed)
+    CASE.assertTrue(connections.begin_request(first))
+    CASE.assertTrue(second.is_closed)
+    CASE.assertFalse(connections.begin_request(second))
+    CASE.assertFalse(connections.admit('c'))
+
+
+def test_request_is_refused_if_its_place_was_given_away() -> None:
+    """A crowd took all descriptors, and nobody else was accepted for 30 s."""
+    with _joined(max_connections=1) as (entry, client):
+        CASE.assertTrue(entry.state.connections.callers.admit('127.0.0.2'))
+        client.sendall(_UNFINISHED)
+        CASE.assertIn(b'memory-limit', client.recv(_LARGE_BYTES))
+        fixtures.wait_until(lambda: not entry.caller_connections)
+
+
+def test_connection_that_was_to_end_and_got_a_request_can_end_later() -> None:
+    """Its unfinished request was kept, whoever needed the memory."""
+    with _joined() as (entry, client):
+        memory = entry.state.memory
+        gevent.sleep(memory_account.SLOW_MS / units.SECOND_MS)
+        memory.limit = 1
+        memory.make_room(0)
+        memory.limit = units.MAX_INT64
+        client.sendall(_UNFINISHED)
+        fixtures.wait_until(lambda: entry.state.in_flight)
+        memory.limit = 1
+        fixtures.wait_until(lambda: memory.make_room(0))
+        CASE.assertIn(b'memory-limit', client.recv(_LARGE_BYTES))
+
+
+@contextlib.contextmanager
+def _joined(
+    **overrides: typing.Any,
+) -> typing.Iterator[tuple[entry_daemon.EntryDaemon, typing.Any]]:
+    """Yields an entry and the only client, whose connection it serves."""
+    with (
+        fixtures.control() as control,
+        fixtures.entry(control, **overrides) as entry,
+    ):
+        control.declare()
+        control.wait_in_force()
+        address = ('127.0.0.1', entry.port)
+        with contextlib.closing(socket.create_connection(address)) as client:
+            fixtures.wait_until(lambda: entry.caller_connections)
+            yield entry, client
+
+
 def test_bound_of_an_address_ends_only_its_own_connections() -> None:
     """Others must not lose theirs to one address (issue 45)."""
     connections = _connections(address_connections=1)
