--- a/testing/entry/test_caller_limits.py
+++ b/testing/entry/test_caller_limits.py
@@ -58,11 +58,20 @@
         self.is_closed = True
 
 
-def _connections(**bounds: int) -> caller_limits.Connections:
+def _end_none(_parts: typing.Iterable[memory_account.Part]) -> bool:
+    return False
+
+
+def _connections(
+    end_slowest: typing.Callable[..., bool] = _end_none,
+    **bounds: int,
+) -> caller_limits.Connections:
     notes = caller_limits.LimitNotes(
         metrics.Metrics(caller_limits.METRICS), clock.ManualClock()
     )
-    return caller_limits.Connections(caller_limits.Bounds(**bounds), notes)
+    return caller_limits.Connections(
+        caller_limits.Bounds(**bounds), notes, end_slowest
+    )
 
 
 def _opened(
@@ -115,6 +124,22 @@
     CASE.assertFalse(connections.admit('c'))
 
 
+def test_connection_that_leaves_is_not_ended_again_as_a_slow_one() -> None:
+    """One that ended made place for two."""
+    candidates: list[memory_account.Part] = []
+
+    def end_slowest(parts: typing.Iterable[memory_account.Part]) -> bool:
+        candidates.extend(parts)
+        return bool(candidates)
+
+    connections = _connections(end_slowest, connections=2)
+    _, served = _opened(connections, 'a', 'b')
+    connections.begin_request(served)
+    CASE.assertTrue(connections.admit('c'))
+    CASE.assertTrue(connections.admit('d'))
+    CASE.assertEqual(candidates, [served.part])
+
+
 def test_request_is_refused_if_its_place_was_given_away() -> None:
     """A crowd took all descriptors, and nobody else was accepted for 30 s."""
     with _joined(max_connections=1) as (entry, client):
