--- a/testing/test_stream_crowds.py
+++ b/testing/test_stream_crowds.py
@@ -386,15 +386,26 @@
 
 def test_ledger_restarts_after_claims_that_were_given_back() -> None:
     """All that was ever written was read at once, at each later start."""
-    clients = [
+    _check_restart(
         client
         for number in range(_CLIENTS // 2)
         for client in _claim_and_give_back(number)
-    ]
+    )
+
+
+def test_ledger_restarts_with_all_claims_that_it_may_keep() -> None:
+    """Its snapshot was in memory several times at once."""
+    _check_restart(
+        _claim_and_give_back(number)[0] for number in range(_CLIENTS // 2)
+    )
+
+
+def _check_restart(clients: typing.Iterable[crowds.Client]) -> None:
+    """Checks a ledger that is killed behind a crowd and started again."""
     with fixtures.folder() as folder:
         with (
             _ledger(folder) as daemon,
-            crowds.gathered(daemon.port, clients),
+            crowds.gathered(daemon.port, list(clients)),
         ):
             daemon.process.kill()
         with _ledger(folder) as daemon:
