Log ends of targets and how old the control hosts' word is

Control hosts log each end they apply ('targets ended') with its incarnation, the entries told, and whether they vouch; entries log each that they receive. Each try in a request's log line has control_age_ms, the time since the newest heartbeat that a control host in contact with the majority answered. The same is a metric of the entry, with its highest value since the start, which is the figure that the time to the end of new requests is bounded by. On control hosts mulberryquay_control_unapplied counts what the leader has called committed and this host has not applied.

--- a/src/mulberryquay/control/daemon.py
+++ b/src/mulberryquay/control/daemon.py
@@ -207,6 +207,12 @@
         '1 while this host is in contact with the majority.',
         is_gauge=True,
     ),
+    metrics.MetricDeclaration(
+        'mulberryquay_control_unapplied',
+        'Records that the leader has called committed and that are not applied '
+        'on this host.',
+        is_gauge=True,
+    ),
     metrics.MetricDeclaration(
         'mulberryquay_control_voters',
         'Control hosts that vote.',
@@ -388,6 +394,7 @@
         replica = self._cluster.replica
         set_gauge('mulberryquay_control_leads', int(replica.is_leader))
         set_gauge('mulberryquay_control_in_touch', int(replica.is_in_touch))
+        set_gauge('mulberryquay_control_unapplied', replica.unapplied)
         set_gauge('mulberryquay_control_voters', len(replica.members))
         set_gauge('mulberryquay_control_term', replica.term)
         running = self._cluster.roll_outs.running
--- a/src/mulberryquay/control/entry_queues.py
+++ b/src/mulberryquay/control/entry_queues.py
@@ -27,6 +27,11 @@
         #: Entries of this release; older ones cannot read all messages.
         self._current: set[str] = set()
 
+    @property
+    def count(self) -> int:
+        """The number of connected entries."""
+        return len(self._queues)
+
     def connect(
         self, entry: str, outbound: queue.Queue, *, is_current: bool
     ) -> None:
--- a/src/mulberryquay/control/feed.py
+++ b/src/mulberryquay/control/feed.py
@@ -299,6 +299,17 @@
                 return
 
     def _send_ends(self, ends: dict[str, int]) -> None:
+        name, incarnation = next(iter(ends.items()), ('', 0))
+        _LOG.info(
+            'targets ended',
+            extra={
+                'ends': len(ends),
+                'first_target': name,
+                'first_incarnation': incarnation,
+                'entries': self._queues.count,
+                'in_touch': self._group.is_in_touch,
+            },
+        )
         for message in feed_messages.targets_ended(ends):
             self._queues.send_to_current(message)
 
--- a/src/mulberryquay/coordination/replication/follower.py
+++ b/src/mulberryquay/coordination/replication/follower.py
@@ -54,6 +54,9 @@
         if refusal is not None:
             return refusal
         replica_state = self._state
+        replica_state.announced_commit = max(
+            replica_state.announced_commit, request.commit_index
+        )
         previous = request.previous_index
         if previous >= replica_state.log.base_index:
             if replica_state.log.term_at(previous) != request.previous_term:
--- a/src/mulberryquay/coordination/replication/replica.py
+++ b/src/mulberryquay/coordination/replication/replica.py
@@ -127,6 +127,11 @@
             bool(replica_state.leader) and replica_state.contacted_at >= oldest
         )
 
+    @property
+    def unapplied(self) -> int:
+        """How many records the leader has committed that aren't applied."""
+        return max(0, self._state.announced_commit - self._state.applied_index)
+
     @property
     def is_caught_up_leader(self) -> bool:
         """Whether this replica leads and has applied its whole log."""
--- a/src/mulberryquay/coordination/replication/state.py
+++ b/src/mulberryquay/coordination/replication/state.py
@@ -106,6 +106,8 @@
         #: restart the election timeout.
         self.contacted_at = float('-inf')
         self.commit_index = stored.log.base_index
+        #: The highest commit index that a leader has called.
+        self.announced_commit = 0
         self._state_machine = machine
         self._applied_index = stored.log.base_index
         self._synced_index = stored.log.last_index
--- a/src/mulberryquay/entry/control_stream.py
+++ b/src/mulberryquay/entry/control_stream.py
@@ -150,7 +150,7 @@
                     [store.Resource(*row) for row in resources],
                 )
             case protocol.TargetsChanged() | protocol.TargetsEnded():
-                view.targets.receive(self.address, message)
+                view.update_targets(self.address, message)
             case protocol.EntriesProposed(epoch, members):
                 view.propose_entries(shares.EntryList(epoch, tuple(members)))
             case protocol.EntriesCommitted(epoch, members):
@@ -194,7 +194,7 @@
         if sent_at is None or not answer.lease_ms:
             return
         self._lease_renewed_at = self._clock.now()
-        self._view.renew_lease(sent_at + answer.lease_ms)
+        self._view.renew_lease(sent_at, answer.lease_ms)
 
     def _send_heartbeats(self) -> None:
         while True:
--- a/src/mulberryquay/entry/control_view.py
+++ b/src/mulberryquay/entry/control_view.py
@@ -112,6 +112,24 @@
         count('mulberryquay_control_bytes_total', 'in', amount=received)
         count('mulberryquay_control_bytes_total', 'out', amount=sent)
 
+    def update_targets(
+        self,
+        source: str,
+        message: protocol.TargetsChanged | protocol.TargetsEnded,
+    ) -> None:
+        """Applies what a control host told of targets."""
+        if isinstance(message, protocol.TargetsEnded):
+            _LOG.info(
+                'ends of targets received',
+                extra={
+                    'host': source,
+                    'ends': len(message.incarnations),
+                    'first_target': next(iter(message.incarnations), ''),
+                    'control_age_ms': self._state.control_age.milliseconds,
+                },
+            )
+        self.targets.receive(source, message)
+
     def propose_entries(self, entries: shares.EntryList) -> None:
         """Applies an entry list that waits for confirmations."""
         self._state.share_view.propose(entries)
@@ -225,9 +243,13 @@
         """Takes back reports that could not be sent."""
         self._state.balancer.restore_target_reports(served, shed)
 
-    def renew_lease(self, until: float) -> None:
-        """Extends the freshness lease that a control host granted."""
-        self._lease_until = max(self._lease_until, until)
+    def renew_lease(self, sent_at: float, duration: float) -> None:
+        """Extends the freshness lease that a control host granted.
+
+        It counts from ``sent_at``, when the heartbeat was sent.
+        """
+        self._state.control_age.record(sent_at)
+        self._lease_until = max(self._lease_until, sent_at + duration)
         self.update_freshness()
 
     def update_freshness(self) -> None:
--- a/src/mulberryquay/entry/daemon.py
+++ b/src/mulberryquay/entry/daemon.py
@@ -304,6 +304,9 @@
             set_gauge('mulberryquay_waiting_by_rank', waiting[rank], str(rank))
         set_gauge('mulberryquay_config_revision', self._control_link.revision)
         set_gauge('mulberryquay_config_fresh', int(entry_state.is_fresh))
+        age = entry_state.control_age
+        set_gauge('mulberryquay_control_age_ms', age.milliseconds)
+        set_gauge('mulberryquay_control_age_max_ms', age.longest_ms)
         entry_state.leased_rates.update_gauges()
 
 
--- a/src/mulberryquay/entry/forwarder.py
+++ b/src/mulberryquay/entry/forwarder.py
@@ -205,7 +205,11 @@
         return result
 
     def _record_choice(self, target: targets.TargetState, now: float) -> None:
-        snapshot = request_log.snapshot_of(target, now)
+        snapshot = request_log.snapshot_of(
+            target,
+            now,
+            control_age_ms=self._state.control_age.milliseconds,
+        )
         self.target_snapshots.append(snapshot)
         if self._state.load_prober is not None:
             self._state.load_prober.begin_call(target)
--- a/src/mulberryquay/entry/request_log.py
+++ b/src/mulberryquay/entry/request_log.py
@@ -34,6 +34,8 @@
     slowness: float
     #: Milliseconds since that report, -1 if there was none.
     report_age_ms: float
+    #: How old the control hosts' word on it was; -1 before the first one.
+    control_age_ms: int = -1
 
     @property
     def report_state(self) -> str:
@@ -62,7 +64,9 @@
     target_snapshots: typing.Sequence[TargetSnapshot]
 
 
-def snapshot_of(target: targets.TargetState, now: float) -> TargetSnapshot:
+def snapshot_of(
+    target: targets.TargetState, now: float, *, control_age_ms: int
+) -> TargetSnapshot:
     """Returns what is known of a target now."""
     age = now - target.reported_at
     return TargetSnapshot(
@@ -71,6 +75,7 @@
         round(target.load(now), _DIGITS),
         target.slowness,
         round(age, _DIGITS) if age < float('inf') else -1,
+        control_age_ms,
     )
 
 
--- a/src/mulberryquay/entry/state.py
+++ b/src/mulberryquay/entry/state.py
@@ -10,6 +10,7 @@
 from mulberryquay import api_load, metrics
 from mulberryquay.coordination import (
     clock,
+    confirmed_age,
     retry_budget,
     memory_account,
     shares,
@@ -138,6 +139,17 @@
         '1 while a control host confirms that the configuration is current.',
         is_gauge=True,
     ),
+    metrics.MetricDeclaration(
+        'mulberryquay_control_age_ms',
+        'Milliseconds since the sending of the newest heartbeat that a control '
+        'host in contact with the majority answered; -1 before the first one.',
+        is_gauge=True,
+    ),
+    metrics.MetricDeclaration(
+        'mulberryquay_control_age_max_ms',
+        'The highest value of mulberryquay_control_age_ms since the start.',
+        is_gauge=True,
+    ),
     *caller_limits.METRICS,
     *leased_rates.METRICS,
     *api_load.METRICS,
@@ -278,6 +290,7 @@
         self.account_rates: permits.AccountRates = account_rates.EqualParts(
             self.share_view, self.clock
         )
+        self._control_age = confirmed_age.ConfirmedAge(self.clock)
         self._leased_rates = leased_rates.LeasedRates(self.clock, self.metrics)
         if self.options.leases_rates:
             self.account_rates = self._leased_rates
@@ -294,6 +307,11 @@
         """The names of the headers exchanged with callers and targets."""
         return self.options.dialect
 
+    @property
+    def control_age(self) -> confirmed_age.ConfirmedAge:
+        """How old the control hosts' word is that this entry acts on."""
+        return self._control_age
+
     @property
     def leased_rates(self) -> leased_rates.LeasedRates:
         """The permits that control hosts granted to this entry."""
