--- a/src/mulberryquay/control/feed.py
+++ b/src/mulberryquay/control/feed.py
@@ -59,6 +59,7 @@
         self._store = resources
         self._directory = targets
         self._membership = entries
+        self._clock = time_source
         self._group = group
         #: Applies what entries report of targets.
         self.target_reports = target_reports.TargetReports(
@@ -92,24 +93,28 @@
         self._load = stream_load.StreamLoad('feed', limits)
         self._server = server.StreamServer(listener, self._serve)
         self._server.start()
+        self.start_tasks()
+
+    def start_tasks(self) -> None:
+        """Starts to send changes to the entries."""
         self._tasks = [
             gevent.spawn(self._send_config_changes),
             gevent.spawn(self._send_target_changes),
             gevent.spawn(self._expire),
         ]
 
+    def stop_tasks(self) -> None:
+        """Stops sending changes."""
+        gevent.killall(self._tasks)
+
     def stop(self) -> None:
         """Closes all streams."""
-        gevent.killall(self._tasks)
+        self.stop_tasks()
         self._server.stop(timeout=0)
         self._load.close_all()
 
-    def _serve(self, connection: typing.Any, _address: typing.Any) -> None:
-        with self._load.serving(connection, protocol.CODEC) as served:
-            if served is not None:
-                self._serve_stream(served.messages)
-
-    def _serve_stream(self, stream: wire.Stream) -> None:
+    def serve_stream(self, stream: wire.Stream) -> None:
+        """Serves an entry until its stream ends."""
         stream.set_timeout(_STREAM_TIMEOUT_MS)
         outbound: queue.Queue = entry_queues.new_queue()
         entry = ''
@@ -126,6 +131,11 @@
             writer.kill()
             self._close_stream(entry, stream, outbound)
 
+    def _serve(self, connection: typing.Any, _address: typing.Any) -> None:
+        with self._load.serving(connection, protocol.CODEC) as served:
+            if served is not None:
+                self.serve_stream(served.messages)
+
     def _close_stream(
         self,
         entry: str,
@@ -373,7 +383,7 @@
     def _expire(self) -> None:
         was_relearning = self._directory.is_relearning
         while True:
-            gevent.sleep(_EXPIRY_INTERVAL_MS / clock.MS_PER_SECOND)
+            self._clock.sleep(_EXPIRY_INTERVAL_MS)
             self._directory.expire()
             self._directory.publish_renewals_if_due()
             self._send_host_changes()
--- a/testing/control/target_end_world.py
+++ b/testing/control/target_end_world.py
@@ -294,7 +294,8 @@
         except directory.UnknownTargetError:
             incarnation = None
         ended = leader.targets.end(name, incarnation=incarnation)
-        self.acknowledged[name] = max(ended, self.acknowledged.get(name, 0))
+        # The run that called waits for the answer, so it is the newest one.
+        self.acknowledged[name] = max(ended, self.running_targets[name])
 
     def _write_cache(self) -> None:
         self.rng.choice(list(self.hosts.values())).write_cache()
--- a/testing/coordination/replication/test_replica.py
+++ b/testing/coordination/replication/test_replica.py
@@ -18,6 +18,13 @@
 CASE: typing.Final = unittest.TestCase()
 ADDRESSES: typing.Final = ('a', 'b', 'c', 'd', 'e')
 
+#: How long a disk answers nothing, in ms.
+_STALL_MS: typing.Final = 5000.0
+
+#: In this time a replica that vouches has applied what is committed: half of
+#: the shortest drain time of a target, in ms.
+_APPLY_MS: typing.Final = 1000.0
+
 
 @contextlib.contextmanager
 def _world(
@@ -350,3 +357,43 @@
         CASE.assertEqual([task.ready() for task in answers], [False, False])
         world.clock.run(400)
         CASE.assertTrue(all(task.get().is_accepted for task in answers))
+
+
+def test_replica_with_a_stalled_disk_vouches_only_for_what_it_applied() -> None:
+    """Hosts granted leases while committed records waited for their disks."""
+    with _world() as world:
+        _wait_until_converged(world)
+        leader = world.leader
+        stalled = next(node for node in world.live if node is not leader)
+        stalled.disk_stalls_until = world.clock.now() + _STALL_MS
+        _propose(world, 3)
+        CASE.assertEqual(len(world.acknowledged), 3)
+        _check_vouching(world, stalled)
+
+
+def test_replica_behind_the_leader_vouches_only_for_what_it_applied() -> None:
+    """A call from the leader was contact, even with the log still behind."""
+    with _world() as world:
+        _wait_until_converged(world)
+        leader = world.leader
+        assert leader is not None
+        behind = next(node for node in world.live if node is not leader)
+        behind.stop()
+        _propose(world, 300)
+        behind.start()
+        behind.disk_stalls_until = world.clock.now() + _STALL_MS
+        _check_vouching(world, behind)
+
+
+def _check_vouching(world: world_module.World, node: world_module.Node) -> None:
+    """Checks that no replica in touch lacks what was committed before."""
+    expected = set(world.acknowledged)
+    world.clock.run(_APPLY_MS)
+    for _ in range(60):
+        replica = node.replica
+        assert replica is not None
+        if replica.is_in_touch:
+            missing = expected - set(node.machine.records)
+            CASE.assertFalse(missing, f'at {world.clock.now():.0f} ms')
+        world.clock.run(100)
+    CASE.assertEqual(expected, set(node.machine.records))
--- a/testing/coordination/replication/world.py
+++ b/testing/coordination/replication/world.py
@@ -143,7 +143,7 @@
         self.is_up = False
         self.disk_stalls_until = 0.0
         self.disk_is_full = False
-        self.machine = RecordingMachine()
+        self.machine: typing.Any = world.new_machine(address)
         self.replica: replica.Replica | None = None
         self._wipes = 0
 
@@ -156,7 +156,7 @@
         """Starts the node with its current disk."""
         self.run_number += 1
         self.is_up = True
-        self.machine = RecordingMachine()
+        self.machine = self.world.new_machine(self.address)
         file = journal.Journal(self.folder, file_system=SimulatedDisk(self))
         self.replica = replica.Replica(
             replica.ReplicaOptions(
@@ -192,6 +192,8 @@
         self.folder = folder
         self.rng = random.Random(seed)
         self.clock = virtual_time.VirtualClock()
+        #: Makes the state machine of the node at an address.
+        self.new_machine: typing.Callable[[str], typing.Any] = _new_machine
         self.nodes: dict[str, Node] = {}
         self.contacts: tuple[str, ...] = ()
         self.cuts: set[tuple[str, str]] = set()
@@ -268,7 +270,7 @@
 
     def check_order(self) -> None:
         """Records a violation if orders differ or a record is doubled."""
-        longest = max(
+        longest: list[int] = max(
             (node.machine.records for node in self.live),
             key=len,
             default=[],
@@ -295,5 +297,9 @@
         )
 
 
+def _new_machine(_address: str) -> RecordingMachine:
+    return RecordingMachine()
+
+
 def _term_of(node: Node) -> int:
     return 0 if node.replica is None else node.replica.term
