End whatever run a deregistration may come from

Callers saw requests sent to targets that had deregistered and got the acknowledgement, for as long as the targets were listed.

The call names no incarnation. The called host ended the one it knew, although a later one may have announced itself at another host that was frozen, killed or cut off before it passed that on; the order was acknowledged all the same. Now the host ends every incarnation that began before the call, by its time of day, and at least the one it knows. The sender still runs if it waits for the answer, which is checked after the time was read, so no later run is ended.

--- a/src/mulberryquay/control/directory.py
+++ b/src/mulberryquay/control/directory.py
@@ -218,7 +218,7 @@
             and row.allowance > state.slow_start.current
         ):
             state.slow_start.restore(row.allowance, is_warm=row.is_warm)
-            self._update_allowance(state)
+            self._update(state, 'allowance', **_allowance_of(state))
         if row.rate_per_s is not None:
             self.restore_rate_limit(
                 row.name,
@@ -276,19 +276,25 @@
     def end(self, name: str, *, incarnation: int | None) -> int:
         """Stops new requests to an incarnation on all hosts and returns it.
 
-        An ``incarnation`` of None stands for the one known here or, if there
-        is none, for any that started before now. Raises InvalidResourceError
-        for a name that no target can have.
+        An ``incarnation`` of None stands for `newest_incarnation`. Raises
+        InvalidResourceError for a name that no target can have.
         """
         schema.check_name(name, label='name of the target')
         if incarnation is None:
-            state = self._targets.get(name)
-            incarnation = int(self._clock.wall())
-            if state is not None:
-                incarnation = state.row.incarnation
+            incarnation = self.newest_incarnation(name)
         self.ended_targets.end(name, incarnation)
         return incarnation
 
+    def newest_incarnation(self, name: str) -> int:
+        """Returns the highest incarnation that a target may have now.
+
+        A later one than is known here may have announced itself at another
+        host only, so any that began before now counts, by the time of day.
+        """
+        state = self._targets.get(name)
+        known = 0 if state is None else state.row.incarnation
+        return max(known, int(self._clock.wall()))
+
     def expire(self) -> None:
         """Removes the targets whose leases ran out."""
         oldest = self._clock.now() - self._lease
@@ -309,7 +315,7 @@
         if state is None or state.row.cold_ms != announcements.COLD_MS_UNKNOWN:
             return
         if state.slow_start.record_served(answers):
-            self._update_allowance(state)
+            self._update(state, 'allowance', **_allowance_of(state))
 
     def record_shed(self, name: str, *, incarnation: int) -> None:
         """Lowers the allowance of a target that shed calls or slowed down."""
@@ -320,7 +326,7 @@
             state.row.cold_ms == announcements.COLD_MS_UNKNOWN
             and state.slow_start.record_shed()
         ):
-            self._update_allowance(state)
+            self._update(state, 'allowance', **_allowance_of(state))
 
     def record_rate_limit(
         self, name: str, report: protocol.RateLimitReport
@@ -361,7 +367,7 @@
             if reports_cold_time or state.row.domain != domain:
                 continue
             if state.slow_start.reset_cold():
-                self._update_allowance(state)
+                self._update(state, 'allowance', **_allowance_of(state))
 
     def add_hint(self, name: str, hint: AllowanceHint) -> None:
         """Restores the allowance of a target as an entry knows it.
@@ -378,7 +384,7 @@
         is_higher = hint.granted > target.slow_start.current
         if is_higher or (hint.is_warm and not target.slow_start.is_warm):
             target.slow_start.restore(hint.granted, is_warm=hint.is_warm)
-            self._update_allowance(target)
+            self._update(target, 'allowance', **_allowance_of(target))
 
     def _find(self, name: str) -> _TargetState:
         try:
@@ -475,14 +481,6 @@
                 self._update(state, 'leaving', is_leaving=True)
         self.publish_ends(ends)
 
-    def _update_allowance(self, state: _TargetState) -> None:
-        self._update(
-            state,
-            'allowance',
-            allowance=state.slow_start.current,
-            is_warm=state.slow_start.is_warm,
-        )
-
     def _update(
         self,
         state: _TargetState,
@@ -493,6 +491,14 @@
         self._record_change(TargetChange(state.row, reason, is_removed=False))
 
 
+def _allowance_of(state: _TargetState) -> dict[str, typing.Any]:
+    """Returns the fields of a target's row that slow start decides."""
+    return {
+        'allowance': state.slow_start.current,
+        'is_warm': state.slow_start.is_warm,
+    }
+
+
 def _stale_error(name: str, got: int, expected: int) -> StaleIncarnationError:
     return StaleIncarnationError(
         f'target {name!r}: got incarnation {got}, expected {expected} or '
--- a/testing/control/target_end_world.py
+++ b/testing/control/target_end_world.py
@@ -288,11 +288,7 @@
             return
         called, leader = self.rng.choice(running), self.rng.choice(running)
         leader.catch_up()
-        incarnation: int | None
-        try:
-            incarnation = called.targets.get(name).incarnation
-        except directory.UnknownTargetError:
-            incarnation = None
+        incarnation = called.targets.newest_incarnation(name)
         ended = leader.targets.end(name, incarnation=incarnation)
         # The run that called waits for the answer, so it is the newest one.
         self.acknowledged[name] = max(ended, self.running_targets[name])
