--- a/testing/platform_adapter/samples.py
+++ b/testing/platform_adapter/samples.py
@@ -93,6 +93,9 @@
     ],
 }
 
+#: Start of the run in `heartbeat`, in ms since the Unix epoch.
+BORN: typing.Final = 1_700_000_000_000
+
 
 def configuration(version: int = 7) -> dict[str, typing.Any]:
     """Returns a copy of the sample configuration."""
@@ -117,7 +120,7 @@
         'state': 'ready',
         'cold_remaining_s': 0,
         'sequence': 4,
-        'born': 1_700_000_000_000,
+        'born': BORN,
         **changes,
     }
     return {name: field for name, field in fields.items() if field is not None}
--- a/testing/platform_adapter/test_calls.py
+++ b/testing/platform_adapter/test_calls.py
@@ -14,6 +14,9 @@
 
 CASE: typing.Final = unittest.TestCase()
 
+#: Start of a run after that of `samples.heartbeat`, in ms since the epoch.
+_LATER_BORN: typing.Final = samples.BORN + 9000
+
 
 def test_configuration_is_read_back_as_it_was_put() -> None:
     """Guards against dropping unknown fields when a document is stored.
@@ -121,6 +124,25 @@
         CASE.assertEqual(targets.get('i-1').incarnation, 1_700_000_009_000)
 
 
+def test_draining_run_is_not_acknowledged_before_its_end_is_committed() -> None:
+    """Its heartbeat was taken for a late one if a later run was known.
+
+    Other hosts may not know the later run, whose clock may also be ahead.
+    Issue 62.
+    """
+    with control_hosts.running() as platform:
+        platform.send_heartbeat('i-1', born=_LATER_BORN)
+        ended = platform.daemon.cluster.state.ended_targets
+        elsewhere = platform.send_heartbeat(
+            'i-1', state='draining', address='10.0.0.99:8080'
+        )
+        CASE.assertEqual(elsewhere, 200)
+        CASE.assertTrue(ended.is_ended('i-1', samples.BORN))
+        CASE.assertFalse(platform.daemon.targets.get('i-1').is_leaving)
+        in_place = platform.send_heartbeat('i-1', state='draining')
+        CASE.assertEqual(in_place, 409)
+
+
 def test_deregistered_target_is_not_revived() -> None:
     """Guards against late heartbeats that bring a deregistered target back.
 
