Vouch for the state only once it is applied, and apply before the sync

Callers saw requests sent to targets whose end was acknowledged, and old configuration obeyed, by entries that follow a control host whose disk stalls, for as long as it stalls; or a host that started again and is still behind.

A follower counted each call of the leader as contact, also one that waited for its disk or found its log too short, so it granted freshness leases without having applied what was committed. 'In touch' now means that everything which the leader had committed at a recent call was applied. And a follower applies it before its own disk has synced the entries: others have, and a lost machine starts from its disk and the log again. Only the answer, which counts for the majority, waits for the disk.

--- a/src/mulberryquay/coordination/replication/follower.py
+++ b/src/mulberryquay/coordination/replication/follower.py
@@ -66,11 +66,18 @@
                     is_accepted=False,
                     match_index=max(hint, replica_state.log.base_index),
                 )
-        replica_state.append([log.Entry(*row) for row in request.entries])
-        if replica_state.term != request.term:
-            return _refusal(replica_state)
+        pending = replica_state.append(
+            [log.Entry(*row) for row in request.entries]
+        )
         match_index = previous + len(request.entries)
+        # Others have synced what is committed, so it is applied before the
+        # entries are synced to this disk.
         replica_state.commit(min(request.commit_index, match_index))
+        if replica_state.applied_index >= request.commit_index:
+            replica_state.current_at = replica_state.clock.now()
+        replica_state.finish_sync(pending)
+        if replica_state.term != request.term:
+            return _refusal(replica_state)
         return messages.AppendAnswer(
             replica_state.term,
             is_accepted=True,
--- a/src/mulberryquay/coordination/replication/replica.py
+++ b/src/mulberryquay/coordination/replication/replica.py
@@ -115,7 +115,7 @@
 
     @property
     def is_in_touch(self) -> bool:
-        """Whether this replica was in contact with its leader recently.
+        """Whether this replica recently had all that its leader committed.
 
         For a leader, whether a majority of the voters answered recently.
         """
@@ -123,9 +123,7 @@
         oldest = replica_state.clock.now() - timing.MIN_ELECTION_TIMEOUT_MS
         if replica_state.is_leader and self._leading is not None:
             return self._leading.has_quorum_since(oldest)
-        return (
-            bool(replica_state.leader) and replica_state.contacted_at >= oldest
-        )
+        return bool(replica_state.leader) and replica_state.current_at >= oldest
 
     @property
     def unapplied(self) -> int:
--- a/src/mulberryquay/coordination/replication/state.py
+++ b/src/mulberryquay/coordination/replication/state.py
@@ -5,6 +5,8 @@
 import logging
 import typing
 
+from gevent import event
+
 from mulberryquay.coordination import clock, errors, signals, units
 from mulberryquay.coordination.replication import disk, log
 
@@ -67,6 +69,16 @@
         """Returns the answer; raises CallFailedError."""
 
 
+class PendingSync(typing.NamedTuple):
+    """Log entries that are being synced to disk."""
+
+    #: The last one, None if there is nothing to wait for.
+    last: log.Entry | None = None
+    #: The term in which they were appended.
+    term: int = 0
+    synced: event.AsyncResult | None = None
+
+
 @typing.final
 class ReplicaState:
     """Term, vote, log and role; read and written without locks.
@@ -105,6 +117,8 @@
         #: When a leader last called or a vote was last granted, which both
         #: restart the election timeout.
         self.contacted_at = float('-inf')
+        #: When a leader last called and all that it had committed was applied.
+        self.current_at = float('-inf')
         self.commit_index = stored.log.base_index
         #: The highest commit index that a leader has called.
         self.announced_commit = 0
@@ -174,27 +188,32 @@
             self.disk.save_commit(index).get()
             self._durable_commit_index = index
 
-    def append(self, entries: list[log.Entry]) -> None:
-        """Appends a leader's log entries and syncs them.
+    def append(self, entries: list[log.Entry]) -> PendingSync:
+        """Appends a leader's log entries and starts to sync them.
 
         Entries that exist are skipped. An existing entry that conflicts is
-        removed first, with all entries after it. Raises JournalFailedError
-        and DivergedError.
+        removed first, with all entries after it. Raises DivergedError.
         """
         added = self._drop_known(entries)
         for entry in added:
             self.log.append(entry)
         if added:
-            last = self.log.last_index
-            term = self.term
-            self.disk.save_entries(added).get()
-            if self.log.term_at(last) == added[-1].term and term == self.term:
-                self._synced_index = max(self._synced_index, last)
-        elif entries and entries[-1].log_index > self._synced_index:
-            last = entries[-1].log_index
-            self.disk.barrier().get()
-            if self.log.term_at(last) == entries[-1].term:
-                self._synced_index = max(self._synced_index, last)
+            synced = self.disk.save_entries(added)
+            return PendingSync(added[-1], self.term, synced)
+        if entries and entries[-1].log_index > self._synced_index:
+            return PendingSync(entries[-1], self.term, self.disk.barrier())
+        return PendingSync()
+
+    def finish_sync(self, pending: PendingSync) -> None:
+        """Returns once appended entries are synced.
+
+        Raises JournalFailedError.
+        """
+        if pending.last is None or pending.synced is None:
+            return
+        pending.synced.get()
+        if pending.term == self.term:
+            self.mark_synced(pending.last)
 
     def wait_until_synced(self, index: int) -> None:
         """Returns once a snapshot up to ``index``, being written, is synced.
@@ -205,7 +224,7 @@
             self.disk.barrier().get()
 
     def mark_synced(self, entry: log.Entry) -> None:
-        """Records that the leader's own log entry is synced to its disk."""
+        """Records that a log entry and those before it are synced to disk."""
         if self.log.term_at(entry.log_index) == entry.term:
             self._synced_index = max(self._synced_index, entry.log_index)
 
@@ -235,6 +254,7 @@
         self.commit_index = index
         self._applied_index = index
         self._synced_index = min(self._synced_index, index)
+        self.current_at = self.clock.now()
         self.changed.notify()
         self.compact()
 
