A leader without a fresh majority is no contact for its followers

In a split with the old leader on the smaller side, its followers there vouched for up to 2.25 s: the leader called them until it stepped down after 1,050 ms, and each call counts as contact for 1,100 ms. Entries that follow two of them got freshness leases for old state meanwhile, while the majority had a new leader and ended targets.

A leader without answers from a majority for 750 ms now calls only followers that are silent, of which one answer may be what it needs. Contact of the others then ends 1,850 ms after the cut at the latest. Elections keep their timeouts, as the leader steps down after 1,050 ms as before.

--- a/src/mulberryquay/coordination/replication/leadership.py
+++ b/src/mulberryquay/coordination/replication/leadership.py
@@ -169,6 +169,9 @@
         replica_state = self._state
         while self.is_current and self._peers.get(peer.identity) is peer:
             sent_at = replica_state.clock.now()
+            if self._must_not_call(peer, sent_at):
+                replica_state.clock.sleep(timing.CHECK_INTERVAL_MS)
+                continue
             request = progress.next_request(replica_state, self._term, peer)
             try:
                 answer = replica_state.network.call(
@@ -183,6 +186,16 @@
             if not self._has_pending_work(peer, sent_at):
                 self._work_signal.wait(timing.HEARTBEAT_INTERVAL_MS)
 
+    def _must_not_call(self, peer: progress.Progress, now: float) -> bool:
+        """Whether a call would be contact with a leader without a majority.
+
+        A follower that is silent itself has to be called: its answer may be
+        the one that a majority needs.
+        """
+        oldest = now - timing.CONTACT_QUORUM_MS
+        is_silent = peer.answered_call_at < oldest
+        return not is_silent and not self.has_quorum_since(oldest)
+
     def _has_pending_work(
         self, peer: progress.Progress, sent_at: float
     ) -> bool:
--- a/src/mulberryquay/coordination/replication/timing.py
+++ b/src/mulberryquay/coordination/replication/timing.py
@@ -22,6 +22,10 @@
 #: active at once.
 QUORUM_LOSS_MS: typing.Final = 1050.0
 
+#: A leader without answers from a majority for this long calls only followers
+#: that are silent. A heartbeat and several round trips between regions fit.
+CONTACT_QUORUM_MS: typing.Final = 750.0
+
 #: Timeout of a call between replicas, long enough for a slow disk sync.
 CALL_TIMEOUT_MS: typing.Final = 600.0
 
--- a/testing/coordination/replication/test_replica.py
+++ b/testing/coordination/replication/test_replica.py
@@ -21,9 +21,11 @@
 #: How long a disk answers nothing, in ms.
 _STALL_MS: typing.Final = 5000.0
 
-#: In this time a replica that vouches has applied what is committed: half of
-#: the shortest drain time of a target, in ms.
-_APPLY_MS: typing.Final = 1000.0
+#: The shortest drain time of a target, in ms.
+_DRAIN_MS: typing.Final = 2000.0
+
+#: In this time a replica that vouches has applied what is committed, in ms.
+_APPLY_MS: typing.Final = _DRAIN_MS / 2
 
 
 @contextlib.contextmanager
@@ -385,6 +387,23 @@
         _check_vouching(world, behind)
 
 
+def test_followers_of_a_leader_without_majority_stop_vouching() -> None:
+    """Its calls were contact until it stepped down, and for a while after."""
+    for seed in range(10):
+        with _world(seed) as world:
+            _wait_until_converged(world)
+            leader = world.leader
+            assert leader is not None
+            follower, *rest = [node for node in world.live if node != leader]
+            minority = [leader.address, follower.address]
+            majority = [node.address for node in rest]
+            world.cut(minority, majority)
+            world.cut(majority, minority)
+            world.clock.run(_DRAIN_MS)
+            assert follower.replica is not None
+            CASE.assertFalse(follower.replica.is_in_touch, f'seed {seed}')
+
+
 def _check_vouching(world: world_module.World, node: world_module.Node) -> None:
     """Checks that no replica in touch lacks what was committed before."""
     expected = set(world.acknowledged)
