Let entries find a control host with a majority sooner in a split

Both hosts that an entry follows may be on the smaller side. It learned so by the lack of a lease in 1,200 ms; then it tried hosts one after the other, nearest first, which took its stream, waited 850 ms for a leader, and closed it. In a split that lasts it left a host of the majority for a nearer one of the smaller side, with both streams at once, since a host that was only being tried counted as followed.

- A host tells its entries at once when it loses or regains contact, in an answer to no heartbeat, which older entries ignore.
An entry leaves one that has had none for 700 ms; most elections are over by then.
- A host without contact refuses an entry that has a configuration at once.
- While no host vouches, the next is tried after 50 ms, until all have failed.
Those that failed come last, the first one first, and hosts in a failure domain with several such after those of other domains.
- An entry leaves a host for a better one only while another vouches.

--- a/src/mulberryquay/control/feed.py
+++ b/src/mulberryquay/control/feed.py
@@ -35,6 +35,9 @@
 FRESHNESS_LEASE_MS: typing.Final = 3000
 
 _EXPIRY_INTERVAL_MS: typing.Final = 250
+
+#: Interval at which this host checks whether it may still grant leases.
+_CONTACT_CHECK_INTERVAL_MS: typing.Final = 100.0
 _WATCH_TIMEOUT_MS: typing.Final = 10_000
 #: A stream without a message for this long is closed; heartbeats are much
 #: more frequent.
@@ -43,6 +46,14 @@
 _LOG: typing.Final = logging.getLogger(__name__)
 
 
+@typing.final
+class NotInTouchError(errors.MulberryquayError):
+    """This control host has no contact with the majority now."""
+
+    code = 'not-in-touch'
+    http_status = 503
+
+
 @typing.final
 class Feed:
     """Accepts the streams of entries, with a reader and a writer task each."""
@@ -81,6 +92,10 @@
         """How often a limit of the streams of entries was met."""
         return self._load.limits_met
 
+    @property
+    def _lease_ms(self) -> int:
+        return FRESHNESS_LEASE_MS if self._group.is_in_touch else 0
+
     def start(
         self,
         listener: typing.Any,
@@ -101,6 +116,7 @@
             gevent.spawn(self._send_config_changes),
             gevent.spawn(self._send_target_changes),
             gevent.spawn(self._expire),
+            gevent.spawn(self._watch_contact),
         ]
 
     def stop_tasks(self) -> None:
@@ -159,6 +175,9 @@
         is_current = hello.protocol_version == protocol.PROTOCOL_VERSION
         if self._needs_uncertain_state(hello):
             self._enqueue_state(outbound, is_current=is_current)
+        elif hello.config_revision and not self._group.is_in_touch:
+            # Another host may be; the entry should not wait for this one.
+            raise NotInTouchError('no contact with the majority')
         self._group.wait_until_current()
         self.target_reports.restore(hello)
         self._enqueue_state(outbound, is_current=is_current)
@@ -208,7 +227,7 @@
         pending = self._membership.pending
         if pending is not None:
             outbound.put_nowait(feed_messages.entries_proposed(pending))
-        outbound.put_nowait(self._peers_message())
+        outbound.put_nowait(feed_messages.peers_changed(self._membership.state))
 
     def _enqueue_config(self, outbound: queue.Queue) -> None:
         revision = self._store.revision
@@ -235,11 +254,9 @@
             match message:
                 case protocol.Heartbeat():
                     self._handle_heartbeat(entry, message)
-                    is_in_touch = self._group.is_in_touch
                     outbound.put_nowait(
                         protocol.HeartbeatAnswer(
-                            message.sequence,
-                            FRESHNESS_LEASE_MS if is_in_touch else 0,
+                            message.sequence, self._lease_ms
                         ),
                     )
                 case (
@@ -331,7 +348,9 @@
             self._queues.send_to_all(
                 feed_messages.entries_proposed(pending),
             )
-            self._queues.send_to_all(self._peers_message())
+            self._queues.send_to_all(
+                feed_messages.peers_changed(self._membership.state)
+            )
         committed = self._membership.committed
         if committed != self._sent_committed:
             self._sent_committed = committed
@@ -339,9 +358,6 @@
                 feed_messages.entries_committed(committed),
             )
 
-    def _peers_message(self) -> protocol.PeersChanged:
-        return protocol.PeersChanged(self._membership.state.peers)
-
     def _send_config_changes(self) -> None:
         sent = self._store.revision
         while True:
@@ -394,6 +410,24 @@
                 was_relearning = False
                 self._broadcast_all_targets()
 
+    def _watch_contact(self) -> None:
+        """Tells entries at once when this host loses or regains contact."""
+        was_in_touch = False
+        while True:
+            is_in_touch = self._group.is_in_touch
+            if is_in_touch != was_in_touch:
+                was_in_touch = is_in_touch
+                _LOG.warning(
+                    'in touch' if is_in_touch else 'out of touch',
+                    extra={'entries': self._queues.count},
+                )
+                self._queues.send_to_all(
+                    protocol.HeartbeatAnswer(
+                        protocol.NO_HEARTBEAT, self._lease_ms
+                    )
+                )
+            self._clock.sleep(_CONTACT_CHECK_INTERVAL_MS)
+
     def _send_host_changes(self) -> None:
         hosts = self._group.list_hosts()
         if hosts != self._sent_hosts:
--- a/src/mulberryquay/control/feed_messages.py
+++ b/src/mulberryquay/control/feed_messages.py
@@ -6,7 +6,12 @@
 import typing
 
 from mulberryquay import protocol
-from mulberryquay.control import directory, entry_reports, permit_desk
+from mulberryquay.control import (
+    directory,
+    entry_reports,
+    membership,
+    permit_desk,
+)
 from mulberryquay.control import roll_outs as roll_out_decider
 from mulberryquay.coordination import shares
 
@@ -95,3 +100,10 @@
 def entries_committed(entries: shares.EntryList) -> protocol.EntriesCommitted:
     """Returns the message for a confirmed list."""
     return protocol.EntriesCommitted(entries.epoch, list(entries.members))
+
+
+def peers_changed(
+    state: membership.MembershipState,
+) -> protocol.PeersChanged:
+    """Returns the message that lists the entries that accept relays."""
+    return protocol.PeersChanged(state.peers)
--- a/src/mulberryquay/entry/control_hosts.py
+++ b/src/mulberryquay/entry/control_hosts.py
@@ -10,6 +10,10 @@
 #: For this long, a control host that failed ranks behind all others.
 AVOID_MS: typing.Final = 3000.0
 
+#: So many hosts of a failure domain that are avoided let its others rank
+#: behind those of other domains.
+_SPREAD_AFTER: typing.Final = 2
+
 
 class ControlHost(typing.NamedTuple):
     """A control host's feed address and location."""
@@ -50,6 +54,11 @@
         """All known addresses without duplicates."""
         return list(dict.fromkeys((*self._announced, *self._configured)))
 
+    @property
+    def have_all_failed(self) -> bool:
+        """Whether each known host failed within `AVOID_MS`."""
+        return all(map(self._is_avoided, self.addresses))
+
     def configure(self, addresses: typing.Sequence[str]) -> None:
         """Replaces the addresses from the settings."""
         self._configured = tuple(addresses)
@@ -69,8 +78,9 @@
         """Returns the address of the best host that is not ``followed``.
 
         Returns an empty string if there is none. Hosts in another failure
-        domain than the followed ones rank first, then nearer ones. Avoided
-        hosts rank behind all others.
+        domain than the followed ones rank first, then nearer ones. Those in
+        domains where several others are avoided rank behind them, and avoided
+        ones last, beginning with the one that failed first.
         """
         candidates = [
             address for address in self.addresses if address not in followed
@@ -88,8 +98,7 @@
         return all(
             self._proximity(other, followed) >= own_proximity
             for other in self._announced
-            if other not in followed
-            and self._avoided_until.get(other, 0) <= self._clock.now()
+            if other not in followed and not self._is_avoided(other)
         )
 
     def _proximity(
@@ -113,13 +122,30 @@
             distance = int(host.domain != self._domain)
         return bool(host.domain) and host.domain in domains, distance
 
+    def _is_avoided(self, address: str) -> bool:
+        return self._avoided_until.get(address, 0) > self._clock.now()
+
+    def _avoided_neighbors(self, address: str) -> int:
+        """Returns how many announced hosts of its domain are avoided."""
+        host = self._announced.get(address)
+        if host is None:
+            return 0
+        return sum(
+            other.domain == host.domain and self._is_avoided(other.address)
+            for other in self._announced.values()
+        )
+
     def _sort_key(
         self,
         address: str,
         followed: typing.Collection[str],
-    ) -> tuple[bool, tuple[bool, int], float]:
+    ) -> tuple[float, int, tuple[bool, int], float]:
+        failed_at = 0.0
+        if self._is_avoided(address):
+            failed_at = self._avoided_until[address]
         return (
-            self._avoided_until.get(address, 0) > self._clock.now(),
+            failed_at,
+            self._avoided_neighbors(address) // _SPREAD_AFTER,
             self._proximity(address, followed),
             self._rng.random(),
         )
--- a/src/mulberryquay/entry/control_stream.py
+++ b/src/mulberryquay/entry/control_stream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import typing
 
 import gevent
@@ -11,15 +12,16 @@
 from mulberryquay.coordination import errors, shares, store, wire
 from mulberryquay.entry import control_view
 
-#: If no heartbeat answer grants a freshness lease for this long, the entry
-#: switches to another control host. Two heartbeats and a round trip fit.
-LEASE_RENEWAL_TIMEOUT_MS: typing.Final = 1200.0
+#: A host without contact to the majority is left after this long. The election
+#: of a leader by hosts that reach each other fits.
+OUT_OF_TOUCH_TIMEOUT_MS: typing.Final = 700.0
 
 #: Shortest time between two checks of what is due.
 _MIN_CHECK_INTERVAL_MS: typing.Final = 10.0
 _RECONNECT_DELAY_MS: typing.Final = 50.0
 
-#: Interval at which a further host to follow is looked for.
+#: Interval at which a host to follow is looked for while another one is
+#: followed, or once all of them have failed.
 _SPARE_HOST_INTERVAL_MS: typing.Final = 250.0
 
 #: Several round trips between regions fit. It is short because a host without
@@ -51,6 +53,8 @@
         self._sequence = 0
         self._sent_at: dict[int, float] = {}
         self._lease_renewed_at = 0.0
+        #: When the host said that it has no contact; infinite while it has.
+        self._out_of_touch_at = math.inf
         self._heartbeat_at = 0.0
         self._sent_confirmation = (0, 0)
         self._is_switching = False
@@ -66,6 +70,14 @@
     def _heartbeat_interval(self) -> float:
         return self._view.heartbeat_interval(self.address)
 
+    @property
+    def _leave_at(self) -> float:
+        """When to leave the followed host unless it grants a lease."""
+        return min(
+            self._lease_renewed_at + control_view.VOUCHED_MS,
+            self._out_of_touch_at + OUT_OF_TOUCH_TIMEOUT_MS,
+        )
+
     def start(self) -> None:
         """Starts connecting; reconnects until `stop`."""
         self._tasks = [
@@ -115,7 +127,7 @@
                 self.address = ''
             self._clock.sleep(
                 _SPARE_HOST_INTERVAL_MS
-                if self._view.is_following
+                if self._view.can_wait_for_host
                 else _RECONNECT_DELAY_MS
             )
 
@@ -125,8 +137,9 @@
             protocol.CODEC,
             timeout=_CONNECT_TIMEOUT_MS,
         )
-        stream.set_timeout(LEASE_RENEWAL_TIMEOUT_MS * 2)
+        stream.set_timeout(control_view.VOUCHED_MS * 2)
         self._lease_renewed_at = self._clock.now()
+        self._out_of_touch_at = math.inf
         self._snapshot_rows = []
         stream.send(self._make_hello())
         for verdict in self._view.known_verdicts():
@@ -190,18 +203,22 @@
     def _handle_heartbeat_answer(
         self, answer: protocol.HeartbeatAnswer
     ) -> None:
+        now = self._clock.now()
         sent_at = self._sent_at.pop(answer.sequence, None)
-        if sent_at is None or not answer.lease_ms:
+        if not answer.lease_ms:
+            self._out_of_touch_at = min(self._out_of_touch_at, now)
             return
-        self._lease_renewed_at = self._clock.now()
-        self._view.renew_lease(sent_at, answer.lease_ms)
+        self._out_of_touch_at = math.inf
+        if sent_at is not None:
+            self._lease_renewed_at = now
+            self._view.renew_lease(self.address, sent_at, answer.lease_ms)
 
     def _send_heartbeats(self) -> None:
         while True:
             self._view.update_freshness()
             now = self._clock.now()
             if self._stream is not None:
-                if now - self._lease_renewed_at > LEASE_RENEWAL_TIMEOUT_MS:
+                if now >= self._leave_at:
                     _LOG.warning(
                         'control host does not vouch',
                         extra={'host': self.address},
@@ -221,7 +238,7 @@
             next_check = min(
                 next_check,
                 self._heartbeat_at + self._heartbeat_interval - now,
-                self._lease_renewed_at + LEASE_RENEWAL_TIMEOUT_MS - now,
+                self._leave_at - now,
             )
         return min(
             self._heartbeat_interval, max(_MIN_CHECK_INTERVAL_MS, next_check)
--- a/src/mulberryquay/entry/control_view.py
+++ b/src/mulberryquay/entry/control_view.py
@@ -18,6 +18,10 @@
 #: Shortest time between two switches to a better control host.
 MIN_SWITCH_INTERVAL_MS: typing.Final = 1000.0
 
+#: A followed host vouches for this long after each lease that it granted. Two
+#: heartbeats and a round trip fit.
+VOUCHED_MS: typing.Final = 1200.0
+
 #: Interval at which calls in flight are compared with pending shares.
 PENDING_CHECK_INTERVAL_MS: typing.Final = 50.0
 
@@ -49,6 +53,8 @@
         self._switched_at = entry_state.clock.now()
         #: Addresses of the followed hosts in the order they were chosen.
         self._followed: list[str] = []
+        #: When each of them granted its last lease.
+        self._vouched_at: dict[str, float] = {}
 
     @property
     def next_check_in_ms(self) -> float:
@@ -65,9 +71,12 @@
         return self._state.clock
 
     @property
-    def is_following(self) -> bool:
-        """Whether at least one control host is followed."""
-        return bool(self._followed)
+    def can_wait_for_host(self) -> bool:
+        """Whether the search for a host to follow is not urgent.
+
+        It is while no host vouches, unless all of them have failed.
+        """
+        return bool(self._vouching_hosts()) or self.hosts.have_all_failed
 
     def choose_host(self) -> str:
         """Returns the address to follow next, or an empty string if none."""
@@ -79,16 +88,17 @@
     def stop_following(self, address: str, *, is_failure: bool) -> None:
         """Ends following a host; after a failure it is avoided for a while."""
         self._followed.remove(address)
+        self._vouched_at.pop(address, None)
         if is_failure:
             self.hosts.avoid(address)
 
     def should_switch(self, address: str) -> bool:
         """Whether to leave a host for a better one now.
 
-        This needs another followed host and a fresh configuration. True
-        counts as a switch, so that the next one waits for the interval.
+        This needs another followed host that vouches. True counts as a
+        switch, so that the next one waits for the interval.
         """
-        others = [other for other in self._followed if other != address]
+        others = [other for other in self._vouching_hosts() if other != address]
         if not others or not self._state.is_fresh:
             return False
         now = self._state.clock.now()
@@ -243,11 +253,14 @@
         """Takes back reports that could not be sent."""
         self._state.balancer.restore_target_reports(served, shed)
 
-    def renew_lease(self, sent_at: float, duration: float) -> None:
+    def renew_lease(
+        self, address: str, sent_at: float, duration: float
+    ) -> None:
         """Extends the freshness lease that a control host granted.
 
         It counts from ``sent_at``, when the heartbeat was sent.
         """
+        self._vouched_at[address] = self._state.clock.now()
         self._state.control_age.record(sent_at)
         self._lease_until = max(self._lease_until, sent_at + duration)
         self.update_freshness()
@@ -266,6 +279,15 @@
             extra={'revision': self.replica.revision},
         )
 
+    def _vouching_hosts(self) -> list[str]:
+        """Returns the followed hosts that granted a lease recently."""
+        oldest = self._state.clock.now() - VOUCHED_MS
+        return [
+            address
+            for address in self._followed
+            if self._vouched_at.get(address, -math.inf) >= oldest
+        ]
+
     def _is_first(self, address: str) -> bool:
         """Whether a host gets reports, which it forwards to the others."""
         return not self._followed or self._followed[0] == address
--- a/src/mulberryquay/protocol.py
+++ b/src/mulberryquay/protocol.py
@@ -175,6 +175,11 @@
     versions: typing.Sequence[typing.Sequence[typing.Any]] = ()
 
 
+#: The sequence of an answer that a host sends because it has lost or regained
+#: contact with the majority.
+NO_HEARTBEAT: typing.Final = 0
+
+
 class HeartbeatAnswer(typing.NamedTuple):
     """Renews the freshness lease, counted from the sending of the heartbeat."""
 
--- a/testing/control/end_delivery_world.py
+++ b/testing/control/end_delivery_world.py
@@ -20,6 +20,7 @@
     directory,
     feed,
     feed_messages,
+    kinds,
     membership,
     replicated_state,
 )
@@ -42,6 +43,8 @@
 _LOOK_INTERVAL_MS: typing.Final = 20.0
 _INCARNATION: typing.Final = 1
 _TARGETS: typing.Final = 60
+_SETTLE_MS: typing.Final = 8000.0
+_JOIN_MS: typing.Final = 600_000.0
 
 
 class SimulatedStream:
@@ -186,6 +189,8 @@
                 )
                 host.targets.merge_announced(announcements.parse(announced))
         self._await_voters()
+        gevent.spawn(self._declare)
+        self.clock.run(_SETTLE_MS)
 
     def domain_of(self, number: int) -> int:
         """Returns the failure domain of a host by its number."""
@@ -202,7 +207,7 @@
         """Starts entries in all failure domains and lets them connect."""
         for number in range(self._domains * _ENTRIES_PER_DOMAIN):
             self._start_entry(f'entry-{number}', self.domain_of(number))
-        self.clock.run(10_000)
+        self.clock.run(_SETTLE_MS)
 
     def connect(
         self, address: tuple[str, int], _codec: typing.Any, *, timeout: float
@@ -285,7 +290,18 @@
                 return False
             return len(leader.replica.members) == len(self.hosts)
 
-        assert self.clock.run_until(is_complete, limit=60_000)
+        assert self.clock.run_until(is_complete, limit=_JOIN_MS)
+
+    def _declare(self) -> None:
+        """Declares something, so that entries have a configuration."""
+        leader = self.group.leader
+        assert leader is not None
+        self.hosts[leader.address].state.store.put(
+            kinds.FAILURE_DOMAIN,
+            'domain-0',
+            version=1,
+            spec={'region': _REGIONS[0], 'state': kinds.STATE_IN},
+        )
 
     def _start_entry(self, name: str, domain: int) -> None:
         entry_state = state.EntryState(
