--- a/src/mulberryquay/control/feed.py
+++ b/src/mulberryquay/control/feed.py
@@ -331,8 +331,8 @@
             'targets ended',
             extra={
                 'ends': len(ends),
-                'first_target': name,
-                'first_incarnation': incarnation,
+                'target': name,
+                'incarnation': incarnation,
                 'entries': self._queues.count,
                 'in_touch': self._group.is_in_touch,
             },
--- a/src/mulberryquay/entry/control_view.py
+++ b/src/mulberryquay/entry/control_view.py
@@ -134,7 +134,7 @@
                 extra={
                     'host': source,
                     'ends': len(message.incarnations),
-                    'first_target': next(iter(message.incarnations), ''),
+                    'target': next(iter(message.incarnations), ''),
                     'control_age_ms': self._state.control_age.milliseconds,
                 },
             )
--- a/testing/entry/test_control_hosts.py
+++ b/testing/entry/test_control_hosts.py
@@ -54,6 +54,27 @@
     CASE.assertEqual(hosts.choose([]), 'a:1')
 
 
+def test_search_does_not_stay_in_a_domain_whose_hosts_fail() -> None:
+    """Near hosts may all be cut off together (issue 62).
+
+    Once all have failed, the one that failed first is tried again.
+    """
+    time_source = clock.ManualClock()
+    hosts = _hosts(time_source)
+    near = [(f'near-{number}:1', 'north', 'north-1') for number in range(4)]
+    hosts.configure([])
+    hosts.update_announced([*near, ('far:1', 'south', 'south-1')])
+    tried = []
+    for _ in range(5):
+        tried.append(hosts.choose([]))
+        hosts.avoid(tried[-1])
+        time_source.advance(1)
+    CASE.assertEqual(tried[2], 'far:1')
+    CASE.assertEqual(len(set(tried)), 5)
+    CASE.assertTrue(hosts.have_all_failed)
+    CASE.assertEqual(hosts.choose([]), tried[0])
+
+
 def test_far_host_is_left_for_an_available_near_one() -> None:
     """An entry must not stay with a far host when a near one is available.
 
