Let entries wait at a control host that has just started

After all machines lose power or are killed, no host has a leader for a moment, and an entry whose first stream brought it the state from disks was refused by all hosts with its second. Such hosts are expected to find a leader, so entries wait there as before, for the first 3 s after a start.

--- a/src/mulberryquay/control/feed.py
+++ b/src/mulberryquay/control/feed.py
@@ -36,6 +36,9 @@
 
 _EXPIRY_INTERVAL_MS: typing.Final = 250
 
+#: For this long after its start, a host is expected to find a leader.
+_START_MS: typing.Final = 3000.0
+
 #: Interval at which this host checks whether it may still grant leases.
 _CONTACT_CHECK_INTERVAL_MS: typing.Final = 100.0
 _WATCH_TIMEOUT_MS: typing.Final = 10_000
@@ -71,6 +74,7 @@
         self._directory = targets
         self._membership = entries
         self._clock = time_source
+        self._started_at = time_source.now()
         self._group = group
         #: Applies what entries report of targets.
         self.target_reports = target_reports.TargetReports(
@@ -171,7 +175,7 @@
         is_current = hello.protocol_version == protocol.PROTOCOL_VERSION
         if self._needs_uncertain_state(hello):
             self._enqueue_state(outbound, is_current=is_current)
-        elif hello.config_revision and not self._group.is_in_touch:
+        elif self._must_refuse(hello):
             # Another host may be; the entry should not wait for this one.
             raise NotInTouchError('no contact with the majority')
         self._group.wait_until_current()
@@ -204,6 +208,16 @@
         is_empty = not hello.config_revision and self._store.revision > 0
         return is_empty and not self._group.is_in_touch
 
+    def _must_refuse(self, hello: protocol.Hello) -> bool:
+        """Whether another host may have the contact that this one has lost.
+
+        An entry without configuration waits here, as does any while this host
+        starts: all of them may have lost power.
+        """
+        if not hello.config_revision or self._group.is_in_touch:
+            return False
+        return self._clock.now() - self._started_at > _START_MS
+
     def _enqueue_state(
         self, outbound: queue.Queue, *, is_current: bool
     ) -> None:
