--- a/testing/control/end_delivery_world.py
+++ b/testing/control/end_delivery_world.py
@@ -274,6 +274,11 @@
                     )
         return texts
 
+    def close_disks(self) -> None:
+        """Stops all hosts, so that they close their files."""
+        for node in self.group.nodes.values():
+            node.stop()
+
     def _await_voters(self) -> None:
         def is_complete() -> bool:  # noqa: WPS430
             leader = self.group.leader
@@ -342,8 +347,11 @@
     with fixtures.folder() as folder, _killing_tasks():
         world = World(folder, seed=seed, hosts=hosts, domains=domains)
         with mock.patch.object(wire, 'connect', world.connect):
-            world.start_entries()
-            yield world
+            try:
+                world.start_entries()
+                yield world
+            finally:
+                world.close_disks()
 
 
 @contextlib.contextmanager
